Take a new configuration over at SIGHUP and move the watch on discovery at once

At fault: cmd/cobaltflow/serve.go asked for SIGTERM and SIGINT only, so Go's default for SIGHUP ended the process; internal/config put RELAY_DISCOVERY before the file, which after SIGHUP would have kept the old address; watch.go knew one address for good and continued its version.

Now: the file is read and checked on a goroutine of its own and taken over in one event of the loop; the watch is closed and opened at the new address, whose whole list is asked for before its watch, as its index need not continue ours. An epoch keeps late dials and lines of the old address out. A worker connection in use while its address changes is closed instead of going back to the idle ones. First silence of a watch is ended after 2 s, later ones after 5 s.

Ruled out: that the list at the new address comes late; in the logs the watch moves in the turn of the signal and the list is there within 3 ms. Taking out the whole-list request, the move, the close of the old connection or the signal's registration breaks a test each.

--- a/cmd/cobaltflow/main_test.go
+++ b/cmd/cobaltflow/main_test.go
@@ -37,7 +37,7 @@
 		"known":{"index":1,"snapshot":true,"endpoints":[]},
 		"settings":{"classes":[{"name":"move","effect":"once","deadlineUs":1000000}]}}`, discovery.Addr()), 0o600))
 	serve := exec.Command(filepath.Join(bin, "cobaltflow"), "serve")
-	serve.Env = append(os.Environ(), "RELAY_CONFIG="+conf)
+	serve.Env = append(os.Environ(), "RELAY_CONFIG="+conf, "RELAY_DISCOVERY="+discovery.Addr().String())
 	log, err := serve.StdoutPipe()
 	require.NoError(t, err)
 	require.NoError(t, serve.Start())
@@ -50,10 +50,34 @@
 	r, err := http.Get("http://" + address + "/-/ready")
 	require.NoError(t, err)
 	assert.Equal(t, 200, r.StatusCode)
+
+	// SIGHUP: a bad file is named with its key and changes nothing; a good one goes before the start's
+	// environment, and SIGTERM ends the process in order after it.
+	moved, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer moved.Close()
+	text, err := os.ReadFile(conf)
+	require.NoError(t, err)
+	for _, c := range []struct{ discovery, want string }{
+		{"nowhere", `the old configuration is kept: discovery: "nowhere" is not address:port`},
+		{moved.Addr().String(), "reload: taken over"},
+	} {
+		next := strings.Replace(string(text), discovery.Addr().String(), c.discovery, 1)
+		require.NoError(t, os.WriteFile(conf, []byte(next), 0o600))
+		require.NoError(t, serve.Process.Signal(syscall.SIGHUP))
+		for line := ""; !strings.Contains(line, c.want); {
+			line, err = lines.ReadString('\n')
+			require.NoError(t, err, "ended before %q", c.want)
+		}
+	}
+	watch, err := moved.Accept()
+	require.NoError(t, err)
+	watch.Close()
+
 	require.NoError(t, serve.Process.Signal(syscall.SIGTERM))
-	text, _ := io.ReadAll(lines)
+	ending, _ := io.ReadAll(lines)
 	assert.NoError(t, serve.Wait(), "exit 0 after SIGTERM")
-	assert.Contains(t, string(text), "ended: taken=0")
+	assert.Contains(t, string(ending), "ended: taken=0")
 
 	for args, want := range map[string]string{"check": "RELAY_NAME", "nothing": "unknown command", "serve": "name: missing"} {
 		c := exec.Command(filepath.Join(bin, "cobaltflow"), args)
--- a/cmd/cobaltflow/serve.go
+++ b/cmd/cobaltflow/serve.go
@@ -19,14 +19,15 @@
 )
 
 func serve(args []string, out io.Writer) error {
+	// Caught from the first moment: left to the runtime, SIGHUP ends the process. One that waits is
+	// enough, since the file is read after it was taken.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	conf, _, err := load("serve", args)
 	if err != nil {
 		return err
 	}
-	// A poller that sleeps in a system call holds a proc until the runtime takes it back, which can
-	// take milliseconds: with one proc more than the cores nothing waits for that.
-	runtime.GOMAXPROCS(int(conf.Limits.Cores+0.999) + 1)
-	debug.SetMemoryLimit(int64(conf.Limits.MemoryMB) << 20 / 3 * 2)
+	keepWithin(conf.Limits)
 
 	log := logline.New(out)
 	defer log.Close()
@@ -47,6 +48,18 @@
 		log.Print("faktory: serves at " + second.Address())
 	}
 
+	go func() {
+		for range reloads {
+			next, err := conf.Reload(os.Getenv)
+			if err != nil {
+				// By the loop, which runs no event once the log is closed.
+				loop.Post(func() { log.Print("reload: the old configuration is kept: " + err.Error()) })
+				continue
+			}
+			keepWithin(next.Limits)
+			loop.Post(func() { front.Reload(next) })
+		}
+	}()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
@@ -71,6 +84,14 @@
 	return nil
 }
 
+// keepWithin sets the runtime's own limits.
+func keepWithin(l config.Limits) {
+	// A poller that sleeps in a system call holds a proc until the runtime takes it back, which can
+	// take milliseconds: with one proc more than the cores nothing waits for that.
+	runtime.GOMAXPROCS(int(l.Cores+0.999) + 1)
+	debug.SetMemoryLimit(int64(l.MemoryMB) << 20 / 3 * 2)
+}
+
 // load reads the configuration under the flags that serve and check share.
 func load(name string, args []string) (*config.Config, []string, error) {
 	f := flags(name)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
 	"slices"
 	"strconv"
 	"strings"
@@ -77,7 +78,40 @@
 }
 
 // Load reads the configuration. The environment, where it is set, goes before the file.
-func Load(getenv func(string) string) (*Config, error) {
+func Load(getenv func(string) string) (*Config, error) { return read(getenv, false) }
+
+// Reload reads the file again for a program that runs. What the environment says of discovery is from
+// the start: the new file goes before it. The second front's part is kept as it is.
+func (c *Config) Reload(getenv func(string) string) (*Config, error) {
+	next, err := read(getenv, true)
+	if err == nil {
+		next.Faktory = c.Faktory
+		err = next.checkFaktory()
+	}
+	if err != nil {
+		return nil, err
+	}
+	return next, nil
+}
+
+// Unchangeable names the keys in which next differs but which a running program keeps.
+func (c *Config) Unchangeable(next *Config) (keys []string) {
+	for _, k := range []struct {
+		key     string
+		differs bool
+	}{
+		{"name", c.Name != next.Name},
+		{"listen", c.Listen != next.Listen},
+		{"settings", !reflect.DeepEqual(c.Settings, next.Settings) || !reflect.DeepEqual(c.Names, next.Names)},
+	} {
+		if k.differs {
+			keys = append(keys, k.key)
+		}
+	}
+	return keys
+}
+
+func read(getenv func(string) string, again bool) (*Config, error) {
 	var doc document
 	if path := getenv(EnvConfig); path != "" {
 		text, err := os.ReadFile(path)
@@ -99,6 +133,9 @@
 		Limits:    Limits{Cores: 1, MemoryMB: 192, Sockets: 1024},
 		Known:     doc.Known,
 	}
+	if again {
+		c.Discovery = first(doc.Discovery, c.Discovery)
+	}
 	if c.Name == "" {
 		return nil, fault("name", "missing (or %s)", EnvName)
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -43,6 +44,28 @@
 	assert.Equal(t, rules.Time(60_000_000), c.Names.ConnIdle)
 }
 
+func TestReloadTakesDiscoveryFromTheFile(t *testing.T) {
+	env := map[string]string{EnvName: "n4", EnvDiscovery: "127.0.0.1:9"}
+	old, err := load(t, good, env)
+	require.NoError(t, err)
+	require.Equal(t, "127.0.0.1:9", old.Discovery, "at the start the environment goes first")
+	path := filepath.Join(t.TempDir(), "next.json")
+	again := func(text string) (*Config, error) {
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		env[EnvConfig] = path
+		return old.Reload(func(key string) string { return env[key] })
+	}
+	next, err := again(strings.NewReplacer("8500", "8501", `"sockets":1024`, `"sockets":256`).Replace(good))
+	require.NoError(t, err)
+	assert.Equal(t, []any{"127.0.0.1:8501", 256}, []any{next.Discovery, next.Limits.Sockets})
+	assert.Empty(t, old.Unchangeable(next))
+	next, err = again(strings.NewReplacer("8443", "8444", "1000000,", "2000000,").Replace(good))
+	require.NoError(t, err)
+	assert.Equal(t, []string{"listen", "settings"}, old.Unchangeable(next))
+	_, err = again(strings.Replace(good, "8500", "none", 1))
+	assert.ErrorContains(t, err, "discovery: ")
+}
+
 func TestFaultsNameTheirKey(t *testing.T) {
 	for _, c := range []struct{ text, key string }{
 		{`{`, EnvConfig},
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -34,6 +34,7 @@
 	NoAnswer   = "no-answer"   // a call went unanswered for its time
 	OverBudget = "over-budget" // more connections than the budget of its party
 	NotUp      = "refused"     // never came up
+	Moved      = "moved"       // the peer has another address now
 	ShutDown   = "shut-down"   // the program ends
 )
 
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -106,7 +106,7 @@
 	}
 	f.pool.addresses(list)
 	f.core.Farm(f, rules.ListCached, list.Workers)
-	f.watch = newWatch(f, list.Version)
+	f.watch = newWatch(f, f.conf.Discovery, list.Version)
 
 	ln, err := netpoll.CreateListener("tcp", f.conf.Listen)
 	if err != nil {
@@ -125,12 +125,26 @@
 	go f.server.Serve(ln)
 	f.loop.Post(func() {
 		f.ready = true
-		f.watch.open()
+		f.watch.open(0)
 		f.sweep()
 	})
 	return nil
 }
 
+// Reload takes a new configuration over, within one event: the watch goes to its discovery at once, and
+// the budgets follow its limits. All that is open lives on, and so does what is known of the workers.
+func (f *Front) Reload(next *config.Config) {
+	for _, key := range f.conf.Unchangeable(next) {
+		f.log("reload: " + key + " can't change while the program runs; the old one is kept")
+	}
+	kept := *f.conf
+	kept.Discovery, kept.Limits = next.Discovery, next.Limits
+	f.conf = &kept
+	f.budget = share(kept.Limits.Sockets, &kept.Faktory)
+	f.watch.move(kept.Discovery)
+	f.log("reload: taken over")
+}
+
 // Address is where the front listens.
 func (f *Front) Address() string { return f.listener.Addr().String() }
 
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -92,7 +92,7 @@
 		} else if w.address != address {
 			w.address = address
 			for _, l := range w.idle {
-				l.Close(link.IdleOut)
+				l.Close(link.Moved)
 			}
 			w.idle = nil
 		}
@@ -347,8 +347,12 @@
 	k.got(&l.response)
 }
 
-// rest puts the connection with the idle ones.
+// rest puts the connection with the idle ones, unless the worker has another address by now.
 func (l *workerLink) rest() {
+	if l.Peer != l.worker.address {
+		l.Close(link.Moved)
+		return
+	}
 	l.since = l.f.loop.Now()
 	l.worker.idle = append(l.worker.idle, l)
 }
--- /dev/null
+++ b/internal/platform/reload_test.go
@@ -0,0 +1,93 @@
+package platform_test
+
+import (
+	"fmt"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cobaltflow/internal/standin"
+)
+
+func reload(n *standin.Node, discovery string) {
+	next := *n.Conf
+	next.Discovery = discovery
+	n.On(func() { n.Front.Reload(&next) })
+}
+
+func knows(n *standin.Node, workers int) func() bool {
+	return func() (yes bool) {
+		n.On(func() { yes = n.Core.FarmSize() == workers })
+		return yes
+	}
+}
+
+// The watch moves at once and starts from the new address's whole list, whose version is below the old
+// one's; what is open lives on, and a worker that is missing there is gone.
+func TestReloadMovesTheWatch(t *testing.T) {
+	a, b := standin.NewWorker(t, "s-1", silent), standin.NewWorker(t, "s-2", silent)
+	n := standin.Start(t, nil, a, b)
+	for range 5 {
+		n.Farm.Say(string(n.Farm.Tell(false, a.Entry("up"))))
+	}
+	got := make(chan standin.Answer)
+	go func() { got <- n.Ask("move", "k", "id-1", 9000, "") }()
+	n.Eventually(func() bool { return len(a.Jobs())+len(b.Jobs()) == 1 })
+
+	next := standin.NewDiscovery(t)
+	next.Whole(next.Tell(true, b.Entry("up")))
+	reload(n, next.Address())
+	n.Eventually(knows(n, 1))
+	n.Eventually(func() bool { return next.After() == "1" })
+	next.Say(string(next.Tell(false, a.Entry("up"))))
+	n.Eventually(knows(n, 2))
+	assert.True(t, n.Logged("party=discovery peer="+n.Farm.Address()+" reason=moved"))
+
+	owner := a
+	if len(b.Jobs()) == 1 {
+		owner = b
+	}
+	owner.Call("id-1", "done", map[string]any{"result": "still here"})
+	assert.Equal(t, standin.Answer{Status: 200, Body: "still here"}, <-got)
+}
+
+// While the new address refuses, or takes connections and says nothing, the last good list stands. A
+// reload that comes on top of one, in the drain too, wins.
+func TestReloadsInARowAndInTheDrain(t *testing.T) {
+	w := standin.NewWorker(t, "s-1", silent)
+	n := standin.Start(t, nil, w)
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	closed.Close()
+	mute, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer mute.Close()
+
+	reload(n, closed.Addr().String())
+	n.Eventually(func() bool { return n.Logged("peer=" + closed.Addr().String() + " reason=refused") })
+	reload(n, mute.Addr().String())
+	held, err := mute.Accept()
+	require.NoError(t, err)
+	defer held.Close()
+	got := make(chan standin.Answer)
+	go func() { got <- n.Ask("settle", "k", "id-1", 9000, "") }()
+	n.Eventually(func() bool { return len(w.Jobs()) == 1 })
+
+	n.On(func() { n.Front.Stop(n.Loop.Stop) })
+	next := standin.NewDiscovery(t)
+	other := standin.NewWorker(t, "s-2", nil)
+	next.Whole(next.Tell(true, w.Entry("up"), other.Entry("up")))
+	reload(n, mute.Addr().String())
+	reload(n, next.Address())
+	n.Eventually(knows(n, 2))
+	// The old address's list comes late and changes nothing.
+	late := string(n.Farm.Tell(true))
+	fmt.Fprintf(held, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(late), late)
+	n.Eventually(func() bool { return n.Logged("peer=" + mute.Addr().String() + " reason=moved") })
+	assert.True(t, knows(n, 2)())
+	w.Call("id-1", "done", nil)
+	assert.Equal(t, 200, (<-got).Status)
+	<-n.Ended
+}
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -85,79 +85,111 @@
 }
 
 const (
-	watchSilence = 6 * core.Second // the watch is opened anew when nothing came for so long
-	watchRetry   = 300 * core.Millisecond
+	watchSilence = 5 * core.Second // the watch is opened anew when nothing came for so long
+	watchFirst   = 2 * core.Second // and when it gave no first answer for so long
+	watchRetry   = 200 * core.Millisecond
 	longestLine  = 1 << 20
 )
 
-// watch follows discovery: one connection, one chunked answer that stays open.
+// watch follows discovery: one connection, one chunked answer that stays open. It can be moved to
+// another address; all that belongs to an earlier one is told by its epoch and changes nothing.
 type watch struct {
 	f       *Front
-	version int64
+	address string
+	epoch   int   // of the address
+	version int64 // of the list, at this address
+	whole   bool  // the whole list is asked for first: its version may not continue the one we hold
 	heard   core.Time
 	link    *link.Link
 	stopped bool
 }
 
-func newWatch(f *Front, version int64) *watch { return &watch{f: f, version: version} }
+func newWatch(f *Front, address string, version int64) *watch {
+	return &watch{f: f, address: address, version: version}
+}
+
+// move follows another address from now on. The list that we hold stands until the new one has told its own.
+func (w *watch) move(address string) {
+	if w.stopped || address == w.address {
+		return
+	}
+	w.f.log("discovery: " + w.address + " is left for " + address)
+	w.address, w.whole = address, true
+	w.epoch++
+	if l := w.link; l != nil {
+		w.link = nil
+		l.Close(link.Moved)
+	}
+	w.open(w.epoch)
+}
 
-func (w *watch) open() {
-	if w.stopped {
+func (w *watch) open(epoch int) {
+	if w.stopped || epoch != w.epoch {
 		return
 	}
-	loop, address := w.f.loop, w.f.conf.Discovery
-	w.heard = loop.Now()
-	go func() {
+	loop, address := w.f.loop, w.address
+	go func() { // a dial blocks, so it is run outside the loop
 		nc, err := netpoll.DialConnection("tcp", address, time.Second)
 		loop.Post(func() {
-			if err != nil || w.stopped {
-				if err != nil {
-					w.f.log("conn end party=discovery peer=" + address + " reason=" + link.NotUp + " messages=0 age_ms=0")
-				} else {
-					nc.Close()
-				}
-				loop.At(loop.Now()+watchRetry, w.open)
+			if err != nil {
+				w.f.log("conn end party=discovery peer=" + address + " reason=" + link.NotUp + " messages=0 age_ms=0")
+				loop.At(loop.Now()+watchRetry, func() { w.open(epoch) })
+				return
+			}
+			if w.stopped || epoch != w.epoch {
+				nc.Close()
 				return
 			}
 			l := &link.Link{}
 			l.Init(nc, "discovery", address, loop.Now())
-			w.link = l
-			s := &stream{watch: w, link: l}
+			w.link, w.heard = l, loop.Now()
+			s := &stream{watch: w, link: l, list: w.whole}
 			nc.SetOnRequest(func(context.Context, netpoll.Connection) error { return s.read() })
 			nc.AddCloseCallback(func(netpoll.Connection) error {
-				loop.Post(func() { w.lost(l) })
+				loop.Post(func() { w.lost(l, epoch) })
 				return nil
 			})
 			if !nc.IsActive() {
-				loop.Post(func() { w.lost(l) })
+				loop.Post(func() { w.lost(l, epoch) })
 			}
-			target := PathTargets + "?watch=1&after=" + strconv.FormatInt(w.version, 10)
-			l.Send(loop, link.Outgoing{Message: http1.AppendRequest(nil, "GET", target, address, -1)})
-			w.listen(l)
+			if w.whole {
+				w.ask(l, PathTargets)
+			} else {
+				w.follow(l)
+			}
+			w.listen(l, watchFirst)
 		})
 	}()
 }
 
+func (w *watch) ask(l *link.Link, target string) {
+	l.Send(w.f.loop, link.Outgoing{Message: http1.AppendRequest(nil, "GET", target, w.address, -1)})
+}
+
+func (w *watch) follow(l *link.Link) {
+	w.ask(l, PathTargets+"?watch=1&after="+strconv.FormatInt(w.version, 10))
+}
+
 // listen closes a watch that has fallen silent: a broken path tells nothing.
-func (w *watch) listen(l *link.Link) {
-	w.f.loop.At(w.heard+watchSilence, func() {
+func (w *watch) listen(l *link.Link, within core.Time) {
+	w.f.loop.At(w.heard+within, func() {
 		switch {
 		case l.Ended || l != w.link:
-		case w.f.loop.Now()-w.heard >= watchSilence:
+		case w.f.loop.Now()-w.heard >= within:
 			l.Close(link.NoAnswer)
 		default:
-			w.listen(l)
+			w.listen(l, watchSilence)
 		}
 	})
 }
 
-func (w *watch) lost(l *link.Link) {
+func (w *watch) lost(l *link.Link, epoch int) {
 	line, first := l.Farewell(w.f.loop.Now())
 	if !first {
 		return
 	}
 	w.f.log(line)
-	w.f.loop.At(w.f.loop.Now()+watchRetry, w.open)
+	w.f.loop.At(w.f.loop.Now()+watchRetry, func() { w.open(epoch) })
 }
 
 func (w *watch) stop() {
@@ -167,30 +199,51 @@
 	}
 }
 
-// news takes a line of the watch. A bad one is logged, and the last good list stands.
-func (w *watch) news(l *link.Link, line []byte) {
+// news takes a line of the watch. A bad one is logged, and the last good list stands; one of an address
+// that was left is let pass.
+func (w *watch) news(l *link.Link, line []byte) bool {
+	if l != w.link {
+		return false
+	}
 	w.heard = w.f.loop.Now()
 	if l.Count++; len(line) == 0 {
-		return
+		return false
 	}
 	news, err := ParseList(line, &w.f.conf.Names, w.f.loop.FromUnix)
+	if err == nil && w.whole && !news.Whole {
+		err = errors.New("not the whole list, which was asked for")
+	}
 	if err != nil {
 		w.f.log("discovery: bad line kept out: " + err.Error())
-		return
+		return false
 	}
-	w.version = news.Version
+	w.version, w.whole = news.Version, false
 	w.f.pool.addresses(news)
 	form := rules.ListDelta
 	if news.Whole {
 		form = rules.ListFull
 	}
 	w.f.core.Farm(w.f, form, news.Workers)
+	return true
+}
+
+// listed takes the whole list and goes on to the watch, on the same connection.
+func (w *watch) listed(l *link.Link, text []byte) {
+	if l != w.link {
+		return
+	}
+	if !w.news(l, text) {
+		l.Close(link.BadInput)
+		return
+	}
+	w.follow(l)
 }
 
 // stream takes the watch's answer apart: head, chunks, lines.
 type stream struct {
 	watch  *watch
 	link   *link.Link
+	list   bool // the answer that comes is the whole list; the watch follows
 	headed bool
 	line   []byte // the part of a line that has come
 }
@@ -211,6 +264,23 @@
 }
 
 func (s *stream) take(buf []byte) (size, need int, bad error) {
+	if s.list {
+		var p http1.Response
+		need, err := http1.ParseResponse(buf, &p, false)
+		if err != nil {
+			return 0, 0, err
+		}
+		if need > 0 {
+			return 0, need, nil
+		}
+		if p.Status != 200 {
+			return 0, 0, fmt.Errorf("the list was answered with %d", p.Status)
+		}
+		s.list = false
+		text := bytes.Clone(p.Body)
+		s.watch.f.loop.Post(func() { s.watch.listed(s.link, text) })
+		return p.Size, 0, nil
+	}
 	if !s.headed {
 		var p http1.Response
 		at, need, err := http1.ParseHead(buf, &p)
@@ -221,7 +291,7 @@
 			return 0, need, nil
 		}
 		if p.Status != 200 || string(bytes.ToLower(p.Get("Transfer-Encoding"))) != "chunked" {
-			return 0, 0, fmt.Errorf("the watch was link.Answered with %d", p.Status)
+			return 0, 0, fmt.Errorf("the watch was answered with %d", p.Status)
 		}
 		s.headed = true
 		return at, 0, nil
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -47,9 +47,9 @@
 // Start runs a node that knows the workers; change may alter the configuration first.
 func Start(t *testing.T, change func(*config.Config), workers ...*Worker) *Node {
 	t.Helper()
-	n := &Node{T: t, Farm: newDiscovery(t), Loop: core.NewLoop(), Ended: make(chan struct{})}
+	n := &Node{T: t, Farm: NewDiscovery(t), Loop: core.NewLoop(), Ended: make(chan struct{})}
 	n.Conf = &config.Config{
-		Name: "n0", Listen: "127.0.0.1:0", Discovery: strings.TrimPrefix(n.Farm.server.URL, "http://"), Seed: 1,
+		Name: "n0", Listen: "127.0.0.1:0", Discovery: n.Farm.Address(), Seed: 1,
 		Limits: config.Limits{Cores: 1, MemoryMB: 192, Sockets: 1024},
 		Names: config.Names{Classes: []string{"board-view", "move", "settle"}, Zones: []string{"suva", "lautoka"},
 			Kinds: []string{"gen1"}, ConnIdle: 60_000_000},
@@ -154,16 +154,26 @@
 	mu     sync.Mutex
 	index  int
 	lines  chan string
+	whole  json.RawMessage
 	watch  int
+	after  string
 }
 
-func newDiscovery(t *testing.T) *Discovery {
+// NewDiscovery starts one that has nothing to tell.
+func NewDiscovery(t *testing.T) *Discovery {
 	d := &Discovery{lines: make(chan string, 64)}
 	d.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("watch") == "" {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			w.Write(d.whole)
+			return
+		}
 		w.WriteHeader(200)
 		w.(http.Flusher).Flush()
 		d.mu.Lock()
 		d.watch++
+		d.after = r.URL.Query().Get("after")
 		d.mu.Unlock()
 		for {
 			select {
@@ -182,6 +192,23 @@
 	return d
 }
 
+// Address is where discovery listens.
+func (d *Discovery) Address() string { return d.server.Listener.Addr().String() }
+
+// Whole sets the answer for those who ask for the whole list.
+func (d *Discovery) Whole(list json.RawMessage) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.whole = list
+}
+
+// After is the version that the last watch continued from.
+func (d *Discovery) After() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.after
+}
+
 func (d *Discovery) watching() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
