Learn how long workers keep connections and put no job on older ones

A trace of the pool's connections showed kept ones breaking 60 to 450 us after the next request, never after less than 88 ms of idleness, and closed idle ones after 360 to 835 ms, at all ten workers; the settings say 60 s. Most of the breaks fell on probes, which counted against the worker's health.

At fault: pool.wanted used any idle connection up to 80 % of connIdleUs, and breakOff reported every break as the worker's.

Now: closedEarly keeps, for each worker, 0.6 of the shortest idle time after which it ended a connection, for 60 s or until its process is new; two such workers speak for the rest. Passes get no older connection; probes and withdrawals may, and go to a new one when it breaks, as does a pass that surely never left. Old ones beyond two a worker are closed.

Resets under a running request stay lost.

--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -42,11 +42,18 @@
 	dials   int
 	idleFor core.Time
 	connect core.Time
+
+	early     int       // workers that have closed kept connections before their time
+	earlyKeep core.Time // the longest of what they still keep one for
 }
 
 type workerLinks struct {
 	name, address string
 	idle          []*workerLink // the last used is last
+
+	keep   core.Time // it closes connections that have been idle for little more; 0: not seen to
+	keepAt core.Time // when that was last seen
+	start  core.Time // its process's
 }
 
 // workerLink is a connection to a worker.
@@ -55,8 +62,9 @@
 	ref      core.Ref
 	f        *Front
 	worker   *workerLinks
-	call     *call // what it is used for; nil: idle
-	since    core.Time
+	call     *call     // what it is used for; nil: idle
+	since    core.Time // idle since, or in use since
+	rested   core.Time // how long it had been idle when it was used last
 	response http1.Response
 }
 
@@ -68,6 +76,9 @@
 	got     func(r *http1.Response)               // the answer came
 	broken  func(reason string, mayHaveRead bool) // there will be none
 	limit   *core.Deadline
+	safe    bool        // it may be sent twice
+	fresh   bool        // only a new connection will do
+	still   func() bool // whether it is wanted yet; nil: it is
 	written bool
 	gone    bool // the connection went while the writer was still at it
 }
@@ -83,8 +94,16 @@
 	return pool{f: f, workers: map[string]*workerLinks{}, idleFor: idle - max(idle/5, min(idle/2, 2*core.Second)), connect: connect}
 }
 
-// addresses takes the addresses of a list.
+// addresses takes the addresses of a list. Of a process that has gone or was started anew nothing is
+// believed any more: its connections ended with it.
 func (p *pool) addresses(news *FarmNews) {
+	for i := range news.Workers {
+		m := &news.Workers[i]
+		if w := p.workers[m.Name]; w != nil && (m.State == rules.Gone || m.StartedAt != w.start) {
+			w.start = m.StartedAt
+			p.forget(w)
+		}
+	}
 	for name, address := range news.Addresses {
 		w := p.workers[name]
 		if w == nil {
@@ -143,7 +162,8 @@
 		}
 		f.core.Ended(ref, status, nil, rules.Load{})
 	}
-	k.wanted(f, w, func() bool { q, out := f.core.Find(t.ID, p.Worker); return out && q.Ref == ref })
+	k.still = func() bool { q, out := f.core.Find(t.ID, p.Worker); return out && q.Ref == ref }
+	k.wanted(f, w)
 }
 
 // finish ends a pass by a call-back. One that came before the 202 leaves the connection waiting for it.
@@ -164,11 +184,11 @@
 		return true
 	}
 	if w := f.pool.workers[p.Worker]; w != nil {
-		k := &call{message: http1.AppendRequest(nil, "DELETE", PathJobs+p.Transaction.ID, w.address, -1)}
+		k := &call{safe: true, message: http1.AppendRequest(nil, "DELETE", PathJobs+p.Transaction.ID, w.address, -1)}
 		k.begin = func(l *workerLink) { f.limit(k, l, deleteTime) }
 		k.got = func(*http1.Response) {}
 		k.broken = func(string, bool) {}
-		k.wanted(f, w, nil)
+		k.wanted(f, w)
 	}
 	return true
 }
@@ -182,7 +202,7 @@
 		f.loop.Post(func() { done(rules.Unreachable, rules.Load{}) })
 		return
 	}
-	k := &call{message: http1.AppendRequest(nil, "GET", PathLoad, w.address, -1)}
+	k := &call{safe: true, message: http1.AppendRequest(nil, "GET", PathLoad, w.address, -1)}
 	k.begin = func(l *workerLink) { f.limit(k, l, probeTime) }
 	k.got = func(r *http1.Response) {
 		load := parseLoad(r.Body)
@@ -205,7 +225,7 @@
 			done(rules.Unreachable, rules.Load{})
 		}
 	}
-	k.wanted(f, w, nil)
+	k.wanted(f, w)
 }
 
 // limit closes the connection of a call that goes unanswered.
@@ -213,12 +233,16 @@
 	k.limit = f.loop.At(f.loop.Now()+within, func() { l.Close(link.NoAnswer) })
 }
 
-// wanted finds a connection for the call: an idle one, the last used first, or a new one. still tells,
-// once a new one is up, whether the call is wanted yet; a connection that is not goes to the idle ones.
-func (k *call) wanted(f *Front, w *workerLinks, still func() bool) {
+// wanted finds a connection for the call: an idle one, the last used first, or a new one. A call that must
+// not be sent twice gets none that has been idle for longer than the worker is known to keep one.
+func (k *call) wanted(f *Front, w *workerLinks) {
 	p := &f.pool
-	for n := len(w.idle); n > 0; n = len(w.idle) {
+	oldest := f.loop.Now() - p.keepsFor(w)
+	for n := len(w.idle); n > 0 && !k.fresh; n = len(w.idle) {
 		l := w.idle[n-1]
+		if !k.safe && l.since < oldest {
+			break
+		}
 		w.idle = w.idle[:n-1]
 		if l.Ended || l.Reason != "" || !l.NC.IsActive() {
 			continue
@@ -240,13 +264,13 @@
 			if err != nil {
 				f.log("conn end party=worker peer=" + address + " reason=" + link.NotUp + " messages=0 age_ms=" +
 					strconv.FormatInt((f.loop.Now()-began)/core.Millisecond, 10))
-				if still == nil || still() {
+				if k.still == nil || k.still() {
 					k.broken(link.NotUp, false)
 				}
 				return
 			}
 			l := p.add(nc, w, address)
-			if still != nil && !still() {
+			if k.still != nil && !k.still() {
 				l.rest()
 				return
 			}
@@ -272,7 +296,7 @@
 }
 
 func (p *pool) add(nc netpoll.Connection, w *workerLinks, address string) *workerLink {
-	l := &workerLink{f: p.f, worker: w}
+	l := &workerLink{f: p.f, worker: w, since: p.f.loop.Now()}
 	l.Init(nc, "worker", address, p.f.loop.Now())
 	l.ref = p.links.Add(l)
 	nc.SetOnRequest(func(context.Context, netpoll.Connection) error { return l.onResponse() })
@@ -289,6 +313,8 @@
 // use puts a call on the connection.
 func (l *workerLink) use(k *call) {
 	l.call = k
+	now := l.f.loop.Now()
+	l.rested, l.since = now-l.since, now
 	l.Count++
 	k.begin(l)
 	l.Send(l.f.loop, link.Outgoing{Message: k.message, Done: func(err error) {
@@ -305,8 +331,15 @@
 	}})
 }
 
+// breakOff ends a call whose connection broke. One that surely never left, or that may be sent twice,
+// is put on a new connection where the old one had been kept: it says nothing of the worker's health.
 func (l *workerLink) breakOff(k *call, mayHaveRead bool) {
 	l.f.loop.Drop(k.limit)
+	if l.Count > 1 && l.Reason == "" && !k.fresh && (k.safe || !mayHaveRead) && (k.still == nil || k.still()) {
+		k.fresh, k.written, k.gone = true, false, false
+		k.wanted(l.f, l.worker)
+		return
+	}
 	reason := l.Reason
 	if reason == "" {
 		reason = link.PeerClosed
@@ -372,6 +405,9 @@
 			break
 		}
 	}
+	if l.Reason == "" && l.Count > 0 {
+		l.f.pool.closedEarly(l)
+	}
 	if k := l.call; k != nil {
 		l.call = nil
 		if k.written {
@@ -383,11 +419,70 @@
 	l.Release()
 }
 
-// retire closes connections that have stood idle for long.
+const (
+	atOnce     = 20 * core.Millisecond // a connection that breaks so soon after its use had been closed before
+	earlyFor   = 60 * core.Second      // for so long what was seen of it is believed
+	leastKeep  = 5 * core.Millisecond
+	probesKeep = 2
+	believedBy = 2 // workers that close early before all others are taken to
+)
+
+// closedEarly learns from a kept connection that the worker ended, idle or at its next use, for how long
+// the worker keeps one. A request that crosses such a close is a reset and may have run: one that must not
+// run twice is lost with it.
+func (p *pool) closedEarly(l *workerLink) {
+	now := p.f.loop.Now()
+	idle := now - l.since
+	if l.call != nil {
+		if idle > atOnce || l.Count < 2 {
+			return
+		}
+		idle = l.rested
+	}
+	w := l.worker
+	keep := max(leastKeep, idle*6/10)
+	if keep >= p.keepsFor(w) {
+		return
+	}
+	if w.keep == 0 {
+		p.early++
+	}
+	w.keep, w.keepAt = keep, now
+	p.earlyKeep = max(p.earlyKeep, keep)
+}
+
+func (p *pool) forget(w *workerLinks) {
+	if w.keep == 0 {
+		return
+	}
+	w.keep = 0
+	if p.early--; p.early == 0 {
+		p.earlyKeep = 0
+	}
+}
+
+// keepsFor is how long a connection may have been idle for a call that must not be sent twice.
+func (p *pool) keepsFor(w *workerLinks) core.Time {
+	if p.f.loop.Now()-w.keepAt > earlyFor {
+		p.forget(w)
+	}
+	switch {
+	case w.keep > 0:
+		return w.keep
+	case p.early >= believedBy:
+		return min(p.idleFor, p.earlyKeep)
+	}
+	return p.idleFor
+}
+
+// retire closes connections that have stood idle for long, and of those that no job may have any more all
+// but the few that probes can still try.
 func (p *pool) retire() {
-	limit := p.f.loop.Now() - p.idleFor
+	now := p.f.loop.Now()
+	limit := now - p.idleFor
 	for _, w := range p.workers {
-		for len(w.idle) > 0 && w.idle[0].since < limit {
+		old := now - p.keepsFor(w)
+		for len(w.idle) > 0 && (w.idle[0].since < limit || len(w.idle) > probesKeep && w.idle[0].since < old) {
 			w.idle[0].Close(link.IdleOut)
 			w.idle = w.idle[1:]
 		}
--- a/internal/platform/rules_test.go
+++ b/internal/platform/rules_test.go
@@ -312,3 +312,15 @@
 	require.Equal(t, 200, n.Ask("move", "k", "id-2", 5000, "").Status)
 	assert.Equal(t, 2, w.Conns())
 }
+
+// What may be sent twice goes to a new connection when a kept one turns out to be closed: it says nothing
+// of the worker, and a job given up must not run on for it.
+func TestWithdrawalIsSentAgainWhenAKeptConnectionBreaks(t *testing.T) {
+	var cuts atomic.Int32
+	w := standin.NewWorker(t, "s-1", silent)
+	w.Cut = func(r *http.Request) bool { return r.Method == "DELETE" && cuts.Add(1) == 1 }
+	n := standin.Start(t, nil, w)
+	require.Equal(t, 500, n.Ask("move", "k", "id-slow", 300, "").Status)
+	n.Eventually(func() bool { return w.Deleted("id-slow") })
+	assert.EqualValues(t, 2, cuts.Load())
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -238,6 +238,8 @@
 type Worker struct {
 	Name string
 	Do   func(w *Worker, id string, rw http.ResponseWriter, r *http.Request)
+	// Cut tells, where it is set, of a request whose connection is to be closed instead of an answer.
+	Cut func(r *http.Request) bool
 
 	server  *httptest.Server
 	mu      sync.Mutex
@@ -270,6 +272,11 @@
 }
 
 func (w *Worker) serve(rw http.ResponseWriter, r *http.Request) {
+	if w.Cut != nil && w.Cut(r) {
+		c, _, _ := rw.(http.Hijacker).Hijack()
+		c.Close()
+		return
+	}
 	if r.Method == "DELETE" {
 		w.mu.Lock()
 		w.deleted = append(w.deleted, strings.TrimPrefix(r.URL.Path, platform.PathJobs))
