--- a/rules/rules.go
+++ b/rules/rules.go
@@ -40,7 +40,7 @@
 	errorBad  = 0.4   // error rate at which a worker is benched
 	distrust  = 0.5   // part of the fleet that may be in bad health before health is disregarded
 
-	crossCost  = 8.0   // a worker in another zone counts as dearer by this multiple of the price of crossing
+	crossCost  = 12.0  // a worker in another zone counts as dearer by this multiple of the price of crossing
 	coldMargin = 0.5   // part of its share of the cold budget that a dispatcher uses
 	holdPart   = 25    // a request waits for probes for this part of its aim at most
 	probePay   = 0.006 // service worth spending on probes
@@ -640,31 +640,17 @@
 }
 
 func (w *worker) countKey(now Time, key uint64, run float64) {
-	least := 0
-	for i := range w.running {
-		k := &w.running[i]
-		if k.key == key {
-			k.count(now, run)
-			return
-		}
-		if k.faded(now, run) < w.running[least].faded(now, run) {
-			least = i
-		}
-	}
-	if len(w.running) < keysTold {
-		w.running = append(w.running, keyCount{key, 1, now})
-	} else {
-		w.running[least] = keyCount{key, 1, now}
-	}
+	w.running = countKey(w.running, keyCount{key, 1, now}, run, keysTold)
 }
 
 // cost orders workers: the load after this job, over what the worker can do, and dearer by the price of
-// the way to another zone [D7].
+// the way to another zone, which weighs less on a job that is worth more [D7].
 func (d *Dispatcher) cost(now Time, w *worker, r *request) float64 {
 	slots := max(0.1, d.slots(w)*d.warmth(now, w))
 	c := (d.load(now, w) + r.Slots) / slots * d.slowness(now, w)
 	if w.Zone != d.set.Zone {
-		c *= 1 + crossCost*d.set.CrossZonePrice
+		worth, _ := d.usual()
+		c *= 1 + crossCost*d.set.CrossZonePrice*worth/d.classes[r.Class].Worth
 	}
 	return c
 }
@@ -713,7 +699,9 @@
 		}
 		clear(e.set[len(kept):])
 		e.set = kept
-		if best != nil {
+		// A key that once went to another zone does not pay for the way for ever: a near worker of the
+		// scan that is as good takes it back [D7].
+		if best != nil && (best.Zone == d.set.Zone || d.set.CrossZonePrice == 0) {
 			return best, false
 		}
 	}
@@ -1097,14 +1085,20 @@
 	return wait > slack*waitPart*min(1, rel) || rel < d.price
 }
 
-// relWorth compares a job's density with the mean of what is asked for lately within shares, at
-// present costs.
-func (d *Dispatcher) relWorth(r *request) float64 {
-	worth, cost := 0.0, 0.0
+// usual gives the mean worth, and slot-time at present costs, of what is asked for lately within shares.
+func (d *Dispatcher) usual() (worth, cost float64) {
+	n := 0.0
 	for i := range d.classes {
+		n += d.classes[i].asked
 		worth += d.classes[i].asked * d.classes[i].Worth
 		cost += d.classes[i].asked * d.runOf(i)
 	}
+	return worth / max(1, n), cost / max(1, n)
+}
+
+// relWorth compares a job's density with that of what is usual.
+func (d *Dispatcher) relWorth(r *request) float64 {
+	worth, cost := d.usual()
 	if worth == 0 {
 		return 1
 	}
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -851,3 +851,40 @@
 		}
 	}
 }
+
+// A key that went to another zone while its own was full is taken back by a near worker that is free.
+func TestAKeyComesBackToItsOwnZone(t *testing.T) {
+	back := func(price float64) bool {
+		s := oneClass(Once)
+		s.CrossZonePrice = price
+		b := newBed(s, ListEntry{Worker: "far", Zone: 1, Weight: 1})
+		b.serve(1, 100*ms)
+		b.List(b.now, &List{Entries: []ListEntry{{Worker: "near", Weight: 1}}})
+		return b.serve(1, 100*ms) == "near"
+	}
+	if back(0) || !back(0.13) {
+		t.Errorf("back without a price: %v, with one: %v; want only the second", back(0), back(0.13))
+	}
+}
+
+// The price of crossing is one for each request: a job that is worth more bears it sooner.
+func TestDearJobsCrossSooner(t *testing.T) {
+	s := oneClass(Once)
+	s.CrossZonePrice = 0.13
+	s.Classes = append(s.Classes, s.Classes[0])
+	s.Classes[0].Worth, s.Classes[1].Worth = 2, 10
+	b := newBed(s, ListEntry{Worker: "near", Weight: 1}, ListEntry{Worker: "far", Zone: 1, Weight: 1})
+	for range 8 {
+		b.serve(1, 10*ms)
+	}
+	far := b.byID["far"]
+	near := &worker{ListEntry: far.ListEntry}
+	near.Zone = s.Zone
+	dearer := func(class int) float64 {
+		r := &request{Request: Request{Class: class, Slots: 1}}
+		return b.cost(b.now, far, r) / b.cost(b.now, near, r)
+	}
+	if cheap, dear := dearer(0), dearer(1); dear >= cheap || dear <= 1 {
+		t.Errorf("crossing makes a cheap job's worker %.2f times as dear, a dear one's %.2f", cheap, dear)
+	}
+}
--- a/rules/structs.go
+++ b/rules/structs.go
@@ -30,6 +30,26 @@
 
 func (k *keyCount) count(now Time, run float64) { k.n, k.at = k.faded(now, run)+1, now }
 
+// countKey counts the key among a list of the most that ran lately; the least of them gives way to it.
+func countKey(list []keyCount, one keyCount, run float64, most int) []keyCount {
+	least := 0
+	for i := range list {
+		k := &list[i]
+		if k.key == one.key {
+			k.count(one.at, run)
+			return list
+		}
+		if k.faded(one.at, run) < list[least].faded(one.at, run) {
+			least = i
+		}
+	}
+	if len(list) < most {
+		return append(list, one)
+	}
+	list[least] = one
+	return list
+}
+
 // entries keeps table entries by key and in order of use.
 type entries struct {
 	byKey          map[uint64]*entry
