Let a job that runs on tell of its slow worker before it has ended

Now the job of ours that has run longest counts, past four means, for twelve observations.

Ruled out: late news of their end (discovery told at 20 s, probes were refused from 18.7 s, and nothing was sent there after).

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -35,6 +35,8 @@
 	crowdRuns = 10.0  // running times in which the fleet's load, as seen, fades when nothing is seen
 	usualRuns = 250.0 // and in which a worker's usual load gives way to the fleet's
 	slowPrior = 6.0   // observations that a worker's kind counts for against its own
+	lateRuns  = 4.0   // mean running times after which a job that still runs tells of its worker
+	lateProof = 12.0  // observations that it counts for
 	slowBad   = 2.5   // a worker this much slower than its kind is avoided
 	quietDevs = 4.0   // deviations past the mean sign of life at which silence is suspect
 	errorBad  = 0.4   // error rate at which a worker is benched
@@ -96,14 +98,6 @@
 	buf      []*worker
 }
 
-type kindStat struct{ cap, slow mean }
-
-type classStat struct {
-	Class
-	asked float64 // requests lately
-	run   mean    // running time, in microseconds, over the whole fleet
-}
-
 // New makes a dispatcher. It emits through act, also from within New.
 func New(s Settings, seed uint64, now Time, act Actions) *Dispatcher {
 	s.GroupSize = max(1, s.GroupSize)
@@ -335,7 +329,8 @@
 
 	slowSum, slowN float64 // running time over its class's mean
 	slowAt         Time
-	quietSince     Time // first send after the last sign of life; 0: none
+	late           float64 // running time over its class's mean of the job of ours that has run longest there
+	quietSince     Time    // first send after the last sign of life; 0: none
 	errors         float64
 	benchUntil     Time
 	benchFor       Time
@@ -373,6 +368,16 @@
 		d.watching = true
 		d.act.Watch(true)
 	}
+	for _, w := range d.workers {
+		w.late = 0
+	}
+	for _, r := range d.requests {
+		for i := range r.attempts {
+			if a := &r.attempts[i]; !a.over && a.started > 0 {
+				a.w.late = max(a.w.late, float64(now-a.started)/max(1, d.runOf(r.Class)))
+			}
+		}
+	}
 	bad := 0
 	kept := d.workers[:0]
 	for _, w := range d.workers {
@@ -558,17 +563,19 @@
 }
 
 // slowness is a worker's running time over the fleet's, its kind's counting until it has shown
-// its own; what it has shown fades, so that one that was slow is tried again.
+// its own; what it has shown fades, so that one that was slow is tried again. A job that runs for very
+// long tells before it has ended: a worker that is wearing out ends none for seconds.
 func (d *Dispatcher) slowness(now Time, w *worker) float64 {
 	k := d.kind(w.Kind).slow
 	if k.n == 0 {
 		k.v = 1
 	}
-	if w.slowN == 0 {
-		return k.v
-	}
 	fade := math.Exp(-float64(now-w.slowAt) / (20 * max(1, d.meanRun.v)))
-	return (k.v*slowPrior + w.slowSum*fade) / (slowPrior + w.slowN*fade)
+	own := (k.v*slowPrior + w.slowSum*fade) / (slowPrior + w.slowN*fade)
+	if w.late > lateRuns {
+		own = max(own, (k.v*slowPrior+w.late*lateProof)/(slowPrior+lateProof))
+	}
+	return own
 }
 
 // failed counts an error, a broken connection or an unanswered probe. Fast errors keep a worker's
@@ -583,13 +590,6 @@
 
 // ---- The assigned table: the paper's Algorithms 1 and 2.
 
-type entry struct {
-	key          uint64
-	set          []*worker
-	asked        keyCount
-	newer, older *entry
-}
-
 // verdict of Algorithm 2
 type verdict uint8
 
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -888,3 +888,29 @@
 		t.Errorf("crossing makes a cheap job's worker %.2f times as dear, a dear one's %.2f", cheap, dear)
 	}
 }
+
+// A worker that wears out starts jobs and ends none for seconds. The job that runs on tells of it before
+// it has ended, or all that comes meanwhile would be sent after it.
+func TestAJobThatRunsOnTellsOfItsWorker(t *testing.T) {
+	b := newBed(oneClass(Once), fleet(2)...)
+	for range 16 {
+		b.serve(1, 50*ms)
+	}
+	r := b.ask(1)
+	worn := b.byID[b.a.last().w]
+	b.Note(b.now, &Note{Request: r, Worker: worn.id, Started: true})
+	before := b.slowness(b.now, worn)
+	b.pass(100 * ms)
+	if s := b.slowness(b.now, worn); s > before*1.01 {
+		t.Errorf("%.2f times as slow after two running times, %.2f before", s, before)
+	}
+	b.pass(1500 * ms)
+	if s := b.slowness(b.now, worn); s < 4*before {
+		t.Errorf("%.2f times as slow after thirty running times, %.2f before", s, before)
+	}
+	b.end(r, 0, worn.id, OK)
+	b.pass(500 * ms)
+	if worn.late != 0 {
+		t.Errorf("%.1f running times after the end", worn.late)
+	}
+}
--- a/rules/structs.go
+++ b/rules/structs.go
@@ -13,6 +13,21 @@
 	m.v += (v - m.v) * max(gain, 1/m.n)
 }
 
+type kindStat struct{ cap, slow mean }
+
+type classStat struct {
+	Class
+	asked float64 // requests lately
+	run   mean    // running time, in microseconds, over the whole fleet
+}
+
+type entry struct {
+	key          uint64
+	set          []*worker
+	asked        keyCount
+	newer, older *entry
+}
+
 type bucket struct {
 	rate, left float64
 	at         Time
