Give a worker that has lately failed jobs only those first that may be repeated

The worker was benched after two errors for half a second, and each probe that it answered meanwhile took 0.3 off its error rate (rules.go, Probed), so it drew dear jobs again at once.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -40,6 +40,8 @@
 	slowBad   = 2.5   // a worker this much slower than its kind is avoided
 	quietDevs = 4.0   // deviations past the mean sign of life at which silence is suspect
 	errorBad  = 0.4   // error rate at which a worker is benched
+	faultFade = 2e6   // a tenth of the time in which a failed job is forgotten, in microseconds
+	faultShy  = 0.3   // failed jobs past which a worker gets only jobs that may be repeated
 	distrust  = 0.5   // part of the fleet that may be in bad health before health is disregarded
 
 	crossCost  = 12.0  // a worker in another zone counts as dearer by this multiple of the price of crossing
@@ -332,6 +334,7 @@
 	late           float64 // running time over its class's mean of the job of ours that has run longest there
 	quietSince     Time    // first send after the last sign of life; 0: none
 	errors         float64
+	faults         keyCount // jobs that failed there of late
 	benchUntil     Time
 	benchFor       Time
 	probing        Time // a probe is out since; 0: none
@@ -354,7 +357,7 @@
 	}
 	if e.StartedAt != w.StartedAt || w.state == Gone {
 		// A fresh start: what was learned of its load and health is void, and it is cold.
-		w.errors, w.quietSince, w.benchUntil, w.benchFor, w.slowN, w.slowSum = 0, 0, 0, 0, 0, 0
+		w.errors, w.quietSince, w.benchUntil, w.benchFor, w.slowN, w.slowSum, w.faults.n = 0, 0, 0, 0, 0, 0, 0
 		w.others, w.othersLast, w.running = mean{}, 0, w.running[:0]
 		w.tokens, w.tokensAt = -1, now
 	}
@@ -562,6 +565,12 @@
 	return w.slowN > 2 && d.slowness(now, w) > slowBad*max(1, d.kind(w.Kind).slow.v)
 }
 
+// shy tells of a worker that has lately failed jobs, for a job that could not be repeated: those that can
+// be go first, and show whether it is well again. Probes don't: such a worker answers them.
+func (d *Dispatcher) shy(now Time, w *worker, r *request) bool {
+	return d.classes[r.Class].Effect == Once && w.faults.faded(now, faultFade) > faultShy
+}
+
 // slowness is a worker's running time over the fleet's, its kind's counting until it has shown
 // its own; what it has shown fades, so that one that was slow is tried again. A job that runs for very
 // long tells before it has ended: a worker that is wearing out ends none for seconds.
@@ -663,7 +672,7 @@
 	var bestCost, spareCost float64
 	consider := func(w *worker) bool {
 		c := d.cost(now, w, r)
-		if d.suspect(now, w) && !d.trusting {
+		if !d.trusting && (d.suspect(now, w) || d.shy(now, w, r)) {
 			c += 1e6 // only if there is no other
 		} else if now < w.fullUntil {
 			c += 1e3
@@ -842,15 +851,6 @@
 
 // ---- Attempts: the one place that knows what may have run.
 
-type attempt struct {
-	w       *worker
-	sent    Time
-	started Time
-	seen    bool // a sign of life came
-	over    bool
-	never   bool // proved not to have run
-}
-
 type request struct {
 	Request
 	arrived   Time
@@ -955,6 +955,7 @@
 	switch s {
 	case OK:
 		w.errors *= 1 - loadGain
+		w.faults.n *= 1 - loadGain
 		w.benchFor /= 2
 		run := now - a.sent
 		if a.started > 0 {
@@ -964,6 +965,7 @@
 		}
 		d.ran(now, r, w, float64(run))
 	case Error:
+		w.faults.count(now, faultFade)
 		d.failed(now, w, loadGain)
 	case Unreachable, Reset:
 		d.failed(now, w, 0.5)
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -914,3 +914,38 @@
 		t.Errorf("%.1f running times after the end", worn.late)
 	}
 }
+
+// A worker that fails jobs at once, and answers probes all the while, lost every move and settle that came
+// when its bench was over. Jobs that may be repeated go first; once those are served the others follow.
+func TestAWorkerThatFailsJobsGetsRepeatableOnesFirst(t *testing.T) {
+	s := oneClass(Once)
+	s.Classes = append(s.Classes, s.Classes[0])
+	s.Classes[1].Effect = Repeatable
+	b := newBed(s, fleet(4)...)
+	b.serve(1, 100*ms)
+	r := b.ask(1)
+	failing := b.a.last().w
+	b.end(r, 0, failing, Error)
+	b.Probed(b.now, &Probed{Worker: failing, Status: OK})
+	sends := func(class int) (there bool) {
+		id := b.askAs(Request{Key: 1, HasKey: true, Class: class})
+		at := b.a.last().w
+		b.pass(10 * ms)
+		b.end(id, 0, at, OK)
+		return at == failing
+	}
+	if sends(0) {
+		t.Error("a job that must not run twice went to the worker that had just failed one")
+	}
+	w := b.byID[failing]
+	one, two := &request{Request: Request{Class: 0}}, &request{Request: Request{Class: 1}}
+	if !b.shy(b.now, w, one) || b.shy(b.now, w, two) {
+		t.Error("it holds for those that must not run twice, and for them alone")
+	}
+	for range 8 {
+		w.faults.n *= 1 - loadGain // as each job that it serves does
+	}
+	if b.shy(b.now, w, one) {
+		t.Error("it has served eight jobs since")
+	}
+}
--- a/rules/structs.go
+++ b/rules/structs.go
@@ -28,6 +28,15 @@
 	newer, older *entry
 }
 
+type attempt struct {
+	w       *worker
+	sent    Time
+	started Time
+	seen    bool // a sign of life came
+	over    bool
+	never   bool // proved not to have run
+}
+
 type bucket struct {
 	rate, left float64
 	at         Time
