--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -29,7 +29,8 @@
 
 	ref      Ref
 	closed   bool
-	passes   int // sent so far
+	ran      bool // an ended pass may have run
+	passes   int  // sent so far
 	out      []Ref
 	deadline *Deadline
 }
@@ -198,6 +199,34 @@
 	})
 }
 
+// GiveUp answers all that is open of the agents named, at once, since the program ends: they are still
+// there to hear it, and those whose jobs may be asked for again can do so elsewhere. The decisions are not
+// asked any more; their rule for what may be refused holds.
+func (c *Core) GiveUp(of func(UserAgent) bool) {
+	c.transactions.Each(func(_ Ref, t *Transaction) {
+		if t.closed || !of(t.Agent) {
+			return
+		}
+		for _, ref := range append([]Ref(nil), t.out...) {
+			if p, ok := c.passes.Get(ref); ok && p.carrier != nil && p.carrier.Withdraw(p) {
+				t.ran = true
+			}
+		}
+		answer := Answer{Kind: Failed}
+		if !t.ran || c.settings.Classes[t.Work.Class].Effect == rules.Repeatable {
+			answer = unavailableAnswer(0)
+		}
+		c.answer(t, answer)
+		for _, ref := range append([]Ref(nil), t.out...) {
+			if p, ok := c.passes.Get(ref); ok {
+				c.end(p, rules.Cancelled, nil, rules.Load{})
+			}
+		}
+		c.dispatcher.Hangup(c.Loop.now, rules.RequestID(t.ID))
+		c.settle(t)
+	})
+}
+
 // Ended reports the end of a pass. The first report counts: a pass that has ended, or that belonged to
 // an earlier holder of the slot, is let pass, so that the decisions get one outcome for each send.
 func (c *Core) Ended(ref Ref, status rules.Status, result []byte, load rules.Load) bool {
@@ -218,6 +247,7 @@
 			break
 		}
 	}
+	t.ran = t.ran || !status.NeverRan()
 	if status == rules.OK && !t.closed {
 		c.answer(t, Answer{Kind: Served, Result: result})
 	}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -43,8 +43,13 @@
 	answerMargin = 10 * core.Millisecond
 	longestLeft  = 24 * 3600 * 1000 // milliseconds
 	sweepEvery   = 50 * core.Millisecond
-	acceptOn     = 500 * core.Millisecond // for so long after SIGTERM clients may still find us
-	firstUse     = 200 * core.Millisecond // in which a new connection brings its first bytes, where we end
+	// For so long after SIGTERM requests are taken as ever, and connections kept: clients go on using those
+	// they have, and where all schedulers of a zone are restarted in turn there may be nobody else yet.
+	acceptOn = 1300 * core.Millisecond
+	firstUse = 200 * core.Millisecond // in which a new connection brings its first bytes, where we end
+	// The platform kills a scheduler 3.7 s after SIGTERM at the earliest: what is still open then gets its
+	// answer while there is time for it to arrive.
+	answerBy = 3550 * core.Millisecond
 	// Within messageTime a message has to come to its end, and a connection to its first job: those that say
 	// nothing, or half of something, take no place from others for longer.
 	messageTime = 2 * core.Second
@@ -447,7 +452,7 @@
 	if a.Ended {
 		return
 	}
-	keepAlive = keepAlive && (f.stopping == 0 || a.callsBack) && a.Reason == ""
+	keepAlive = keepAlive && (f.stopping == 0 || f.loop.Now() < f.stopping+acceptOn || a.callsBack) && a.Reason == ""
 	if string(a.request.Method) == "HEAD" {
 		body = nil
 	}
@@ -505,17 +510,21 @@
 		largest.Close(link.Flooding)
 	}
 	f.pool.retire()
+	f.watch.check()
 	f.loop.At(now+sweepEvery, f.sweep)
 }
 
 // Stop begins the end after SIGTERM. New connections are taken for as long as the platform's front
-// may still send some; then idle ones are closed, all that was taken is link.Answered, and the listener,
+// may still send some; then idle ones are closed, all that was taken is answered, and the listener,
 // to which the workers call back, stays open until then. done is called when nothing is left.
 func (f *Front) Stop(done func()) {
 	if f.stopping == 0 {
 		f.stopping, f.stopped = f.loop.Now(), done
 		f.log(fmt.Sprintf("stopping: %d open", f.core.Open()))
 		f.loop.At(f.stopping+acceptOn, f.drain)
+		f.loop.At(f.stopping+answerBy, func() {
+			f.core.GiveUp(func(u core.UserAgent) bool { _, ours := u.(*agentLink); return ours })
+		})
 	}
 }
 
--- a/internal/platform/reload_test.go
+++ b/internal/platform/reload_test.go
@@ -101,3 +101,16 @@
 	n.Eventually(func() bool { return n.Logged("party=agent") })
 	assert.False(t, n.Logged("party=discovery"))
 }
+
+// A line that stops in the middle is not waited for: what is behind it would be told too late.
+func TestWatchThatStopsInALineIsOpenedAnew(t *testing.T) {
+	w := standin.NewWorker(t, "s-1", nil)
+	n := standin.Start(t, nil, w)
+	asked := standin.Dial(t, n.Front.Address()) // closed after 2 s, when the end of a line is long overdue
+	asked.Say("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+	n.Farm.Break()
+	n.Farm.Say(string(n.Farm.Tell(false, w.Entry("draining"))))
+	n.Eventually(func() bool { return n.Logged("party=discovery peer=" + n.Farm.Address() + " reason=no-answer") })
+	n.Eventually(func() bool { return n.Farm.Watches() == 2 })
+	assert.False(t, n.Logged("party=agent"))
+}
--- a/internal/platform/rules_test.go
+++ b/internal/platform/rules_test.go
@@ -324,3 +324,50 @@
 	n.Eventually(func() bool { return w.Deleted("id-slow") })
 	assert.EqualValues(t, 2, cuts.Load())
 }
+
+// What is still open when the platform may soon kill us gets its answer before: a refusal where asking
+// again elsewhere is harmless, else a failure. Left to the kill, a client would learn nothing.
+func TestWhatIsOpenIsAnsweredBeforeTheKill(t *testing.T) {
+	w := standin.NewWorker(t, "s-1", silent)
+	n := standin.Start(t, nil, w)
+	view, move, settle := make(chan standin.Answer), make(chan standin.Answer), make(chan standin.Answer)
+	go func() { view <- n.Ask("board-view", "k", "id-1", 60_000, "") }()
+	go func() { move <- n.Ask("move", "k", "id-2", 60_000, "") }()
+	n.Eventually(func() bool { return len(w.Jobs()) == 2 })
+	n.Farm.Say(string(n.Farm.Tell(false, w.Entry("draining"))))
+	n.Farm.Say("no list") // logged after what came before has been taken
+	n.Eventually(func() bool { return n.Logged("bad line kept out") })
+	go func() { settle <- n.Ask("settle", "k", "id-3", 60_000, "") }()
+	open := func() (open int) {
+		n.On(func() { open = n.Core.Open() })
+		return open
+	}
+	n.Eventually(func() bool { return open() == 3 })
+	n.On(func() { n.Front.Stop(n.Loop.Stop) })
+	n.Eventually(func() bool { return open() == 0 })
+	got := <-view
+	assert.Equal(t, 503, got.Status)
+	assert.NotEmpty(t, got.RetryAfter)
+	assert.Equal(t, 500, (<-move).Status, "it may have run")
+	assert.Equal(t, 503, (<-settle).Status, "it never left")
+	n.Eventually(func() bool { return w.Deleted("id-1") && w.Deleted("id-2") })
+	<-n.Ended
+}
+
+// Clients go on using the connections they have: for a while after SIGTERM these are kept and served.
+func TestKeptConnectionsAreServedForAWhileAfterSIGTERM(t *testing.T) {
+	n := standin.Start(t, nil, standin.NewWorker(t, "s-1", nil))
+	c := standin.Dial(t, n.Front.Address())
+	for i := range 3 {
+		c.Say(fmt.Sprintf(head, fmt.Sprint("id-", i)) + "\r\n")
+		r, err := http.ReadResponse(c.R, nil)
+		require.NoError(t, err)
+		assert.Equal(t, 200, r.StatusCode)
+		assert.False(t, r.Close)
+		io.Copy(io.Discard, r.Body)
+		n.On(func() { n.Front.Stop(n.Loop.Stop) })
+	}
+	_, err := c.R.ReadByte()
+	assert.ErrorIs(t, err, io.EOF, "and closed then")
+	<-n.Ended
+}
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -85,7 +85,8 @@
 }
 
 const (
-	watchSilence = 5 * core.Second // the watch is opened anew when nothing came for so long
+	watchSilence = 3 * core.Second // the watch is opened anew when nothing came for so long: it is due every 2 s
+	watchPart    = core.Second     // and when what has come of a line is not continued for so long
 	watchFirst   = 2 * core.Second // and when it gave no first answer for so long
 	watchRetry   = 200 * core.Millisecond
 	longestLine  = 1 << 20
@@ -101,6 +102,8 @@
 	whole   bool  // the whole list is asked for first: its version may not continue the one we hold
 	heard   core.Time
 	begun   bool // an answer has, on this connection
+	partial bool // a line has, and its end has not come yet
+	stuck   core.Time
 	link    *link.Link
 	stopped bool
 }
@@ -143,7 +146,7 @@
 			}
 			l := &link.Link{}
 			l.Init(nc, "discovery", address, loop.Now())
-			w.link, w.heard, w.begun = l, loop.Now(), false
+			w.link, w.heard, w.begun, w.partial, w.stuck = l, loop.Now(), false, false, 0
 			s := &stream{watch: w, link: l, list: w.whole}
 			nc.SetOnRequest(func(context.Context, netpoll.Connection) error { return s.read() })
 			nc.AddCloseCallback(func(netpoll.Connection) error {
@@ -192,7 +195,21 @@
 // alive takes a sign of life: an answer has begun, although its first line may be seconds away.
 func (w *watch) alive(l *link.Link) {
 	if l == w.link {
-		w.heard, w.begun = w.f.loop.Now(), true
+		w.heard, w.begun, w.stuck = w.f.loop.Now(), true, 0
+	}
+}
+
+// check ends a watch that has stopped in the middle of something: what is behind it would come too late.
+func (w *watch) check() {
+	l, now := w.link, w.f.loop.Now()
+	switch {
+	case l == nil || l.Closed || l.Ended:
+	case !w.partial && l.NC.Reader().Len() == 0:
+		w.stuck = 0
+	case w.stuck == 0:
+		w.stuck = now
+	case now-w.stuck > watchPart:
+		l.Close(link.NoAnswer)
 	}
 }
 
@@ -259,6 +276,7 @@
 	list   bool // the answer that comes is the whole list; the watch follows
 	headed bool
 	line   []byte // the part of a line that has come
+	part   bool   // there is one, as the watch was told
 }
 
 // read runs on a goroutine of netpoll's. Lines are copied, since a line may lie across chunks.
@@ -330,6 +348,14 @@
 		s.line = s.line[:copy(s.line, s.line[i+1:])]
 		s.watch.f.loop.Post(func() { s.watch.news(s.link, line) })
 	}
+	if part := len(s.line) > 0; part != s.part {
+		s.part = part
+		s.watch.f.loop.Post(func() {
+			if s.link == s.watch.link {
+				s.watch.partial = part
+			}
+		})
+	}
 	if len(s.line) > longestLine {
 		return 0, 0, errors.New("a line without end")
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -157,6 +157,7 @@
 	whole  json.RawMessage
 	watch  int
 	after  string
+	breaks bool
 }
 
 // NewDiscovery starts one that has nothing to tell.
@@ -181,6 +182,9 @@
 				// In two parts, as a line may come.
 				io.WriteString(w, line[:len(line)/2])
 				w.(http.Flusher).Flush()
+				if d.broken() {
+					continue
+				}
 				io.WriteString(w, line[len(line)/2:]+"\n")
 				w.(http.Flusher).Flush()
 			case <-r.Context().Done():
@@ -209,12 +213,29 @@
 	return d.after
 }
 
-func (d *Discovery) watching() bool {
+// Break has the next line stop in its middle.
+func (d *Discovery) Break() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.watch > 0
+	d.breaks = true
 }
 
+func (d *Discovery) broken() (yes bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	yes, d.breaks = d.breaks, false
+	return yes
+}
+
+// Watches is the number of watches that have been opened.
+func (d *Discovery) Watches() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.watch
+}
+
+func (d *Discovery) watching() bool { return d.Watches() > 0 }
+
 // Say sends a line to the watch as it is.
 func (d *Discovery) Say(line string) { d.lines <- line }
 
