--- a/internal/platform/events.go
+++ b/internal/platform/events.go
@@ -83,15 +83,22 @@
 	}
 	for pair := range strings.SplitSeq(strings.TrimPrefix(text, "TEXT "), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
-		if v, err := strconv.ParseFloat(value, 64); err == nil && v == v && v >= 0 && v < 1e12 {
+		if v, err := strconv.ParseFloat(value, 64); err == nil {
 			addLoad(&l, name, v)
 		}
 	}
 	return l
 }
 
+// mostLoad is past any count that a worker can truly report. One that is believed once stays in the means
+// for long, so a figure that can't be is no figure.
+const mostLoad = 1e6
+
 // addLoad knows the figures by the protocol's names and by the settings'.
 func addLoad(l *rules.Load, name string, v float64) {
+	if !(v >= 0 && v <= mostLoad) {
+		return
+	}
 	switch name {
 	case "queue", "waiting":
 		l.Queue, l.Has = v, l.Has|rules.HasQueue
--- a/internal/platform/events_test.go
+++ b/internal/platform/events_test.go
@@ -23,6 +23,7 @@
 		`{"queue":"many"}`:                                {},
 		`{"queue":`:                                       {},
 		"TEXT util=0.61, x1=3":                            {Has: rules.HasUtil | rules.HasFreeMem, Util: 0.61, FreeMem: 3},
+		`{"queue":-4,"inflight":1e300,"x0":3}`:            {Has: rules.HasFreeSlots, FreeSlots: 3},
 		"TEXT queue=1e99, util=0.5":                       {Has: rules.HasUtil, Util: 0.5},
 	} {
 		assert.Equal(t, load, parseLoad([]byte(text)), text)
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -31,6 +31,7 @@
 
 	gain      = 0.1   // weight of a new observation in learned means
 	loadGain  = 0.3   // the same for load reports, of which there are fewer
+	liesPast  = 8.0   // a report of so many times what is usual is not believed, or not for the fleet
 	idleShown = 0.85  // part of the known capacity from which a report is one of an idle worker
 	crowdRuns = 10.0  // running times in which the fleet's load, as seen, fades when nothing is seen
 	usualRuns = 250.0 // and in which a worker's usual load gives way to the fleet's
@@ -473,6 +474,8 @@
 	if l.Has&HasFreeSlots != 0 {
 		k := d.kind(w.Kind)
 		switch seen := l.FreeSlots + (l.InFlight-l.Queue)*max(1, d.perJob.v); {
+		case k.cap.n > 8 && seen > liesPast*k.cap.v:
+			return // no worker of its kind is near that: it would draw all there is
 		case inFlight && seen >= 0.5 && (queued || l.FreeSlots >= 0.5):
 			w.cap.add(seen, gain)
 			k.cap.add(seen, gain/4)
@@ -506,7 +509,7 @@
 }
 
 func (d *Dispatcher) seeOthers(now Time, w *worker, v float64) {
-	d.crowd.add(v/max(1, d.slots(w)), gain/2)
+	d.crowd.add(min(v/max(1, d.slots(w)), liesPast), gain/2)
 	d.crowdAt = now
 	w.others.add(v, loadGain)
 	w.othersLast, w.othersAt = v, now
@@ -599,15 +602,6 @@
 
 // ---- The assigned table: the paper's Algorithms 1 and 2.
 
-// verdict of Algorithm 2
-type verdict uint8
-
-const (
-	accepts verdict = iota
-	full
-	notMajor
-)
-
 // available is the paper's Algorithm 2 over our own counts and the inferred load of the others,
 // its thresholds scaled to the worker's present capacity.
 func (d *Dispatcher) available(now Time, w *worker, r *request) verdict {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -949,3 +949,24 @@
 		t.Error("it has served eight jobs since")
 	}
 }
+
+// A worker that reports what none of its kind comes near would, believed, draw all jobs or have all be
+// taken for jammed.
+func TestReportsThatCannotBeTrueAreNotBelieved(t *testing.T) {
+	b := newBed(oneClass(Once), fleet(6)...)
+	b.meanRun.add(100_000, gain)
+	for i := range 12 {
+		w := b.workers[i%6]
+		b.report(b.now, w, &Load{Has: HasQueue | HasInFlight | HasFreeSlots, InFlight: 1, FreeSlots: 3 + float64(i)/100})
+	}
+	liar := b.byID["w0"]
+	b.report(b.now, liar, &Load{Has: HasQueue | HasInFlight | HasFreeSlots, FreeSlots: 9000})
+	if b.slots(liar) > 5 {
+		t.Errorf("%.0f slots are believed of a worker whose kind has 4", b.slots(liar))
+	}
+	b.report(b.now, liar, &Load{Has: HasQueue | HasInFlight | HasFreeSlots, InFlight: 90_000, Queue: 89_999, FreeSlots: 3})
+	unseen := &worker{ListEntry: liar.ListEntry}
+	if load := b.load(b.now, unseen); load > 10 {
+		t.Errorf("a worker that was never seen is taken to bear %.0f for what one reported of itself", load)
+	}
+}
--- a/rules/structs.go
+++ b/rules/structs.go
@@ -37,6 +37,15 @@
 	never   bool // proved not to have run
 }
 
+// verdict of Algorithm 2
+type verdict uint8
+
+const (
+	accepts verdict = iota
+	full
+	notMajor
+)
+
 type bucket struct {
 	rate, left float64
 	at         Time
