Shed new connections after those that stay for nothing, and let bursts in

At fault: rank in front.go took every connection that had said nothing for the first to go, so the moment a usual client's was accepted it went before those that had asked whether we are ready and stayed. The poller's own bound was suspected first and ruled out: 563 descriptors at the most, under it; it is still wider now, by what the workers leave free.

--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -91,11 +91,22 @@
 	return budget{agents: sockets - spare - workers, workers: workers}
 }
 
-// shareOut sets the budgets by the limits. The loop keeps the agents' one; what comes faster than it turns
-// is bounded by the poller, within the spare part.
+// shareOut sets the budgets by the limits. The loop keeps the agents' one.
 func (f *Front) shareOut() {
 	f.budget = share(f.conf.Limits.Sockets, &f.conf.Faktory)
-	f.most.Store(int64(f.budget.agents + max(8, f.conf.Limits.Sockets/32)))
+	f.bound()
+}
+
+// bound sets what the poller lets in: all that the workers leave free at present, but for half of the spare
+// part. A burst, which the loop brings back to the budget as it turns, costs no usual client its place then.
+func (f *Front) bound() {
+	spare := f.conf.Limits.Sockets - f.budget.agents - f.budget.workers
+	second := 0
+	if f.conf.Faktory.On() {
+		second = f.conf.Faktory.MaxSessions
+	}
+	used := f.pool.links.Len() + f.pool.dials
+	f.most.Store(int64(f.conf.Limits.Sockets - second - (spare-second)/2 - used))
 }
 
 // agentLink is an accepted connection: a user agent's, or a worker's that calls back.
@@ -116,8 +127,8 @@
 // New makes the front; Start opens it.
 func New(c *core.Core, conf *config.Config, log func(string)) *Front {
 	f := &Front{loop: c.Loop, core: c, conf: conf, log: log}
-	f.shareOut()
 	f.pool = newPool(f)
+	f.shareOut()
 	return f
 }
 
@@ -220,8 +231,9 @@
 }
 
 // shed closes a connection so that the budget holds: first one that is to be closed in any case or has
-// said nothing yet, then one that never brought a job, then an idle one, of each the oldest; where all
-// are busy it is the new one. So those who flood or stay silent take no place from those who ask.
+// said nothing for a while, then one that never brought a job, then one that is new, then an idle one, of
+// each the oldest; where all are busy it is the newest. So those who flood or stay silent take no place
+// from those who ask.
 func (f *Front) shed(newest *agentLink) {
 	victim, best, over := newest, busy, f.agents.Len()-f.budget.agents
 	f.agents.Each(func(_ core.Ref, a *agentLink) {
@@ -238,21 +250,24 @@
 	}
 }
 
-const busy = 4 // the rank of a connection that is kept
+const busy = 5 // the rank of a connection that is kept
 
 func (a *agentLink) rank() int {
 	unread := a.NC.Reader().Len()
+	silent := a.Count == 0 && unread == 0
 	switch {
 	case a.in != nil || a.callsBack && unread > 0:
 		return busy
-	case a.Reason != "" || a.Count == 0 && unread == 0:
+	case a.Reason != "" || silent && a.front.loop.Now()-a.Opened > firstUse:
 		return 0
-	case a.jobs == 0 && !a.callsBack:
+	case a.jobs == 0 && !a.callsBack && !silent:
 		return 1
-	case unread == 0:
+	case silent: // but new: a usual client's first bytes come with the connection
 		return 2
+	case unread == 0:
+		return 3
 	}
-	return 3
+	return 4
 }
 
 // onRequest runs on a goroutine of netpoll's; package link says who holds the buffer.
@@ -511,6 +526,7 @@
 	}
 	f.pool.retire()
 	f.watch.check()
+	f.bound()
 	f.loop.At(now+sweepEvery, f.sweep)
 }
 
