Run without a platform: one checked configuration, commands and log by libraries

A newcomer could not start the program without a platform's file, and the Faktory front had a file of its own.

deploy/cobaltflow.json has a section for each subsystem and a JSON Schema; faults name their key. The section scheduler holds what the platform would tell, and goes behind RELAY_*. The old form of deploy/faktory.json and its flag end in an error that says where the keys stand now.

--- a/cmd/cobaltflow/main.go
+++ b/cmd/cobaltflow/main.go
@@ -1,66 +1,70 @@
 // Command cobaltflow is the scheduler of table jobs: one gateway process between the clients and the
-// table workers of a region.
+// table workers of a region. Its commands hold no logic of their own.
 package main
 
 import (
-	"flag"
 	"fmt"
-	"io"
 	"os"
-)
+	"strings"
 
-const version = "0.1.0"
+	"github.com/spf13/cobra"
 
-type command struct {
-	name, about string
-	run         func(args []string, out io.Writer) error
-}
+	"cobaltflow/internal/config"
+)
 
-func commands() []command {
-	return []command{
-		{"serve", "run the scheduler (the default)", serve},
-		{"check", "check the configuration, or the description in a file", check},
-		{"describe", "print the description of an interface: openapi or asyncapi", printDescription},
-		{"version", "print the version", func(_ []string, out io.Writer) error {
-			_, err := fmt.Fprintln(out, "cobaltflow", version)
-			return err
-		}},
-	}
-}
+const version = "0.2.0"
 
 func main() {
-	args := os.Args[1:]
-	name := "serve"
-	if len(args) > 0 && args[0] != "" && args[0][0] != '-' {
-		name, args = args[0], args[1:]
-	}
-	for _, c := range commands() {
-		if c.name != name {
-			continue
+	root := newRoot()
+	if err := root.Execute(); err != nil {
+		name := "cobaltflow"
+		if c, _, e := root.Find(os.Args[1:]); e == nil && c != root {
+			name += " " + c.Name()
 		}
-		if err := c.run(args, os.Stdout); err != nil {
-			fmt.Fprintln(os.Stderr, "cobaltflow "+name+":", err)
-			os.Exit(1)
-		}
-		return
+		fmt.Fprintln(os.Stderr, name+":", err)
+		os.Exit(1)
 	}
-	fmt.Fprintf(os.Stderr, "cobaltflow: unknown command %q\n", name)
-	usage(os.Stderr)
-	os.Exit(2)
 }
 
-func usage(w io.Writer) {
-	fmt.Fprintln(w, "usage: cobaltflow COMMAND [flags]")
-	for _, c := range commands() {
-		fmt.Fprintf(w, "  %-9s %s\n", c.name, c.about)
+// newRoot makes the tree of commands. Without a command the program serves.
+func newRoot() *cobra.Command {
+	var file string
+	root := &cobra.Command{
+		Use: "cobaltflow", Short: "Gateway for table jobs: HTTP/1.1 and the Faktory work protocol, one set of decisions",
+		Version: version, SilenceUsage: true, SilenceErrors: true, Args: cobra.NoArgs,
+	}
+	root.PersistentFlags().StringVar(&file, "config", config.File, "the project's own configuration `file`")
+	old := root.PersistentFlags().String("faktory", "", "")
+	root.PersistentFlags().MarkHidden("faktory")
+	root.PersistentPreRunE = func(*cobra.Command, []string) error {
+		if *old != "" {
+			return fmt.Errorf(`--faktory: the keys of deploy/faktory.json now stand in the section "faktory" of %s; name it with --config`, config.File)
+		}
+		return nil
 	}
+	load := func() (*config.Config, error) {
+		return config.Load(os.Getenv, file, root.PersistentFlags().Changed("config"))
+	}
+	serve := serveCommand(load)
+	root.RunE = serve.RunE
+	root.AddCommand(serve, checkCommand(load), describeCommand(), &cobra.Command{
+		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			_, err := fmt.Fprintln(c.OutOrStdout(), "cobaltflow", version)
+			return err
+		},
+	})
+	root.SetArgs(longFlags(os.Args[1:]))
+	return root
 }
 
-func flags(name string) *flag.FlagSet {
-	f := flag.NewFlagSet("cobaltflow "+name, flag.ExitOnError)
-	f.Usage = func() {
-		usage(f.Output())
-		f.PrintDefaults()
+// longFlags lets the long flags be written with one dash too, as they were before.
+func longFlags(args []string) []string {
+	out := append([]string(nil), args...)
+	for i, a := range out {
+		if len(a) > 2 && a[0] == '-' && a[1] != '-' && !strings.ContainsAny(a[1:2], "0123456789") {
+			out[i] = "-" + a
+		}
 	}
-	return f
+	return out
 }
--- a/cmd/cobaltflow/main_test.go
+++ b/cmd/cobaltflow/main_test.go
@@ -44,9 +44,13 @@
 	lines := bufio.NewReader(log)
 	first, err := lines.ReadString('\n')
 	require.NoError(t, err)
-	_, rest, found := strings.Cut(first, "serves at ")
+	for !strings.Contains(first, "msg=serves") { // notes on the configuration come first
+		first, err = lines.ReadString('\n')
+		require.NoError(t, err)
+	}
+	_, rest, found := strings.Cut(first, "address=")
 	require.True(t, found, first)
-	address, _, _ := strings.Cut(rest, ",")
+	address, _, _ := strings.Cut(rest, " ")
 	r, err := http.Get("http://" + address + "/-/ready")
 	require.NoError(t, err)
 	assert.Equal(t, 200, r.StatusCode)
@@ -59,7 +63,7 @@
 	text, err := os.ReadFile(conf)
 	require.NoError(t, err)
 	for _, c := range []struct{ discovery, want string }{
-		{"nowhere", `the old configuration is kept: discovery: "nowhere" is not address:port`},
+		{"nowhere", `the old configuration is kept" error="discovery: \"nowhere\" is not address:port"`},
 		{moved.Addr().String(), "reload: taken over"},
 	} {
 		next := strings.Replace(string(text), discovery.Addr().String(), c.discovery, 1)
@@ -77,13 +81,28 @@
 	require.NoError(t, serve.Process.Signal(syscall.SIGTERM))
 	ending, _ := io.ReadAll(lines)
 	assert.NoError(t, serve.Wait(), "exit 0 after SIGTERM")
-	assert.Contains(t, string(ending), "ended: taken=0")
+	assert.Contains(t, string(ending), "msg=ended taken=0")
 
-	for args, want := range map[string]string{"check": "RELAY_NAME", "nothing": "unknown command", "serve": "name: missing"} {
-		c := exec.Command(filepath.Join(bin, "cobaltflow"), args)
+	old := filepath.Join(bin, "faktory.json")
+	require.NoError(t, os.WriteFile(old, []byte(`{"listen":"127.0.0.1:7419","queue":"default"}`), 0o600))
+	for args, want := range map[string]string{
+		"check": "RELAY_NAME", "nothing": "unknown command", "serve": "name: missing", "check -faktory " + old: `section "faktory"`,
+		"check --config " + old:       `listen: the keys of deploy/faktory.json now stand in the section "faktory"`,
+		"check --config nowhere.json": "config: open nowhere.json",
+	} {
+		c := exec.Command(filepath.Join(bin, "cobaltflow"), strings.Fields(args)...)
 		c.Env = []string{"PATH=" + os.Getenv("PATH")}
 		out, err := c.CombinedOutput()
 		assert.Error(t, err, args)
 		assert.Contains(t, string(out), want)
 	}
+	for args, want := range map[string]string{
+		"--version": "0.2", "version": "0.2", "--help": "completion", "completion bash": "__start_cobaltflow",
+		"check --config ../../deploy/example.json": "configuration of gateway: good", "describe config": "draft/2020-12",
+		"check ../../internal/describe/openapi.yaml": "good, OpenAPI",
+	} {
+		out, err := exec.Command(filepath.Join(bin, "cobaltflow"), strings.Fields(args)...).CombinedOutput()
+		assert.NoError(t, err, args)
+		assert.Contains(t, string(out), want)
+	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -1,5 +1,5 @@
 // Package config is the one place where configuration is read, checked and given defaults: the
-// environment, the platform's JSON file, and the project's own files under deploy/. Every fault
+// environment, the platform's JSON file, and the project's own file under deploy/. Every fault
 // names the key it was found at.
 package config
 
@@ -15,6 +15,8 @@
 	"strconv"
 	"strings"
 
+	"cobaltflow/deploy"
+	"cobaltflow/internal/log"
 	"cobaltflow/internal/wire"
 	"cobaltflow/rules"
 )
@@ -38,6 +40,10 @@
 	Settings  rules.Settings
 	Names     Names
 	Faktory   Faktory
+	Log       log.Settings
+	Notes     []string // what was read otherwise than it may seem; for the log
+
+	file string // the project's own
 }
 
 // Limits of the process.
@@ -64,34 +70,58 @@
 func fault(key, format string, args ...any) error { return &Error{key, fmt.Sprintf(format, args...)} }
 
 type document struct {
-	Name      string `json:"name"`
-	Listen    string `json:"listen"`
-	Discovery string `json:"discovery"`
-	Seed      string `json:"seed"`
-	Limits    struct {
-		Cores    *float64 `json:"cores"`
-		MemoryMB *int     `json:"memory_mb"`
-		Sockets  *int     `json:"sockets"`
-	} `json:"limits"`
-	Known    json.RawMessage `json:"known"`
-	Settings json.RawMessage `json:"settings"`
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Discovery string          `json:"discovery"`
+	Seed      string          `json:"seed"`
+	Limits    limitsFile      `json:"limits"`
+	Known     json.RawMessage `json:"known"`
+	Settings  json.RawMessage `json:"settings"`
 }
 
-// Load reads the configuration. The environment, where it is set, goes before the file.
-func Load(getenv func(string) string) (*Config, error) { return read(getenv, false) }
+// Load reads the configuration: the platform's file and the project's own, or its embedded example. The
+// environment goes first, then the platform's file, then the section scheduler of the project's own.
+// own is the path of the project's file; it may be absent where the platform tells the rest, unless
+// needed says that somebody named it.
+func Load(getenv func(string) string, own string, needed bool) (*Config, error) {
+	file, err := readOwn(own, needed)
+	if err != nil {
+		return nil, err
+	}
+	return load(getenv, file, own, false)
+}
 
-// Reload reads the file again for a program that runs. What the environment says of discovery is from
+// LoadExample gives the configuration of the embedded example.
+func LoadExample() (*Config, error) {
+	file := &ownFile{}
+	if err := file.parse(deploy.Example); err != nil {
+		return nil, err
+	}
+	return load(func(string) string { return "" }, file, "", false)
+}
+
+func load(getenv func(string) string, file *ownFile, own string, again bool) (*Config, error) {
+	c, err := read(getenv, file.Scheduler, again)
+	if err != nil {
+		return nil, err
+	}
+	c.Log, c.file = file.Log, own
+	return c, c.faktory(file.Faktory)
+}
+
+// Reload reads the files again for a program that runs. What the environment says of discovery is from
 // the start: the new file goes before it. The second front's part is kept as it is.
 func (c *Config) Reload(getenv func(string) string) (*Config, error) {
-	next, err := read(getenv, true)
-	if err == nil {
-		next.Faktory = c.Faktory
-		err = next.checkFaktory()
+	file, err := readOwn(c.file, false)
+	if err != nil {
+		return nil, err
 	}
+	next, err := load(getenv, file, c.file, true)
 	if err != nil {
 		return nil, err
 	}
-	return next, nil
+	next.Faktory = c.Faktory
+	return next, next.checkFaktory()
 }
 
 // Unchangeable names the keys in which next differs but which a running program keeps.
@@ -111,8 +141,17 @@
 	return keys
 }
 
-func read(getenv func(string) string, again bool) (*Config, error) {
+// read takes the platform's file, or where there is none the scheduler section of the project's own.
+func read(getenv func(string) string, section *schedulerFile, again bool) (*Config, error) {
 	var doc document
+	prefix := ""
+	if getenv(EnvConfig) != "" {
+		section = nil
+	}
+	if section != nil {
+		prefix = "scheduler."
+		doc = document{Name: section.Name, Listen: section.Listen, Discovery: section.Discovery, Seed: section.Seed, Limits: section.Limits}
+	}
 	if path := getenv(EnvConfig); path != "" {
 		text, err := os.ReadFile(path)
 		if err != nil {
@@ -137,43 +176,52 @@
 		c.Discovery = first(doc.Discovery, c.Discovery)
 	}
 	if c.Name == "" {
-		return nil, fault("name", "missing (or %s)", EnvName)
+		return nil, fault(prefix+"name", "missing (or %s); without a platform's file the section \"scheduler\" of --config tells it", EnvName)
 	}
 	for _, a := range []struct{ key, env, value string }{
 		{"listen", EnvListen, c.Listen}, {"discovery", EnvDiscovery, c.Discovery},
 	} {
+		if a.value == "" && a.key == "discovery" && section != nil {
+			continue // the workers that the section names are all there are
+		}
 		if a.value == "" {
-			return nil, fault(a.key, "missing (or %s)", a.env)
+			return nil, fault(prefix+a.key, "missing (or %s)", a.env)
 		}
 		if err := checkAddress(a.value); err != nil {
-			return nil, fault(a.key, "%v", err)
+			return nil, fault(prefix+a.key, "%v", err)
 		}
 	}
 	if doc.Seed != "" {
 		n, err := strconv.ParseUint(doc.Seed, 16, 64)
 		if err != nil {
-			return nil, fault("seed", "%q is not up to 16 hexadecimal digits", doc.Seed)
+			return nil, fault(prefix+"seed", "%q is not up to 16 hexadecimal digits", doc.Seed)
 		}
 		c.Seed = n
 	}
 	if v := doc.Limits.Cores; v != nil {
 		if c.Limits.Cores = *v; *v <= 0 {
-			return nil, fault("limits.cores", "%v is not above 0", *v)
+			return nil, fault(prefix+"limits.cores", "%v is not above 0", *v)
 		}
 	}
 	if v := doc.Limits.MemoryMB; v != nil {
 		if c.Limits.MemoryMB = *v; *v < 32 {
-			return nil, fault("limits.memory_mb", "%d is under 32", *v)
+			return nil, fault(prefix+"limits.memory_mb", "%d is under 32", *v)
 		}
 	}
 	if v := doc.Limits.Sockets; v != nil {
 		if c.Limits.Sockets = *v; *v < 64 {
-			return nil, fault("limits.sockets", "%d is under 64", *v)
+			return nil, fault(prefix+"limits.sockets", "%d is under 64", *v)
 		}
 	}
+	if section != nil {
+		return c, c.scheduler(section)
+	}
 	if err := c.settings(doc.Settings); err != nil {
 		return nil, err
 	}
+	if c.Settings.WarmWithin == 0 {
+		c.Notes = append(c.Notes, "settings.rules.warmWithinUs is absent: a new worker counts as cold for 30 s, and its first jobs wait")
+	}
 	return c, nil
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"encoding/json"
 	"os"
 	"path/filepath"
 	"strings"
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"cobaltflow/deploy"
 	"cobaltflow/rules"
 )
 
@@ -18,7 +20,7 @@
   "classes":[{"name":"move","effect":"once","aimUs":1000000,"deadlineUs":10000000}],
   "specifics":{"classKind":[-1],"classStretch":[2.0]},"locality":1,"groupSize":2}}`
 
-func load(t *testing.T, text string, env map[string]string) (*Config, error) {
+func loaded(t *testing.T, text string, env map[string]string) (*Config, error) {
 	path := filepath.Join(t.TempDir(), "config.json")
 	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 	return Load(func(key string) string {
@@ -26,11 +28,11 @@
 			return path
 		}
 		return env[key]
-	})
+	}, "", false)
 }
 
 func TestLoad(t *testing.T) {
-	c, err := load(t, good, map[string]string{EnvName: "n4"})
+	c, err := loaded(t, good, map[string]string{EnvName: "n4"})
 	require.NoError(t, err)
 	assert.Equal(t, "n4", c.Name, "the environment goes first")
 	assert.Equal(t, uint64(0x8c1f30d27a5be964), c.Seed)
@@ -46,7 +48,7 @@
 
 func TestReloadTakesDiscoveryFromTheFile(t *testing.T) {
 	env := map[string]string{EnvName: "n4", EnvDiscovery: "127.0.0.1:9"}
-	old, err := load(t, good, env)
+	old, err := loaded(t, good, env)
 	require.NoError(t, err)
 	require.Equal(t, "127.0.0.1:9", old.Discovery, "at the start the environment goes first")
 	path := filepath.Join(t.TempDir(), "next.json")
@@ -86,7 +88,7 @@
 		{`{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":{"classes":[{"aimUs":1}]}}`, "settings.classes.0.name"},
 		{`{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":{"classes":[{"name":"a"}]}}`, "settings.classes.0.deadlineUs"},
 	} {
-		_, err := load(t, c.text, nil)
+		_, err := loaded(t, c.text, nil)
 		var fault *Error
 		if assert.ErrorAs(t, err, &fault, c.text) {
 			assert.Equal(t, c.key, fault.Key, c.text)
@@ -94,35 +96,96 @@
 	}
 }
 
-func TestFaktoryFile(t *testing.T) {
+// own loads the project's own file with no platform's beside it.
+func own(t *testing.T, text string, env map[string]string) (*Config, error) {
+	path := filepath.Join(t.TempDir(), "cobaltflow.json")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return Load(func(key string) string { return env[key] }, path, true)
+}
+
+func TestOwnFileRunsWithoutAPlatform(t *testing.T) {
+	c, err := own(t, string(deploy.Example), map[string]string{EnvName: "n7"})
+	require.NoError(t, err)
+	assert.Equal(t, []any{"n7", "", true}, []any{c.Name, c.Discovery, c.Faktory.On()})
+	assert.Equal(t, []string{"board-view", "move", "settle"}, c.Names.Classes)
+	assert.Equal(t, rules.Class{Aim: 5e5, Deadline: 5e6, Worth: 3, Effect: rules.Repeatable, Kind: -1}, c.Settings.Classes[0])
+	assert.Equal(t, rules.Time(1), c.Settings.WarmWithin, "no rule for cold workers makes jobs wait in silence")
+	assert.Len(t, c.Notes, 1)
+	assert.Equal(t, []int{0, 1, 0}, []int{c.JobClass("BuildBoardView"), c.JobClass("move"), c.JobClass("whatever")})
+	known := strings.Replace(string(deploy.Example), `"workers": []`, `"workers": [{"name":"a","address":"127.0.0.1:9"}]`, 1)
+	c, err = own(t, known, nil)
+	require.NoError(t, err)
+	assert.JSONEq(t, `{"index":0,"snapshot":true,"endpoints":[{"name":"a","address":"127.0.0.1:9","zone":"here","type":"any","status":"up","weight":1}]}`, string(c.Known))
+}
+
+func TestPlatformFileGoesBeforeTheSection(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(path, []byte(good), 0o600))
+	c, err := own(t, `{"scheduler":{"name":"other"},"faktory":{"listen":"127.0.0.1:7419"}}`, map[string]string{EnvConfig: path})
+	require.NoError(t, err)
+	assert.Equal(t, []any{"n3", 1}, []any{c.Name, len(c.Names.Classes)})
+}
+
+func TestFaultsOfTheOwnFileNameTheirKey(t *testing.T) {
+	section := func(scheduler, faktory string) string {
+		return `{"scheduler":{"name":"n","listen":"127.0.0.1:1","classes":[{"name":"move","effect":"once","deadline_ms":9}]` + scheduler +
+			`},"faktory":{"listen":"127.0.0.1:7419"` + faktory + `}}`
+	}
 	for _, c := range []struct{ text, key string }{
-		{`{"listen":"127.0.0.1:7419","jobtypes":{"MoveJob":"move"}}`, ""},
-		{`{"listen":""}`, ""},
-		{`{"listen":7}`, "faktory.listen"},
-		{`{"listen":"x"}`, "faktory.listen"},
-		{`{"listen":"127.0.0.1:1","beat_s":0}`, "faktory.beat_s"},
-		{`{"listen":"127.0.0.1:1","queue":""}`, "faktory.queue"},
-		{`{"listen":"127.0.0.1:1","kept_jobs":0}`, "faktory.kept_jobs"},
-		{`{"listen":"127.0.0.1:1","max_sessions":4096}`, "faktory.max_sessions"},
-		{`{"listen":"127.0.0.1:1","jobtypes":{"J":"none"}}`, "faktory.jobtypes.J"},
+		{section("", ""), ""},
+		{`{`, "config"}, {`[]`, "config"}, {`{"schedule":{}}`, "schedule"}, {`{"log":{"level":"loud"}}`, "log.level"},
+		{`{"listen":"127.0.0.1:1","beat_s":60}`, "listen"},
+		{`{"scheduler":{"name":"n"}}`, "scheduler.listen"},
+		{`{"scheduler":{"name":"n","listen":"127.0.0.1:1"}}`, "scheduler.classes"},
+		{`{"faktory":{}}`, "name"},
+		{section(`,"zone":"x"`, ""), "scheduler.zone"},
+		{section(`,"seed":"xyz"`, ""), "scheduler.seed"},
+		{section(`,"limits":{"memory_mb":8}`, ""), "scheduler.limits.memory_mb"},
+		{section(`,"rules":{"cold_from":2}`, ""), "scheduler.rules.cold_from"},
+		{section(`,"workers":[{"name":"a"}]`, ""), "scheduler.workers.0.address"},
+		{section(`,"workers":[{"name":"a","address":"127.0.0.1:77777"}]`, ""), "scheduler.workers.0.address"},
+		{section(`,"workers":[{"name":"a","address":"127.0.0.1:1"},{"name":"a","address":"127.0.0.1:2"}]`, ""), "scheduler.workers.1.name"},
+		{section(`,"classes":[{"name":"m","effect":"maybe","deadline_ms":1}]`, ""), "scheduler.classes.0.effect"},
+		{section("", `,"beats_s":1`), "faktory.beats_s"},
+		{section("", `,"beat_s":0`), "faktory.beat_s"}, {section("", `,"queue":""`), "faktory.queue"},
+		{section("", `,"kept_jobs":0`), "faktory.kept_jobs"}, {section("", `,"max_sessions":900`), "faktory.max_sessions"},
+		{section("", `,"jobtypes":{"J":"none"}`), "faktory.jobtypes.J"}, {section("", `,"default_class":"none"`), "faktory.default_class"},
+		{section("", `,"max_held_mb":90`), "faktory.max_held_mb"}, {section("", `,"max_command_kb":65536`), "faktory.max_command_kb"},
+		{strings.Replace(section("", ""), ":7419", "", 1), "faktory.listen"},
 	} {
-		conf, err := load(t, good, nil)
-		require.NoError(t, err)
-		path := filepath.Join(t.TempDir(), "faktory.json")
-		require.NoError(t, os.WriteFile(path, []byte(c.text), 0o600))
-		err = conf.LoadFaktory(path)
+		_, err := own(t, c.text, nil)
+		var fault *Error
 		if c.key == "" {
-			assert.NoError(t, err, c.text)
-			continue
+			assert.NoError(t, err)
+		} else if assert.ErrorAs(t, err, &fault, c.text) {
+			assert.Equal(t, c.key, fault.Key, "%s: %v", c.text, err)
 		}
-		var fault *Error
-		if assert.ErrorAs(t, err, &fault, c.text) {
-			assert.Equal(t, c.key, fault.Key)
+	}
+	_, err := Load(func(string) string { return "" }, "no such file", true)
+	assert.ErrorContains(t, err, "config: ")
+}
+
+// What the schema calls a default is one, and the platform's file leaves the front off.
+func TestDefaultsAreTheSchemas(t *testing.T) {
+	var schema struct {
+		Properties map[string]struct {
+			Properties map[string]struct{ Default any }
 		}
 	}
-	conf, _ := load(t, good, nil)
-	require.NoError(t, conf.LoadFaktory("../../"+FaktoryFile))
-	assert.False(t, conf.Faktory.On(), "off on the platform")
-	require.NoError(t, conf.LoadFaktory("no such file"))
-	assert.False(t, conf.Faktory.On())
+	require.NoError(t, json.Unmarshal(deploy.Schema, &schema))
+	text, err := json.Marshal(DefaultFaktory())
+	require.NoError(t, err)
+	var real map[string]any
+	require.NoError(t, json.Unmarshal(text, &real))
+	for key, p := range schema.Properties["faktory"].Properties {
+		if p.Default != nil {
+			assert.Equal(t, p.Default, real[key], key)
+		}
+		assert.Contains(t, real, key)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(path, []byte(good), 0o600))
+	c, err := Load(func(key string) string { return map[string]string{EnvConfig: path}[key] }, "../../"+File, true)
+	require.NoError(t, err)
+	assert.False(t, c.Faktory.On(), "off on the platform")
 }
--- a/internal/config/faktory.go
+++ b/internal/config/faktory.go
@@ -2,26 +2,43 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
-	"io/fs"
-	"os"
+	"slices"
 
 	"cobaltflow/rules"
 )
 
-// FaktoryFile is where the second front's configuration lies, from the repository's root.
-const FaktoryFile = "deploy/faktory.json"
-
-// Faktory is the second front's configuration; without a listen address the front is off.
+// Faktory is the second front's section; without a listen address the front is off. Sizes in MB and KB are
+// 2^20 and 2^10 bytes.
 type Faktory struct {
-	Listen      string            `json:"listen"`
-	Password    string            `json:"password"`
-	Queue       string            `json:"queue"`        // of jobs that came in by the other front
-	Jobtypes    map[string]string `json:"jobtypes"`     // jobtype to class; a class's own name needs no entry
-	BeatWithin  float64           `json:"beat_s"`       // a worker silent for so long has vanished
-	MaxSessions int               `json:"max_sessions"` // connections
-	KeptJobs    int               `json:"kept_jobs"`    // ended jobs that can be looked up
+	Listen       string            `json:"listen"`
+	Password     string            `json:"password"`
+	HashRounds   int               `json:"hash_rounds"`
+	Queue        string            `json:"queue"`         // of jobs that came in by the other front, and of those that name none
+	TableQueues  []string          `json:"table_queues"`  // whose jobs the table workers run too; nil: Queue's
+	TableWindow  int               `json:"table_window"`  // jobs of such a queue that may be with them at once
+	Jobtypes     map[string]string `json:"jobtypes"`      // jobtype to class; a class's own name needs no entry
+	DefaultClass string            `json:"default_class"` // of jobtypes without an entry; empty: they are not taken
+	BeatWithin   float64           `json:"beat_s"`        // a worker silent for so long has vanished
+	ReserveS     int               `json:"reserve_s"`     // for which a fetched job is a worker's, where it says nothing itself
+	StopS        float64           `json:"stop_s"`        // for which fetched jobs are waited for at the end
+	AllowFlush   bool              `json:"allow_flush"`
+	MaxSessions  int               `json:"max_sessions"`
+	MaxCommandKB int               `json:"max_command_kb"`
+	MaxInputMB   int               `json:"max_input_mb"` // of commands that are not whole yet, or not handled, all together
+	MaxQueues    int               `json:"max_queues"`
+
+	MaxHeldJobs   int `json:"max_held_jobs"` // scheduled, enqueued, working and in retries together
+	MaxHeldMB     int `json:"max_held_mb"`
+	MaxQueueJobs  int `json:"max_queue_jobs"`
+	MaxClientJobs int `json:"max_client_jobs"` // of one client address
+	MaxClientMB   int `json:"max_client_mb"`
+	MaxScheduled  int `json:"max_scheduled"`
+	MaxRetries    int `json:"max_retries"`
+	MaxDead       int `json:"max_dead"`
+	MaxDeadMB     int `json:"max_dead_mb"`
+	KeptJobs      int `json:"kept_jobs"` // ended jobs that can be looked up
+	KeptMB        int `json:"kept_mb"`
 }
 
 // On tells whether the front listens at all.
@@ -30,22 +47,29 @@
 // Beat is the time within which a worker has to give a sign of life.
 func (f *Faktory) Beat() rules.Time { return rules.Time(f.BeatWithin * 1e6) }
 
-// LoadFaktory reads the second front's file into the configuration. Without a file it is off.
-func (c *Config) LoadFaktory(path string) error {
-	c.Faktory = Faktory{Queue: "default", BeatWithin: 60, MaxSessions: 128, KeptJobs: 4096}
-	text, err := os.ReadFile(path)
-	if errors.Is(err, fs.ErrNotExist) {
-		return nil
+// RunsAtTables tells whether the table workers run the jobs of a queue too.
+func (f *Faktory) RunsAtTables(queue string) bool {
+	if f.TableQueues == nil {
+		return queue == f.Queue
 	}
-	if err != nil {
-		return fault("faktory", "%v", err)
-	}
-	if err := json.Unmarshal(text, &c.Faktory); err != nil {
-		var typed *json.UnmarshalTypeError
-		if errors.As(err, &typed) {
-			return fault("faktory."+typed.Field, "a %s can't stand here", typed.Value)
+	return slices.Contains(f.TableQueues, queue)
+}
+
+// DefaultFaktory is the section of a file that says nothing: off.
+func DefaultFaktory() Faktory {
+	return Faktory{Queue: "default", HashRounds: 1545, TableWindow: 8, BeatWithin: 60, ReserveS: 1800, StopS: 25,
+		MaxSessions: 128, MaxCommandKB: 8192, MaxInputMB: 32, MaxQueues: 128, MaxHeldJobs: 100_000, MaxHeldMB: 64,
+		MaxQueueJobs: 100_000, MaxClientJobs: 100_000, MaxClientMB: 64, MaxScheduled: 100_000, MaxRetries: 100_000,
+		MaxDead: 10_000, MaxDeadMB: 16, KeptJobs: 4096, KeptMB: 16}
+}
+
+// faktory takes the section over.
+func (c *Config) faktory(text *json.RawMessage) error {
+	c.Faktory = DefaultFaktory()
+	if text != nil {
+		if err := json.Unmarshal(*text, &c.Faktory); err != nil {
+			return fault("faktory", "%v", err)
 		}
-		return fault("faktory", "%s: %v", path, err)
 	}
 	return c.checkFaktory()
 }
@@ -58,23 +82,24 @@
 	if err := checkAddress(f.Listen); err != nil {
 		return fault("faktory.listen", "%v", err)
 	}
-	if f.Queue == "" {
-		return fault("faktory.queue", "is empty")
-	}
-	if f.BeatWithin <= 0 {
-		return fault("faktory.beat_s", "%v is not above 0", f.BeatWithin)
+	if f.MaxSessions > c.Limits.Sockets/4 {
+		return fault("faktory.max_sessions", "%d is over %d, a quarter of limits.sockets", f.MaxSessions, c.Limits.Sockets/4)
 	}
-	if f.KeptJobs < 1 {
-		return fault("faktory.kept_jobs", "%d is under 1", f.KeptJobs)
+	if most := c.Limits.MemoryMB / 2; f.MaxHeldMB+f.MaxDeadMB+f.KeptMB > most {
+		return fault("faktory.max_held_mb", "%d with max_dead_mb %d and kept_mb %d is over %d, half of limits.memory_mb",
+			f.MaxHeldMB, f.MaxDeadMB, f.KeptMB, most)
 	}
-	if f.MaxSessions < 1 || f.MaxSessions > c.Limits.Sockets/4 {
-		return fault("faktory.max_sessions", "%d is not within 1 and a quarter of the sockets, %d", f.MaxSessions, c.Limits.Sockets/4)
+	if f.MaxCommandKB > f.MaxInputMB<<10 {
+		return fault("faktory.max_command_kb", "%d is over max_input_mb, %d", f.MaxCommandKB, f.MaxInputMB)
 	}
 	for jobtype, class := range f.Jobtypes {
 		if c.Names.Class(class) < 0 {
 			return fault(fmt.Sprintf("faktory.jobtypes.%s", jobtype), "%q is no class", class)
 		}
 	}
+	if f.DefaultClass != "" && c.Names.Class(f.DefaultClass) < 0 {
+		return fault("faktory.default_class", "%q is no class", f.DefaultClass)
+	}
 	return nil
 }
 
@@ -83,5 +108,8 @@
 	if class, ok := c.Faktory.Jobtypes[jobtype]; ok {
 		return c.Names.Class(class)
 	}
-	return c.Names.Class(jobtype)
+	if n := c.Names.Class(jobtype); n >= 0 || c.Faktory.DefaultClass == "" {
+		return n
+	}
+	return c.Names.Class(c.Faktory.DefaultClass)
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,6 +5,8 @@
 package core
 
 import (
+	"log/slog"
+
 	"cobaltflow/rules"
 )
 
@@ -102,7 +104,7 @@
 // goroutine.
 type Core struct {
 	Loop *Loop
-	Log  func(text string)
+	Log  *slog.Logger
 
 	settings   rules.Settings
 	dispatcher *rules.Dispatcher
@@ -121,7 +123,7 @@
 }
 
 // New makes the core. The first list must come before the first transaction.
-func New(loop *Loop, settings rules.Settings, seed uint64, log func(string)) *Core {
+func New(loop *Loop, settings rules.Settings, seed uint64, log *slog.Logger) *Core {
 	c := &Core{Loop: loop, Log: log, settings: settings, byID: map[string]*Transaction{}, farm: newFarm()}
 	loop.now = loop.clock()
 	c.dispatcher = rules.New(settings, seed, loop.now, actions{c})
@@ -191,7 +193,7 @@
 	}
 	t.deadline = c.Loop.At(c.Loop.now+max(c.settings.AnswerSlack, 5*Millisecond), func() {
 		if !t.closed {
-			c.Log("transaction " + t.ID + " given up without a decision")
+			c.Log.Error("transaction given up without a decision", "id", t.ID)
 			c.answer(t, Answer{Kind: Failed})
 			c.dispatcher.Hangup(c.Loop.now, rules.RequestID(t.ID))
 			c.settle(t)
@@ -348,7 +350,7 @@
 func (c *Core) send(id string, until Time, worker string) {
 	t := c.byID[id]
 	if t == nil {
-		c.Log("a send for " + id + ", which is not open")
+		c.Log.Error("a send for a transaction that is not open", "id", id)
 		return
 	}
 	p := &ProxyPass{Transaction: t, Worker: worker, Number: t.passes, sent: c.Loop.now}
@@ -447,4 +449,4 @@
 func (a actions) Fetch() {}
 
 // Log implements rules.Actions.
-func (a actions) Log(text string) { a.core.Log("decisions: " + text) }
+func (a actions) Log(text string) { a.core.Log.Info("decisions", "text", text) }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"log/slog"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -66,7 +67,7 @@
 func newCore(t *testing.T, s *stub, workers ...string) *Core {
 	l := NewLoop()
 	c := New(l, rules.Settings{MayCancel: true, MaxAttempts: 4, AnswerSlack: 16_000,
-		Classes: []rules.Class{{Effect: rules.Once, Deadline: Second, Kind: -1}}}, 1, func(string) {})
+		Classes: []rules.Class{{Effect: rules.Once, Deadline: Second, Kind: -1}}}, 1, slog.New(slog.DiscardHandler))
 	var news []FarmWorker
 	for _, w := range workers {
 		news = append(news, FarmWorker{Name: w, Weight: 1})
--- a/internal/core/farm.go
+++ b/internal/core/farm.go
@@ -37,7 +37,7 @@
 	for _, w := range news {
 		m := c.farm.workers[w.Name]
 		if m != nil && m.carrier != from {
-			c.Log("farm: " + w.Name + " is told of by two sources; the first is kept")
+			c.Log.Warn("farm: told of by two sources; the first is kept", "worker", w.Name)
 			continue
 		}
 		told[w.Name] = true
--- a/internal/faktory/front.go
+++ b/internal/faktory/front.go
@@ -11,6 +11,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"strings"
 	"time"
 
@@ -37,7 +38,7 @@
 	loop *core.Loop
 	core *core.Core
 	conf *config.Config
-	log  func(string)
+	log  *slog.Logger
 
 	listener netpoll.Listener
 	server   netpoll.EventLoop
@@ -71,7 +72,7 @@
 type sessionKey struct{}
 
 // New makes the front; Start opens it.
-func New(c *core.Core, conf *config.Config, log func(string)) *Front {
+func New(c *core.Core, conf *config.Config, log *slog.Logger) *Front {
 	return &Front{loop: c.Loop, core: c, conf: conf, log: log, workers: map[string]*worker{}, jobs: map[string]*pushed{},
 		began: time.Now()}
 }
@@ -149,11 +150,9 @@
 
 // gone has a session end. The worker whose last one it was has gone with it.
 func (f *Front) gone(s *session) {
-	line, first := s.Farewell(f.loop.Now())
-	if !first {
+	if !s.Farewell(f.log, f.loop.Now()) {
 		return
 	}
-	f.log(line)
 	f.sessions.Free(s.ref)
 	f.loop.Drop(s.fetch)
 	if w := s.worker; w != nil {
@@ -211,7 +210,7 @@
 	limit := f.loop.Now() - f.conf.Faktory.Beat()
 	for _, w := range f.workers {
 		if w.beat < limit {
-			f.log("faktory: worker " + w.wid + " missed its beats")
+			f.log.Warn("faktory: a worker missed its beats", "wid", w.wid)
 			f.sessions.Each(func(_ core.Ref, s *session) {
 				if s.worker == w {
 					s.Close(link.NoAnswer)
--- a/internal/faktory/jobs.go
+++ b/internal/faktory/jobs.go
@@ -117,7 +117,7 @@
 		"custom":     map[string]any{"time_left_ms": left},
 	})
 	if err != nil {
-		f.log("faktory: " + err.Error())
+		f.log.Error("faktory: a job could not be written", "error", err)
 	}
 	return b
 }
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,96 @@
+// Package gateway puts the parts of one scheduler together: the loop, the core, and the fronts that the
+// configuration asks for. It decides nothing and knows no wire.
+package gateway
+
+import (
+	"log/slog"
+	"runtime"
+	"runtime/debug"
+
+	"cobaltflow/internal/config"
+	"cobaltflow/internal/core"
+	"cobaltflow/internal/faktory"
+	"cobaltflow/internal/platform"
+)
+
+// Gateway is one scheduler in this process.
+type Gateway struct {
+	Conf    *config.Config
+	Loop    *core.Loop
+	Core    *core.Core
+	Front   *platform.Front
+	Faktory *faktory.Front // nil: off
+	log     *slog.Logger
+}
+
+// New makes a gateway; Start opens it.
+func New(conf *config.Config, log *slog.Logger) *Gateway {
+	g := &Gateway{Conf: conf, Loop: core.NewLoop(), log: log}
+	g.Core = core.New(g.Loop, conf.Settings, conf.Seed, log)
+	g.Front = platform.New(g.Core, conf, log)
+	if conf.Faktory.On() {
+		g.Faktory = faktory.New(g.Core, conf, log)
+	}
+	return g
+}
+
+// Start listens. It is called before Run; its error names the key of an address that can't be had.
+func (g *Gateway) Start() error {
+	for _, note := range g.Conf.Notes {
+		g.log.Info("configuration", "note", note)
+	}
+	if err := g.Front.Start(); err != nil {
+		return err
+	}
+	g.log.Info("serves", "name", g.Conf.Name, "address", g.Front.Address(), "workers", g.Core.FarmSize())
+	if g.Faktory != nil {
+		if err := g.Faktory.Start(); err != nil {
+			return err
+		}
+		g.log.Info("faktory: serves", "address", g.Faktory.Address())
+	}
+	return nil
+}
+
+// Run turns the loop until Stop has come to its end.
+func (g *Gateway) Run() {
+	g.Loop.Run()
+	n := g.Core.Counts
+	g.log.Info("ended", "taken", n.Taken, "served", n.Served, "refused", n.Refused, "failed", n.Failed, "hung_up", n.HungUp,
+		"passes", n.Passes, "probes", n.Probes)
+}
+
+// Reload takes a new configuration over; it may be called from any goroutine.
+func (g *Gateway) Reload(next *config.Config) {
+	KeepWithin(next.Limits)
+	g.Loop.Post(func() { g.Front.Reload(next) })
+}
+
+// ReloadFailed logs why the old configuration stands.
+func (g *Gateway) ReloadFailed(err error) {
+	// By the loop, which runs no event once the log is closed.
+	g.Loop.Post(func() { g.log.Warn("reload: the old configuration is kept", "error", err) })
+}
+
+// Stop has the gateway end in order: what was taken is answered first. It may be called from any goroutine.
+func (g *Gateway) Stop() {
+	g.Loop.Post(func() {
+		if g.Faktory != nil {
+			g.Faktory.Quiet()
+		}
+		g.Front.Stop(func() {
+			if g.Faktory != nil {
+				g.Faktory.Close()
+			}
+			g.Loop.Stop()
+		})
+	})
+}
+
+// KeepWithin sets the runtime's own limits.
+func KeepWithin(l config.Limits) {
+	// A poller that sleeps in a system call holds a proc until the runtime takes it back, which can
+	// take milliseconds: with one proc more than the cores nothing waits for that.
+	runtime.GOMAXPROCS(int(l.Cores+0.999) + 1)
+	debug.SetMemoryLimit(int64(l.MemoryMB) << 20 / 3 * 2)
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -11,7 +11,7 @@
 
 import (
 	"errors"
-	"fmt"
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -167,18 +167,24 @@
 	l.NC.Close()
 }
 
-// Farewell gives the log line of an ended connection, once.
-func (l *Link) Farewell(now core.Time) (line string, first bool) {
+// Farewell writes the log line of an ended connection, once.
+func (l *Link) Farewell(log *slog.Logger, now core.Time) (first bool) {
 	if l.Ended {
-		return "", false
+		return false
 	}
 	l.Ended = true
 	reason := l.Reason
 	if reason == "" {
 		reason = PeerClosed
 	}
-	return fmt.Sprintf("conn end party=%s peer=%s reason=%s messages=%d age_ms=%d", l.Party, l.Peer, reason, l.Count,
-		(now-l.Opened)/core.Millisecond), true
+	LogEnd(log, l.Party, l.Peer, reason, l.Count, now-l.Opened)
+	return true
+}
+
+// LogEnd writes the log line of an ended connection; more are further keys and values.
+func LogEnd(log *slog.Logger, party, peer, reason string, messages int, age core.Time, more ...any) {
+	log.Info("conn end", append([]any{"party", party, "peer", peer, "reason", reason, "messages", messages,
+		"age_ms", age / core.Millisecond}, more...)...)
 }
 
 // IdleWriter tells that nothing waits to be written.
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -1,7 +1,9 @@
 package link
 
 import (
+	"bytes"
 	"context"
+	"log/slog"
 	"net"
 	"testing"
 	"time"
@@ -53,9 +55,12 @@
 	require.Error(t, err)
 	assert.False(t, Unwritten(err), "part of it has left")
 	<-gone
-	line, first := l.Farewell(0)
-	assert.True(t, first)
-	assert.Contains(t, line, "reason="+NotReading)
-	_, first = l.Farewell(0)
-	assert.False(t, first, "one line a connection")
+	var out bytes.Buffer
+	log := slog.New(slog.NewTextHandler(&out, nil))
+	assert.True(t, l.Farewell(log, 0))
+	assert.Contains(t, out.String(), "reason="+NotReading)
+	for _, field := range []string{"party=", "peer=", "messages=", "age_ms="} {
+		assert.Contains(t, out.String(), field)
+	}
+	assert.False(t, l.Farewell(log, 0), "one line a connection")
 }
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"slices"
 	"strconv"
@@ -17,6 +18,7 @@
 	"cobaltflow/internal/core"
 	"cobaltflow/internal/http1"
 	"cobaltflow/internal/link"
+	"cobaltflow/internal/log"
 	"cobaltflow/rules"
 )
 
@@ -57,11 +59,12 @@
 
 // Front is the HTTP/1.1 front and the carrier to the workers that discovery tells of.
 type Front struct {
-	loop  *core.Loop
-	core  *core.Core
-	conf  *config.Config
-	log   func(string)
-	ready bool
+	loop    *core.Loop
+	core    *core.Core
+	conf    *config.Config
+	log     *slog.Logger
+	failing log.Sparse // peers that could not be reached
+	ready   bool
 
 	listener netpoll.Listener
 	server   netpoll.EventLoop
@@ -81,6 +84,21 @@
 // budget shares out the descriptors that the process may hold, by party.
 type budget struct{ agents, workers int }
 
+// notUp logs a connection that never came up: at a peer's first failure, then at growing intervals with a
+// count, since one that is gone is tried again and again.
+func (f *Front) notUp(party, peer string, age core.Time) {
+	if n, tell := f.failing.Failed(peer, f.loop.Now()); tell {
+		link.LogEnd(f.log, party, peer, link.NotUp, 0, age, "failures", n)
+	}
+}
+
+// isUp ends a peer's failures.
+func (f *Front) isUp(peer string) {
+	if n := f.failing.Reached(peer); n > 1 {
+		f.log.Info("peer is back", "peer", peer, "failures", n)
+	}
+}
+
 // share leaves room for the listeners, the poller, the watch, the log and the second front.
 func share(sockets int, second *config.Faktory) budget {
 	spare := max(24, sockets/8)
@@ -125,8 +143,8 @@
 type linkKey struct{}
 
 // New makes the front; Start opens it.
-func New(c *core.Core, conf *config.Config, log func(string)) *Front {
-	f := &Front{loop: c.Loop, core: c, conf: conf, log: log}
+func New(c *core.Core, conf *config.Config, logger *slog.Logger) *Front {
+	f := &Front{loop: c.Loop, core: c, conf: conf, log: logger}
 	f.pool = newPool(f)
 	f.shareOut()
 	return f
@@ -136,7 +154,7 @@
 func (f *Front) Start() error {
 	list, err := ParseList(f.conf.Known, &f.conf.Names, f.loop.FromUnix)
 	if len(f.conf.Known) > 0 && err != nil {
-		f.log("known list: " + err.Error())
+		f.log.Warn("known list is kept out", "error", err)
 		list = &FarmNews{}
 	}
 	f.pool.addresses(list)
@@ -170,14 +188,14 @@
 // the budgets follow its limits. All that is open lives on, and so does what is known of the workers.
 func (f *Front) Reload(next *config.Config) {
 	for _, key := range f.conf.Unchangeable(next) {
-		f.log("reload: " + key + " can't change while the program runs; the old one is kept")
+		f.log.Warn("reload: a key can't change while the program runs; the old one is kept", "key", key)
 	}
 	kept := *f.conf
 	kept.Discovery, kept.Limits = next.Discovery, next.Limits
 	f.conf = &kept
 	f.shareOut()
 	f.watch.move(kept.Discovery)
-	f.log("reload: taken over")
+	f.log.Info("reload: taken over")
 }
 
 // Address is where the front listens.
@@ -198,7 +216,7 @@
 	peer := c.RemoteAddr().String()
 	c.Close()
 	l.f.loop.Post(func() {
-		l.f.log("conn end party=agent peer=" + peer + " reason=" + link.OverBudget + " messages=0 age_ms=0")
+		link.LogEnd(l.f.log, "agent", peer, link.OverBudget, 0, 0)
 	})
 	return nil, nil
 }
@@ -477,14 +495,12 @@
 
 // gone has an accepted connection end: what it waited for is hung up.
 func (f *Front) gone(a *agentLink) {
-	line, first := a.Farewell(f.loop.Now())
-	if !first {
-		return
-	}
 	if a.callsBack {
-		line = strings.Replace(line, "party=agent", "party=call-back", 1)
+		a.Party = "call-back"
+	}
+	if !a.Farewell(f.log, f.loop.Now()) {
+		return
 	}
-	f.log(line)
 	f.accepted.Add(-1)
 	f.agents.Free(a.ref)
 	if a.in != nil {
@@ -536,7 +552,7 @@
 func (f *Front) Stop(done func()) {
 	if f.stopping == 0 {
 		f.stopping, f.stopped = f.loop.Now(), done
-		f.log(fmt.Sprintf("stopping: %d open", f.core.Open()))
+		f.log.Info("stopping", "open", f.core.Open())
 		f.loop.At(f.stopping+acceptOn, f.drain)
 		f.loop.At(f.stopping+answerBy, func() {
 			f.core.GiveUp(func(u core.UserAgent) bool { _, ours := u.(*agentLink); return ours })
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -251,7 +251,7 @@
 		return
 	}
 	if p.links.Len()+p.dials >= f.budget.workers && !p.evict() {
-		f.log("no descriptor left for worker " + w.name)
+		f.log.Warn("no descriptor left for a worker", "worker", w.name)
 		f.loop.Post(func() { k.broken(link.OverBudget, false) })
 		return
 	}
@@ -262,13 +262,13 @@
 		f.loop.Post(func() {
 			p.dials--
 			if err != nil {
-				f.log("conn end party=worker peer=" + address + " reason=" + link.NotUp + " messages=0 age_ms=" +
-					strconv.FormatInt((f.loop.Now()-began)/core.Millisecond, 10))
+				f.notUp("worker", address, f.loop.Now()-began)
 				if k.still == nil || k.still() {
 					k.broken(link.NotUp, false)
 				}
 				return
 			}
+			f.isUp(address)
 			l := p.add(nc, w, address)
 			if k.still != nil && !k.still() {
 				l.rest()
@@ -393,11 +393,9 @@
 // gone has the connection end. Whether a call on it may have been read turns on whether its last byte
 // was written, which the writer tells: where it has not yet, it is waited for.
 func (l *workerLink) gone() {
-	line, first := l.Farewell(l.f.loop.Now())
-	if !first {
+	if !l.Farewell(l.f.log, l.f.loop.Now()) {
 		return
 	}
-	l.f.log(line)
 	l.f.pool.links.Free(l.ref)
 	for i, other := range l.worker.idle {
 		if other == l {
--- a/internal/platform/pool_test.go
+++ b/internal/platform/pool_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"log/slog"
 	"net"
 	"testing"
 	"time"
@@ -21,7 +22,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer ln.Close()
-	f := &Front{loop: core.NewLoop(), log: func(string) {}, conf: &config.Config{Names: config.Names{ConnIdle: 60_000_000}}}
+	f := &Front{loop: core.NewLoop(), log: slog.New(slog.DiscardHandler), conf: &config.Config{Names: config.Names{ConnIdle: 60_000_000}}}
 	f.budget.workers = 9
 	f.pool = newPool(f)
 	p, now := &f.pool, f.loop.Now()
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -117,7 +117,7 @@
 	if w.stopped || address == w.address {
 		return
 	}
-	w.f.log("discovery: " + w.address + " is left for " + address)
+	w.f.log.Info("discovery: moved", "from", w.address, "to", address)
 	w.address, w.whole = address, true
 	w.epoch++
 	if l := w.link; l != nil {
@@ -128,7 +128,7 @@
 }
 
 func (w *watch) open(epoch int) {
-	if w.stopped || epoch != w.epoch {
+	if w.stopped || epoch != w.epoch || w.address == "" { // no discovery: the known list stands
 		return
 	}
 	loop, address := w.f.loop, w.address
@@ -136,7 +136,7 @@
 		nc, err := netpoll.DialConnection("tcp", address, time.Second)
 		loop.Post(func() {
 			if err != nil {
-				w.f.log("conn end party=discovery peer=" + address + " reason=" + link.NotUp + " messages=0 age_ms=0")
+				w.f.notUp("discovery", address, 0)
 				loop.At(loop.Now()+watchRetry, func() { w.open(epoch) })
 				return
 			}
@@ -144,6 +144,7 @@
 				nc.Close()
 				return
 			}
+			w.f.isUp(address)
 			l := &link.Link{}
 			l.Init(nc, "discovery", address, loop.Now())
 			w.link, w.heard, w.begun, w.partial, w.stuck = l, loop.Now(), false, false, 0
@@ -214,11 +215,9 @@
 }
 
 func (w *watch) lost(l *link.Link, epoch int) {
-	line, first := l.Farewell(w.f.loop.Now())
-	if !first {
+	if !l.Farewell(w.f.log, w.f.loop.Now()) {
 		return
 	}
-	w.f.log(line)
 	w.f.loop.At(w.f.loop.Now()+watchRetry, func() { w.open(epoch) })
 }
 
@@ -244,7 +243,7 @@
 		err = errors.New("not the whole list, which was asked for")
 	}
 	if err != nil {
-		w.f.log("discovery: bad line kept out: " + err.Error())
+		w.f.log.Warn("discovery: bad line kept out", "error", err)
 		return false
 	}
 	w.version, w.whole = news.Version, false
@@ -287,7 +286,7 @@
 		return size, need, bad != nil
 	}, func() {
 		if bad != nil {
-			s.watch.f.log("discovery: " + bad.Error())
+			s.watch.f.log.Warn("discovery: unusable answer", "error", bad)
 			s.link.Close(link.BadInput)
 		}
 		s.link.Release()
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -58,17 +59,18 @@
 				{Aim: 500_000, Deadline: 5_000_000, Worth: 3, Effect: rules.Repeatable, Kind: -1},
 				{Aim: 1_000_000, Deadline: 10_000_000, Worth: 2, Kind: -1},
 				{Aim: 1_200_000, Deadline: 20_000_000, Worth: 10, Kind: -1}}},
-		Faktory: config.Faktory{Queue: "default", BeatWithin: 60, MaxSessions: 32, KeptJobs: 100},
+		Faktory: config.DefaultFaktory(),
 	}
 	n.Conf.Known = n.Farm.Tell(true, entries("up", workers)...)
 	if change != nil {
 		change(n.Conf)
 	}
-	n.Core = core.New(n.Loop, n.Conf.Settings, n.Conf.Seed, n.print)
-	n.Front = platform.New(n.Core, n.Conf, n.print)
+	log := slog.New(slog.NewTextHandler(n, nil))
+	n.Core = core.New(n.Loop, n.Conf.Settings, n.Conf.Seed, log)
+	n.Front = platform.New(n.Core, n.Conf, log)
 	require.NoError(t, n.Front.Start())
 	if n.Conf.Faktory.On() {
-		n.Faktory = faktory.New(n.Core, n.Conf, n.print)
+		n.Faktory = faktory.New(n.Core, n.Conf, log)
 		require.NoError(t, n.Faktory.Start())
 	}
 	go func() {
@@ -86,10 +88,12 @@
 	return n
 }
 
-func (n *Node) print(line string) {
+// Write takes a line of the log.
+func (n *Node) Write(line []byte) (int, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.log = append(n.log, line)
+	n.log = append(n.log, string(line))
+	return len(line), nil
 }
 
 // Logged tells whether a line with the text has been logged.
