--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -28,6 +28,8 @@
 	Memory   float64
 	Hint     Time
 	Agent    UserAgent
+	Pool     *Pool  // whose workers may run it; nil: the main one's
+	Asker    string // a worker that asks for work; empty: none does
 
 	ref      Ref
 	closed   bool
@@ -105,15 +107,18 @@
 type Core struct {
 	Loop *Loop
 	Log  *slog.Logger
+	// Listed, where it is set, is called after each news of the main pool's workers.
+	Listed func()
 
-	settings   rules.Settings
-	dispatcher *rules.Dispatcher
-	queue      []func()
+	settings rules.Settings
+	main     *Pool
+	pools    []*Pool // the main one first
+	queue    []func()
 
 	transactions Table[*Transaction]
 	byID         map[string]*Transaction
+	open         int // transactions that still need an answer
 	passes       Table[*ProxyPass]
-	farm         farm
 	Counts       Counts
 }
 
@@ -124,9 +129,9 @@
 
 // New makes the core. The first list must come before the first transaction.
 func New(loop *Loop, settings rules.Settings, seed uint64, log *slog.Logger) *Core {
-	c := &Core{Loop: loop, Log: log, settings: settings, byID: map[string]*Transaction{}, farm: newFarm()}
+	c := &Core{Loop: loop, Log: log, settings: settings, byID: map[string]*Transaction{}}
 	loop.now = loop.clock()
-	c.dispatcher = rules.New(settings, seed, loop.now, actions{c})
+	c.main = c.NewPool("", settings, seed)
 	loop.turnEnd = c.carryOut
 	return c
 }
@@ -135,14 +140,7 @@
 func (c *Core) Settings() *rules.Settings { return &c.settings }
 
 // Open is the number of transactions that still need an answer.
-func (c *Core) Open() (n int) {
-	for _, t := range c.byID {
-		if !t.closed {
-			n++
-		}
-	}
-	return n
-}
+func (c *Core) Open() int { return c.open }
 
 // Passes is the number of proxy passes that are out.
 func (c *Core) Passes() int { return c.passes.Len() }
@@ -154,13 +152,18 @@
 		return false
 	}
 	now := c.Loop.now
+	if t.Pool == nil {
+		t.Pool = c.main
+	}
 	c.Counts.Taken++
+	c.open++
 	t.ref = c.transactions.Add(t)
 	c.byID[t.ID] = t
 	t.deadline = c.Loop.At(t.Deadline, func() { c.overdue(t) })
-	c.dispatcher.Request(now, &rules.Request{
+	t.Pool.dispatcher.Request(now, &rules.Request{
 		ID: rules.RequestID(t.ID), Class: t.Work.Class, Key: keyOf(t.Work.Key), HasKey: t.Work.Key != "",
 		Deadline: t.Deadline, Hint: t.Hint, Slots: t.Slots, Memory: t.Memory,
+		Asker: rules.WorkerID(t.Asker),
 	})
 	return true
 }
@@ -172,7 +175,7 @@
 	}
 	c.Counts.HungUp++
 	c.close(t)
-	c.dispatcher.Hangup(c.Loop.now, rules.RequestID(t.ID))
+	t.Pool.dispatcher.Hangup(c.Loop.now, rules.RequestID(t.ID))
 	c.settle(t)
 }
 
@@ -195,7 +198,7 @@
 		if !t.closed {
 			c.Log.Error("transaction given up without a decision", "id", t.ID)
 			c.answer(t, Answer{Kind: Failed})
-			c.dispatcher.Hangup(c.Loop.now, rules.RequestID(t.ID))
+			t.Pool.dispatcher.Hangup(c.Loop.now, rules.RequestID(t.ID))
 			c.settle(t)
 		}
 	})
@@ -224,7 +227,7 @@
 				c.end(p, rules.Cancelled, nil, rules.Load{})
 			}
 		}
-		c.dispatcher.Hangup(c.Loop.now, rules.RequestID(t.ID))
+		t.Pool.dispatcher.Hangup(c.Loop.now, rules.RequestID(t.ID))
 		c.settle(t)
 	})
 }
@@ -253,7 +256,7 @@
 	if status == rules.OK && !t.closed {
 		c.answer(t, Answer{Kind: Served, Result: result})
 	}
-	c.dispatcher.Outcome(c.Loop.now, &rules.Outcome{
+	t.Pool.dispatcher.Outcome(c.Loop.now, &rules.Outcome{
 		Request: rules.RequestID(t.ID), Attempt: p.Number, Worker: rules.WorkerID(p.Worker), Status: status,
 		Latency: c.Loop.now - p.sent, Closed: t.closed, Load: load,
 	})
@@ -275,13 +278,17 @@
 }
 
 func (c *Core) note(p *ProxyPass, started bool, share float64) {
-	c.dispatcher.Note(c.Loop.now, &rules.Note{Request: rules.RequestID(p.Transaction.ID), Attempt: p.Number,
+	p.Transaction.Pool.dispatcher.Note(c.Loop.now, &rules.Note{Request: rules.RequestID(p.Transaction.ID), Attempt: p.Number,
 		Worker: rules.WorkerID(p.Worker), Started: started, Done: share})
 }
 
-// Probed reports the end of a probe.
+// Probed reports the end of a probe, to all pools that the worker is in.
 func (c *Core) Probed(worker string, status rules.Status, took Time, load rules.Load) {
-	c.dispatcher.Probed(c.Loop.now, &rules.Probed{Worker: rules.WorkerID(worker), Status: status, Latency: took, Load: load})
+	for _, p := range c.pools {
+		if p.farm.workers[worker] != nil || p == c.main {
+			p.dispatcher.Probed(c.Loop.now, &rules.Probed{Worker: rules.WorkerID(worker), Status: status, Latency: took, Load: load})
+		}
+	}
 }
 
 // Find gives the pass that is out for a request id at a worker, if there is one.
@@ -316,6 +323,7 @@
 
 func (c *Core) close(t *Transaction) {
 	t.closed = true
+	c.open--
 	c.Loop.Drop(t.deadline)
 	t.deadline = nil
 }
@@ -338,13 +346,13 @@
 }
 
 // actions takes what the decisions ask for. Nothing is carried out within their call.
-type actions struct{ core *Core }
+type actions struct{ pool *Pool }
 
-func (a actions) do(f func()) { a.core.queue = append(a.core.queue, f) }
+func (a actions) do(f func()) { a.pool.core.queue = append(a.pool.core.queue, f) }
 
 // Send implements rules.Actions.
 func (a actions) Send(id rules.RequestID, until Time, w rules.WorkerID) {
-	a.do(func() { a.core.send(string(id), until, string(w)) })
+	a.do(func() { a.pool.core.send(string(id), until, string(w)) })
 }
 
 func (c *Core) send(id string, until Time, worker string) {
@@ -357,7 +365,7 @@
 	t.passes++
 	p.Ref = c.passes.Add(p)
 	t.out = append(t.out, p.Ref)
-	w := c.farm.workers[worker]
+	w := t.Pool.farm.workers[worker]
 	if t.closed || c.Loop.now >= t.Deadline || w == nil || w.carrier == nil {
 		// It never left. The outcome comes in a later turn, as every other does.
 		c.Loop.Post(func() { c.Ended(p.Ref, rules.NotSent, nil, rules.Load{}) })
@@ -385,7 +393,7 @@
 // Cancel implements rules.Actions.
 func (a actions) Cancel(id rules.RequestID, attempt int) {
 	a.do(func() {
-		c := a.core
+		c := a.pool.core
 		t := c.byID[string(id)]
 		if t == nil {
 			return
@@ -415,7 +423,7 @@
 
 func (a actions) final(id rules.RequestID, answer Answer) {
 	a.do(func() {
-		c := a.core
+		c := a.pool.core
 		if t := c.byID[string(id)]; t != nil {
 			c.answer(t, answer)
 			c.settle(t)
@@ -425,16 +433,21 @@
 
 // Timer implements rules.Actions.
 func (a actions) Timer(delay Time, token uint64) {
-	c := a.core
-	c.Loop.At(c.Loop.now+max(0, delay), func() { c.dispatcher.TimerDue(c.Loop.now, token) })
+	p := a.pool
+	loop := p.core.Loop
+	loop.At(loop.now+max(0, delay), func() {
+		if !p.closed {
+			p.dispatcher.TimerDue(loop.now, token)
+		}
+	})
 }
 
 // Probe implements rules.Actions.
 func (a actions) Probe(w rules.WorkerID) {
 	a.do(func() {
-		c := a.core
+		c := a.pool.core
 		c.Counts.Probes++
-		if m := c.farm.workers[string(w)]; m != nil && m.carrier != nil {
+		if m := a.pool.farm.workers[string(w)]; m != nil && m.carrier != nil {
 			m.carrier.Probe(string(w))
 			return
 		}
@@ -449,4 +462,4 @@
 func (a actions) Fetch() {}
 
 // Log implements rules.Actions.
-func (a actions) Log(text string) { a.core.Log.Info("decisions", "text", text) }
+func (a actions) Log(text string) { a.pool.core.Log.Info("decisions", "text", text) }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -115,7 +115,7 @@
 		tr := take(c, s, "r")
 		c.Loop.turn([]func(){func() { c.overdue(tr) }})
 		c.Loop.now += 2 * Second
-		c.dispatcher.TimerDue(c.Loop.now, 0)
+		c.main.dispatcher.TimerDue(c.Loop.now, 0)
 		c.carryOut()
 		require.Equal(t, 1, s.answers)
 		assert.Equal(t, want, s.last.Kind)
@@ -131,5 +131,25 @@
 	c.Farm(b, rules.ListDelta, []FarmWorker{{Name: "b1", Weight: 1}})
 	c.Farm(a, rules.ListFull, []FarmWorker{{Name: "a2", Weight: 1}, {Name: "b1", State: rules.Gone}})
 	assert.Equal(t, 2, c.FarmSize())
-	assert.Contains(t, c.farm.workers, "b1")
+	assert.Contains(t, c.main.farm.workers, "b1")
+}
+
+// Two pools share a worker's name and nothing else: a transaction goes to its own pool's workers.
+func TestPoolsKeepToTheirWorkers(t *testing.T) {
+	a, b := &stub{}, &stub{}
+	c := newCore(t, a, "a1")
+	p := c.NewPool("b", c.settings, 2)
+	p.Farm(b, rules.ListDelta, []FarmWorker{{Name: "b1", Weight: 1}})
+	take(c, a, "for-a")
+	c.Loop.turn([]func(){func() { c.Take(&Transaction{ID: "for-b", Deadline: c.Loop.now + Second, Agent: b, Pool: p}) }})
+	require.Len(t, a.carried, 1)
+	require.Len(t, b.carried, 1)
+	assert.Equal(t, []string{"a1", "b1"}, []string{a.carried[0].Worker, b.carried[0].Worker})
+	assert.Equal(t, 2, c.Open())
+	p.Farm(b, rules.ListDelta, []FarmWorker{{Name: "b1", State: rules.Gone}})
+	assert.Equal(t, []bool{true, false}, []bool{c.Main().Ready(b), p.Ready(a)})
+	c.Loop.turn([]func(){func() { c.Ended(b.carried[0].Ref, rules.OK, nil, rules.Load{}) }})
+	assert.Equal(t, 1, c.Open())
+	p.Close()
+	assert.Len(t, c.pools, 1)
 }
--- a/internal/core/farm.go
+++ b/internal/core/farm.go
@@ -28,41 +28,87 @@
 
 func newFarm() farm { return farm{workers: map[string]*farmMember{}} }
 
+// Farm takes news of the workers of one carrier, for the main pool.
+func (c *Core) Farm(from Carrier, form rules.ListForm, news []FarmWorker) {
+	c.main.Farm(from, form, news)
+	if c.Listed != nil {
+		c.Listed()
+	}
+}
+
+// Main is the pool of all transactions that name none.
+func (c *Core) Main() *Pool { return c.main }
+
+// Pool is a part of the farm with a Dispatcher of its own: its transactions go to its workers only, and what
+// they suffer is no other pool's. A worker may be in several.
+type Pool struct {
+	Name       string
+	core       *Core
+	dispatcher *rules.Dispatcher
+	farm       farm
+	closed     bool
+}
+
+// NewPool makes a pool without workers. It stands until Close.
+func (c *Core) NewPool(name string, settings rules.Settings, seed uint64) *Pool {
+	p := &Pool{Name: name, core: c, farm: newFarm()}
+	p.dispatcher = rules.New(settings, seed, c.Loop.now, actions{p})
+	c.pools = append(c.pools, p)
+	return p
+}
+
+// Close lets go of a pool that has no transaction any more.
+func (p *Pool) Close() {
+	p.closed = true
+	p.core.pools = slices.DeleteFunc(p.core.pools, func(other *Pool) bool { return other == p })
+}
+
+// Ready tells whether a carrier's worker, other than but's, may be sent work in the pool.
+func (p *Pool) Ready(but Carrier) bool {
+	for _, m := range p.farm.workers {
+		if m.State == rules.Ready && m.carrier != but {
+			return true
+		}
+	}
+	return false
+}
+
 // Farm takes news of the workers of one carrier. A whole list speaks for that carrier alone: its
 // workers that are absent have gone, those of others stay.
-func (c *Core) Farm(from Carrier, form rules.ListForm, news []FarmWorker) {
+func (p *Pool) Farm(from Carrier, form rules.ListForm, news []FarmWorker) {
+	c := p.core
 	whole := form == rules.ListFull || form == rules.ListCached
 	told := make(map[string]bool, len(news))
 	var entries []rules.ListEntry
 	for _, w := range news {
-		m := c.farm.workers[w.Name]
+		m := p.farm.workers[w.Name]
 		if m != nil && m.carrier != from {
 			c.Log.Warn("farm: told of by two sources; the first is kept", "worker", w.Name)
 			continue
 		}
 		told[w.Name] = true
 		if w.State == rules.Gone {
-			delete(c.farm.workers, w.Name)
+			delete(p.farm.workers, w.Name)
 		} else {
-			c.farm.workers[w.Name] = &farmMember{FarmWorker: w, carrier: from}
+			p.farm.workers[w.Name] = &farmMember{FarmWorker: w, carrier: from}
 		}
 		entries = append(entries, w.entry())
 	}
 	if whole {
-		for _, name := range slices.Sorted(maps.Keys(c.farm.workers)) {
-			m := c.farm.workers[name]
+		for _, name := range slices.Sorted(maps.Keys(p.farm.workers)) {
+			m := p.farm.workers[name]
 			if m.carrier == from && !told[name] {
-				delete(c.farm.workers, name)
+				delete(p.farm.workers, name)
 			} else if m.carrier != from {
 				entries = append(entries, m.entry())
 			}
 		}
 	}
-	c.dispatcher.List(c.Loop.now, &rules.List{Form: form, Entries: entries})
+	p.dispatcher.List(c.Loop.now, &rules.List{Form: form, Entries: entries})
 }
 
 // FarmSize is the number of workers known.
-func (c *Core) FarmSize() int { return len(c.farm.workers) }
+func (c *Core) FarmSize() int { return len(c.main.farm.workers) }
 
 func (w *FarmWorker) entry() rules.ListEntry {
 	return rules.ListEntry{Worker: rules.WorkerID(w.Name), Zone: w.Zone, Kind: w.Kind, Cell: w.Cell, State: w.State,
--- /dev/null
+++ b/internal/jobs/api.go
@@ -0,0 +1,213 @@
+// Package jobs owns the life of a job of the Faktory work protocol, from its PUSH to its one final state:
+//
+//	scheduled → enqueued → working → served | refused | failed | dead
+//
+// with retries between. It decides when a job is let into the core, for which waiting FETCH, whether and
+// when a failed one is tried again, what is turned away when a bound is reached, and what is forgotten.
+// It never chooses a worker: each try is a transaction in the core, where package rules does.
+//
+// # What the host owes
+//
+// A Machine is used by one goroutine at a time and does no I/O. Every event carries now, in microseconds of
+// a clock that never goes back; randomness comes in with New. Actions are emitted from within the event
+// methods; the host may call back into the machine from Open only after the event has returned. After each
+// event the host asks Next, and calls Due at that time or later. Each Open is followed by exactly one Ended,
+// unless the machine withdrew the job with Withdraw.
+//
+// The protocol is the public one of github.com/contribsys/faktory's documentation ("The Job Payload", "Work
+// Protocol", "Mutate API"); where it is silent the class decides, and the choice is told in docs/design/faktory.md.
+package jobs
+
+// Time is a point in, or a length of, the host's clock, in microseconds.
+type Time = int64
+
+// Lengths of time.
+const (
+	Millisecond Time = 1_000
+	Second      Time = 1_000_000
+)
+
+// State is where a job stands.
+type State uint8
+
+// The states; those from Served on are final.
+const (
+	Unknown State = iota
+	Scheduled
+	Enqueued
+	Working
+	Retrying
+	Served
+	Refused // it never ran
+	Failed  // it may have run, and is not kept for another try
+	Dead    // it failed for good and is kept for the operator
+)
+
+var stateNames = [...]string{"unknown", "scheduled", "enqueued", "working", "retries", "served", "refused", "failed", "dead"}
+
+func (s State) String() string { return stateNames[s] }
+
+// Final tells whether a job in this state has its one final answer.
+func (s State) Final() bool { return s >= Served }
+
+// Reason says why a job came to its end, or why a PUSH was not taken. It stands in answers, the log and the
+// operator's page alike.
+type Reason string
+
+// The reasons.
+const (
+	Done         Reason = "done"
+	Expired      Reason = "expired"           // its time was over before it started
+	TimeOver     Reason = "time-over"         // its time was over while it ran
+	Discarded    Reason = "discarded"         // it failed, and its retry is -1
+	Exhausted    Reason = "retries-exhausted" // it failed as often as its retry allows
+	MayHaveRun   Reason = "may-have-run"      // its class forbids a second run
+	RetriesFull  Reason = "retries-full"      // the set of retries had no room
+	ByOperator   Reason = "operator"          // killed or discarded by MUTATE
+	QueueRemoved Reason = "queue-removed"
+	Flushed      Reason = "flushed"
+	ShutDown     Reason = "shut-down"
+
+	FullHeld      Reason = "max_held_jobs"
+	FullBytes     Reason = "max_held_mb"
+	FullQueue     Reason = "max_queue_jobs"
+	FullClient    Reason = "max_client_jobs"
+	FullClientMB  Reason = "max_client_mb"
+	FullScheduled Reason = "max_scheduled"
+	FullQueues    Reason = "max_queues"
+	FullUnique    Reason = "max_unique"
+)
+
+// Settings are given once. All bounds are above 0; sizes are in bytes.
+type Settings struct {
+	Repeatable []bool // by class: what may have run may run again
+	Reserve    Time   // of a job that names none
+
+	MaxHeld, MaxHeldBytes     int
+	MaxQueue                  int
+	MaxClient, MaxClientBytes int
+	MaxScheduled, MaxRetries  int
+	MaxQueues                 int
+	MaxDead, MaxDeadBytes     int
+	MaxEnded, MaxEndedBytes   int
+	TableWindow               int // jobs of a table queue that are with the table workers at once
+}
+
+// Priorities of a job within its queue; the highest comes first.
+const (
+	LowestPriority  = 1
+	UsualPriority   = 5
+	HighestPriority = 9
+)
+
+// UsualRetry is the number of retries of a job that names none.
+const UsualRetry = 25
+
+// Job is a job of the host's making. The fields of the first part are set before Push and not changed.
+type Job struct {
+	ID, Type, Queue string
+	Class           int
+	Priority        int  // 1 to 9
+	Retry           int  // retries after the first failure; 0: dead at once, -1: discarded at once
+	Reserve         Time // for which a worker may hold it; 0: the usual
+	At              Time // not before; 0: now
+	ExpiresAt       Time // it must have started by then; 0: never
+	Left            Time // its pusher waits for so long, from the PUSH or from At; 0: for ever
+	UniqueFor       Time // 0: not unique
+	UntilStart      bool // it is unique until its start, else until it was served
+	Fingerprint     [32]byte
+	Client          string
+	Size            int // bytes that it takes
+	Native          any // the host's own; given up at the end
+
+	State    State
+	Reason   Reason
+	Failures int      // tries that may have run and failed
+	Failure  *Failure // the last
+	Since    Time     // in this state
+	Result   []byte   // of Served; set by the host before Ended
+	Percent  int
+	Desc     string
+	Worker   string // that holds it, while working
+
+	deadline Time // its pusher has gone by then; 0: never
+	open     bool // it has a transaction in the core
+	ran      bool // a try may have run
+	cover    *Ask // the FETCH for which it was let in
+	loose    bool // let in for the table workers, or its FETCH has gone
+	over     timer
+	wake     timer
+	home     *list
+	prev     *Job
+	next     *Job
+	order    uint64 // in its set
+	lock     *lock
+}
+
+// Open tells whether the job has a transaction in the core.
+func (j *Job) Open() bool { return j.open }
+
+// Ran tells whether a try of the job may have run.
+func (j *Job) Ran() bool { return j.ran }
+
+// Deadline is when its pusher stops waiting; 0: never.
+func (j *Job) Deadline() Time { return j.deadline }
+
+// Failure is what a worker, or the gateway, told of a failed try. Texts are cut to bounds.
+type Failure struct {
+	Type, Message string
+	Backtrace     []string
+	At            Time
+}
+
+// Bounds of a Failure's texts, in bytes and lines.
+const (
+	LongestMessage = 1000
+	LongestType    = 100
+	MostBacktrace  = 30
+	LongestLine    = 300
+)
+
+// Cut keeps a failure within its bounds.
+func (f *Failure) Cut() *Failure {
+	cut := func(s string, most int) string { return s[:min(len(s), most)] }
+	f.Type, f.Message = cut(f.Type, LongestType), cut(f.Message, LongestMessage)
+	f.Backtrace = f.Backtrace[:min(len(f.Backtrace), MostBacktrace)]
+	for i, line := range f.Backtrace {
+		f.Backtrace[i] = cut(line, LongestLine)
+	}
+	return f
+}
+
+// Verdict is the answer to a PUSH.
+type Verdict struct {
+	Taken  bool
+	Known  *Job   // the job that has this id already
+	Unique bool   // another job with the same fingerprint holds the lock
+	Full   Reason // the bound that was reached, or ShutDown
+	After  Time   // when to come back, where Full
+}
+
+// End is how a transaction ended.
+type End uint8
+
+// The ends.
+const (
+	EndServed  End = iota
+	EndRefused     // it surely never ran
+	EndFailed      // it may have run
+)
+
+// Actions is what a Machine asks of its host.
+type Actions interface {
+	// Open opens a transaction for the job. worker is the one that asks for work; empty: none does.
+	Open(j *Job, worker string)
+	// Withdraw ends the job's transaction; the machine has ended the job, and nothing more is reported of it.
+	Withdraw(j *Job)
+	// Expire ends the try of a job whose reservation ran out, as timed out. Ended follows.
+	Expire(j *Job)
+	// Ended tells of a job that has come to a final state.
+	Ended(j *Job)
+	// Mutated tells that a mutation is done.
+	Mutated(token uint64, m Mutation)
+}
--- /dev/null
+++ b/internal/jobs/machine_test.go
@@ -0,0 +1,333 @@
+package jobs
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// host takes down what a machine asks for.
+type host struct {
+	*Machine
+	now       Time
+	opened    []string
+	open      map[string]*Job
+	withdrawn []string
+	expired   []*Job
+	mutated   []Mutation
+}
+
+func (h *host) Open(j *Job, _ string) {
+	h.opened = append(h.opened, j.ID)
+	h.open[j.ID] = j
+}
+func (h *host) Withdraw(j *Job)               { h.withdrawn = append(h.withdrawn, j.ID) }
+func (h *host) Expire(j *Job)                 { h.expired = append(h.expired, j) }
+func (h *host) Ended(*Job)                    {}
+func (h *host) Mutated(_ uint64, mu Mutation) { h.mutated = append(h.mutated, mu) }
+
+func newHost(change func(*Settings)) *host {
+	h := &host{now: 1 << 42, open: map[string]*Job{}}
+	s := Settings{Repeatable: []bool{true, false}, Reserve: 1800 * Second, MaxHeld: 1000, MaxHeldBytes: 1 << 20, MaxQueue: 1000, MaxClient: 1000,
+		MaxClientBytes: 1 << 20, MaxScheduled: 1000, MaxRetries: 1000, MaxQueues: 16, MaxDead: 1000, MaxDeadBytes: 1 << 20, MaxEnded: 100,
+		MaxEndedBytes: 1 << 20, TableWindow: 4}
+	if change != nil {
+		change(&s)
+	}
+	h.Machine = New(s, rand.New(rand.NewPCG(1, 2)), h, func(q string) bool { return q == "tables" })
+	return h
+}
+
+func (h *host) push(id string, change func(*Job)) Verdict {
+	j := &Job{ID: id, Type: "t", Queue: "a", Priority: UsualPriority, Retry: UsualRetry, Size: 100, Client: "c"}
+	if change != nil {
+		change(j)
+	}
+	return h.Push(h.now, j)
+}
+
+// fetch has a FETCH answered with the job that was let in for it.
+func (h *host) fetch(queues ...string) *Job {
+	a := &Ask{}
+	n := len(h.opened)
+	h.Wait(h.now, a, "w", queues)
+	if len(h.opened) == n {
+		h.Stop(a)
+		return nil
+	}
+	j := h.open[h.opened[n]]
+	h.Given(h.now, j, "w", a)
+	return j
+}
+
+func (h *host) pass(by Time) {
+	h.now += by
+	for h.Due(h.now, 100) {
+	}
+}
+
+func TestPriorityThenOrderOfComing(t *testing.T) {
+	h := newHost(nil)
+	for i, p := range []int{5, 1, 9, 5, 9} {
+		h.push(fmt.Sprint("job-", i), func(j *Job) { j.Priority = p })
+	}
+	h.push("other", func(j *Job) { j.Queue = "b" })
+	var got []string
+	for j := h.fetch("b", "a"); j != nil; j = h.fetch("b", "a") {
+		got = append(got, j.ID)
+	}
+	assert.Equal(t, []string{"other", "job-2", "job-4", "job-0", "job-3", "job-1"}, got)
+}
+
+func TestAQueueListedMoreOftenIsChosenMoreOften(t *testing.T) {
+	h := newHost(nil)
+	for i := range 400 {
+		h.push(fmt.Sprint("a-", i), nil)
+		h.push(fmt.Sprint("b-", i), func(j *Job) { j.Queue = "b" })
+	}
+	first := map[string]int{}
+	for range 400 {
+		first[h.fetch("a", "a", "a", "b").Queue]++
+	}
+	assert.InDelta(t, 300, first["a"], 40)
+}
+
+func TestFailedTriesComeBackOnlyAsFarAsTheClassPermits(t *testing.T) {
+	for _, c := range []struct {
+		class, retry int
+		state        State
+		why          Reason
+	}{
+		{0, 25, Retrying, ""}, {0, 0, Dead, Exhausted}, {0, -1, Failed, Discarded},
+		{1, 25, Dead, MayHaveRun}, {1, -1, Failed, Discarded},
+	} {
+		h := newHost(nil)
+		h.push("job", func(j *Job) { j.Class, j.Retry = c.class, c.retry })
+		j := h.fetch("a")
+		h.Machine.Ended(h.now, j, EndFailed, 0, &Failure{Type: "E", Message: "m"})
+		assert.Equal(t, []any{c.state, c.why}, []any{j.State, j.Reason})
+	}
+}
+
+func TestBackoffGrowsAsThePublicFormula(t *testing.T) {
+	h := newHost(nil)
+	h.push("job", func(j *Job) { j.Retry = 2 })
+	for n, least := range []Time{15, 16} {
+		j := h.fetch("a")
+		h.Machine.Ended(h.now, j, EndFailed, 0, nil)
+		at, ok := h.Next(h.now)
+		require.True(t, ok)
+		assert.GreaterOrEqual(t, at-h.now, least*Second)
+		assert.Less(t, at-h.now, (least+30*Time(n+1))*Second)
+		h.pass(at - h.now)
+	}
+	j := h.fetch("a")
+	h.Machine.Ended(h.now, j, EndFailed, 0, nil)
+	assert.Equal(t, []any{Dead, Exhausted, 3}, []any{j.State, j.Reason, j.Failures})
+}
+
+func TestARefusedTryKeepsItsPlaceAndIsNotAFailure(t *testing.T) {
+	h := newHost(nil)
+	h.push("one", func(j *Job) { j.Class = 1 })
+	h.push("two", nil)
+	a := &Ask{}
+	h.Wait(h.now, a, "w", []string{"a"})
+	h.Machine.Ended(h.now, h.open["one"], EndRefused, 0, nil)
+	assert.Equal(t, []string{"one"}, h.opened, "not let in again at once")
+	h.pass(Second)
+	assert.Equal(t, []string{"one", "one"}, h.opened)
+	assert.Zero(t, h.open["one"].Failures)
+}
+
+func TestReservationAndLateEnds(t *testing.T) {
+	h := newHost(nil)
+	h.push("job", func(j *Job) { j.Reserve = 60 * Second })
+	j := h.fetch("a")
+	h.Extend(j, h.now+90*Second)
+	h.pass(80 * Second)
+	assert.Empty(t, h.expired)
+	h.pass(11 * Second)
+	require.Len(t, h.expired, 1)
+	h.Machine.Ended(h.now, j, EndFailed, 0, nil)
+	h.Machine.Ended(h.now, j, EndServed, 0, nil)
+	assert.Equal(t, Retrying, j.State, "the late end changes nothing")
+}
+
+func TestTimes(t *testing.T) {
+	h := newHost(nil)
+	at := h.now + 10*Second
+	h.push("later", func(j *Job) { j.At, j.Left = at, 3*Second })
+	h.push("stale", func(j *Job) { j.ExpiresAt = h.now + Second })
+	assert.Equal(t, "stale", h.fetch("a").ID)
+	h.push("stale-2", func(j *Job) { j.ExpiresAt = h.now + Second })
+	assert.Equal(t, Scheduled, h.Find("later").State)
+	h.pass(9 * Second)
+	assert.Equal(t, []any{Refused, Expired}, []any{h.Find("stale-2").State, h.Find("stale-2").Reason})
+	assert.Equal(t, Working, h.Find("stale").State, "it started in time")
+	h.pass(Second)
+	assert.Equal(t, Enqueued, h.Find("later").State)
+	h.pass(3 * Second)
+	assert.Equal(t, Refused, h.Find("later").State, "its time counted from at")
+}
+
+func TestUniqueJobs(t *testing.T) {
+	h := newHost(nil)
+	unique := func(start bool) func(*Job) {
+		return func(j *Job) { j.UniqueFor, j.UntilStart, j.Fingerprint[0] = 60*Second, start, 7 }
+	}
+	require.True(t, h.push("one", unique(false)).Taken)
+	assert.True(t, h.push("two", unique(false)).Unique)
+	j := h.fetch("a")
+	assert.True(t, h.push("two", unique(false)).Unique, "until it was served")
+	h.Machine.Ended(h.now, j, EndServed, 0, nil)
+	require.True(t, h.push("two", unique(true)).Taken)
+	h.fetch("a")
+	require.True(t, h.push("three", unique(false)).Taken, "until its start")
+	h.pass(61 * Second)
+	assert.True(t, h.push("four", unique(false)).Taken, "its time is over")
+}
+
+func TestFullSaysWhichBoundAndWhenToReturn(t *testing.T) {
+	for want, change := range map[Reason]func(*Settings){
+		FullHeld: func(s *Settings) { s.MaxHeld = 2 }, FullBytes: func(s *Settings) { s.MaxHeldBytes = 250 },
+		FullQueue: func(s *Settings) { s.MaxQueue = 2 }, FullClient: func(s *Settings) { s.MaxClient = 2 },
+		FullClientMB: func(s *Settings) { s.MaxClientBytes = 250 }, FullScheduled: func(s *Settings) { s.MaxScheduled = 2 },
+		FullUnique: func(s *Settings) { s.MaxHeld = 1 }, FullQueues: func(s *Settings) { s.MaxQueues = 1 },
+	} {
+		h := newHost(change)
+		v := Verdict{}
+		for i := 0; i < 3; i++ {
+			v = h.push(fmt.Sprint(i), func(j *Job) {
+				switch want {
+				case FullScheduled:
+					j.At = h.now + Second
+				case FullUnique:
+					j.UniqueFor, j.Fingerprint[0] = Second, byte(i)
+				case FullQueues:
+					j.Queue = fmt.Sprint("q", i)
+				}
+			})
+			if want == FullUnique && v.Taken { // the locks outlive their jobs
+				j := h.fetch("a")
+				h.Machine.Ended(h.now, j, EndFailed, 0, nil)
+				h.Machine.drop(h.now, j, Failed, ByOperator)
+			}
+		}
+		assert.Equal(t, want, v.Full)
+		assert.GreaterOrEqual(t, v.After, 100*Millisecond)
+		assert.NotZero(t, h.Figures().Totals.Turned[want])
+	}
+}
+
+// A backlog waits outside the core: no more is let in than FETCHes wait, or the table workers may hold.
+func TestABacklogWaitsOutsideTheCore(t *testing.T) {
+	h := newHost(nil)
+	for i := range 50 {
+		h.push(fmt.Sprint("a-", i), nil)
+		h.push(fmt.Sprint("t-", i), func(j *Job) { j.Queue = "tables" })
+	}
+	assert.Empty(t, h.opened)
+	h.Tables(h.now, true)
+	assert.Len(t, h.opened, 4, "the window of the table workers")
+	asks := []*Ask{{}, {}}
+	for _, a := range asks {
+		h.Wait(h.now, a, "w", []string{"a"})
+	}
+	assert.Len(t, h.opened, 6)
+	h.Given(h.now, h.open["a-0"], "w", asks[1])
+	assert.Len(t, h.opened, 6, "the other FETCH now stands for the other job")
+	h.Machine.Ended(h.now, h.open["t-0"], EndRefused, Second, nil)
+	h.pass(2 * Second)
+	assert.LessOrEqual(t, h.queues["tables"].loose, 4)
+	assert.Equal(t, 2, h.queues["tables"].window, "half after a refusal")
+}
+
+func TestMutations(t *testing.T) {
+	h := newHost(nil)
+	for i := range 6 {
+		h.push(fmt.Sprint("job-", i), func(j *Job) { j.Class, j.Retry = i%2, 0 })
+		h.Machine.Ended(h.now, h.fetch("a"), EndFailed, 0, nil)
+	}
+	require.Equal(t, 6, h.Figures().Dead)
+	h.Mutate(Mutation{Command: Requeue, Set: SetDead}, 1)
+	h.Due(h.now, 2)
+	require.Empty(t, h.mutated, "a bounded part at a time")
+	h.pass(0)
+	require.Len(t, h.mutated, 1)
+	assert.Equal(t, []any{3, map[Reason]int{MayHaveRun: 3}}, []any{h.mutated[0].Changed, h.mutated[0].Barred})
+	assert.Equal(t, []int{3, 3}, []int{h.Figures().Enqueued, h.Figures().Dead}, "what must not run twice stays dead")
+	h.Mutate(Mutation{Command: Discard, Set: SetDead, IDs: []string{"job-1", "none"}}, 2)
+	h.Mutate(Mutation{Command: Wipe, Set: SetDead, Match: func(j *Job) bool { return j.ID == "job-3" }}, 3)
+	h.pass(0)
+	assert.Equal(t, []int{1, 1, 1}, []int{h.mutated[1].Changed, h.mutated[2].Changed, h.Figures().Dead})
+	h.push("later", func(j *Job) { j.At = h.now + Second })
+	h.Mutate(Mutation{Command: Kill, Set: SetScheduled}, 4)
+	h.pass(0)
+	assert.Equal(t, []any{Dead, ByOperator}, []any{h.Find("later").State, h.Find("later").Reason})
+	h.Mutate(Mutation{Command: Requeue, Set: SetDead, IDs: []string{"later"}}, 5)
+	h.pass(0)
+	assert.Equal(t, Enqueued, h.Find("later").State, "it never ran")
+}
+
+func TestDeadAndEndedForgetTheirOldest(t *testing.T) {
+	h := newHost(func(s *Settings) { s.MaxDead, s.MaxEnded = 2, 3 })
+	for i := range 5 {
+		h.push(fmt.Sprint("d-", i), func(j *Job) { j.Class = 1 })
+		h.Machine.Ended(h.now, h.fetch("a"), EndFailed, 0, nil)
+		h.push(fmt.Sprint("e-", i), nil)
+		h.Machine.Ended(h.now, h.fetch("a"), EndServed, 0, nil)
+	}
+	f := h.Figures()
+	assert.Equal(t, []any{2, 3, uint64(3), uint64(2)}, []any{f.Dead, f.Ended, f.Totals.DeadForgotten, f.Totals.EndedForgotten})
+	assert.Nil(t, h.Find("d-0"))
+	assert.NotNil(t, h.Find("d-4"))
+}
+
+func TestDrainEndsWhatNobodyHolds(t *testing.T) {
+	h := newHost(nil)
+	h.push("working", func(j *Job) { j.Class = 1 })
+	w := h.fetch("a")
+	h.push("open", nil)
+	h.Wait(h.now, &Ask{}, "w", []string{"a"})
+	h.push("held", func(j *Job) { j.Queue = "b" })
+	h.push("later", func(j *Job) { j.At = h.now + Second })
+	h.Drain()
+	h.pass(0)
+	for _, id := range []string{"open", "held", "later"} {
+		assert.Equal(t, []any{Refused, ShutDown}, []any{h.Find(id).State, h.Find(id).Reason}, id)
+	}
+	assert.Equal(t, []string{"open"}, h.withdrawn)
+	assert.Equal(t, ShutDown, h.push("new", nil).Full)
+	h.Machine.Ended(h.now, w, EndServed, 0, nil)
+	assert.Equal(t, Served, w.State)
+}
+
+// The cost of a cycle must not grow with what is held; see docs/measurements/faktory.md.
+func BenchmarkCycle(b *testing.B) {
+	for _, held := range []int{10, 1000, 100_000} {
+		b.Run(fmt.Sprint(held), func(b *testing.B) {
+			h := newHost(func(s *Settings) {
+				s.MaxHeld, s.MaxQueue, s.MaxClient, s.MaxHeldBytes, s.MaxClientBytes = 1<<20, 1<<20, 1<<20, 1<<30, 1<<30
+			})
+			for i := range held {
+				h.push(fmt.Sprint("held-", i), nil)
+			}
+			a := &Ask{}
+			queues := []string{"a"}
+			n := held
+			for b.Loop() {
+				h.push(fmt.Sprint("held-", n), nil)
+				n++
+				h.opened = h.opened[:0]
+				h.Wait(h.now, a, "w", queues)
+				j := h.open[h.opened[0]]
+				delete(h.open, j.ID)
+				h.Given(h.now, j, "w", a)
+				h.Machine.Ended(h.now, j, EndServed, 0, nil)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/jobs/property_test.go
@@ -0,0 +1,278 @@
+package jobs
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// world plays the host, the core and the workers of a machine, and keeps books of its own.
+type world struct {
+	t       *rapid.T
+	m       *Machine
+	now     Time
+	open    map[*Job]bool // transactions
+	given   map[*Job]*Ask // with a worker
+	asks    []*Ask
+	finals  map[*Job]int
+	lives   map[*Job]int
+	runs    map[*Job]int // tries that may have run
+	pushed  []*Job
+	opened  map[string][]*Job // by queue and priority, in order
+	waiting map[string][]*Job
+	mutated int
+}
+
+func (w *world) Open(j *Job, worker string) {
+	if w.open[j] {
+		w.t.Fatalf("%s is opened twice", j.ID)
+	}
+	if j.State != Enqueued {
+		w.t.Fatalf("%s is opened while %s", j.ID, j.State)
+	}
+	if w.runs[j] > 0 && !w.m.set.Repeatable[j.Class] {
+		w.t.Fatalf("%s may have run and must not again", j.ID)
+	}
+	if w.m.queues[j.Queue].paused {
+		w.t.Fatalf("%s is handed out of a paused queue", j.ID)
+	}
+	w.open[j] = true
+}
+
+func (w *world) Withdraw(j *Job) {
+	if !w.open[j] {
+		w.t.Fatalf("%s is withdrawn and not open", j.ID)
+	}
+	delete(w.open, j)
+	delete(w.given, j)
+}
+
+func (w *world) Expire(j *Job) {
+	if w.given[j] == nil {
+		w.t.Fatalf("the reservation of %s ran out, and nobody has it", j.ID)
+	}
+	w.end(j, EndFailed)
+}
+
+func (w *world) Ended(j *Job) {
+	w.finals[j]++
+	if j.State == Refused && w.runs[j] > 0 {
+		w.t.Fatalf("%s may have run and is said never to", j.ID)
+	}
+}
+
+func (w *world) Mutated(uint64, Mutation) { w.mutated++ }
+
+// end ends a transaction, as the core does, in an event of its own.
+func (w *world) end(j *Job, e End) {
+	delete(w.open, j)
+	delete(w.given, j)
+	w.m.Ended(w.now, j, e, 0, nil)
+}
+
+func (w *world) check() {
+	m := w.m
+	f := m.Figures()
+	held, bytes, working, enqueued := 0, 0, 0, 0
+	for _, j := range m.jobs {
+		if !j.State.Final() {
+			held++
+			bytes += j.Size
+		}
+		switch j.State {
+		case Working:
+			working++
+		case Enqueued:
+			enqueued++
+		}
+		if j.open != w.open[j] {
+			w.t.Fatalf("%s: open here %v, in the core %v", j.ID, j.open, w.open[j])
+		}
+	}
+	if held != f.Held || bytes != f.HeldBytes || working != f.Working || enqueued != f.Enqueued {
+		w.t.Fatalf("held %d/%d, bytes %d/%d, working %d/%d, enqueued %d/%d", held, f.Held, bytes, f.HeldBytes, working, f.Working, enqueued, f.Enqueued)
+	}
+	s := &m.set
+	if f.Held > s.MaxHeld || f.HeldBytes > s.MaxHeldBytes || f.Scheduled > s.MaxScheduled || f.Retries > s.MaxRetries ||
+		f.Dead > s.MaxDead || f.Ended > s.MaxEnded || f.Queues > s.MaxQueues || f.EndedBytes > s.MaxEndedBytes {
+		w.t.Fatalf("a bound is broken: %+v", f)
+	}
+	for _, j := range w.pushed {
+		final := 0
+		if j.State.Final() {
+			final = 1
+		}
+		if w.finals[j] != w.lives[j]-1+final {
+			w.t.Fatalf("%s has %d final states in %d lives and is %s", j.ID, w.finals[j], w.lives[j], j.State)
+		}
+	}
+	for _, q := range m.order {
+		if q.count > 0 && q.idle.first != nil && m.lets(w.now, q) {
+			w.t.Fatalf("queue %s has jobs and a FETCH that waits for them", q.name)
+		}
+		if q.covered.count+q.adrift.count != q.open {
+			w.t.Fatalf("queue %s: %d open, %d covered, %d adrift", q.name, q.open, q.covered.count, q.adrift.count)
+		}
+	}
+	for _, a := range w.asks {
+		if j := a.cover; j != nil && (j.cover != a || !a.waiting || !j.open) {
+			w.t.Fatalf("a FETCH stands for %s, which stands for another", j.ID)
+		}
+	}
+}
+
+func (w *world) some(from map[*Job]bool, label string) *Job {
+	var list []*Job
+	for _, j := range w.pushed {
+		if from[j] {
+			list = append(list, j)
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	return rapid.SampledFrom(list).Draw(w.t, label)
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{t: t, now: 1 << 42, open: map[*Job]bool{}, given: map[*Job]*Ask{}, finals: map[*Job]int{}, lives: map[*Job]int{},
+		runs: map[*Job]int{}}
+	w.m = New(Settings{Repeatable: []bool{true, false}, Reserve: 5 * Second, MaxHeld: 12, MaxHeldBytes: 1100, MaxQueue: 8, MaxClient: 9,
+		MaxClientBytes: 900, MaxScheduled: 5, MaxRetries: 3, MaxQueues: 4, MaxDead: 4, MaxDeadBytes: 350, MaxEnded: 5,
+		MaxEndedBytes: 3000, TableWindow: 2}, rand.New(rand.NewPCG(1, 2)), w, func(q string) bool { return q == "tables" })
+	for range 3 {
+		w.asks = append(w.asks, &Ask{})
+	}
+	return w
+}
+
+// Whatever happens in whatever order: each job that was taken has one final state in each life, none that may
+// have run and must not again is let in again, bounds and books hold, and no FETCH waits beside a job.
+func TestAnyOrderOfEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		m := w.m
+		queues := []string{"a", "b", "tables"}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				j := &Job{ID: fmt.Sprint("job-", rapid.IntRange(0, 30).Draw(t, "id")), Class: rapid.IntRange(0, 1).Draw(t, "class"),
+					Queue: rapid.SampledFrom(append(queues, "c", "d")).Draw(t, "queue"), Priority: rapid.IntRange(0, 10).Draw(t, "priority"),
+					Retry: rapid.IntRange(-1, 2).Draw(t, "retry"), Size: rapid.IntRange(50, 150).Draw(t, "size"),
+					Client: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "client")}
+				if rapid.Bool().Draw(t, "later") {
+					j.At = w.now + Time(rapid.IntRange(1, 20).Draw(t, "at"))*Second
+				}
+				if rapid.Bool().Draw(t, "limited") {
+					j.Left = Time(rapid.IntRange(1, 40).Draw(t, "left")) * Second
+				}
+				if rapid.IntRange(0, 3).Draw(t, "unique") == 0 {
+					j.UniqueFor, j.Fingerprint[0], j.UntilStart = 10*Second, byte(rapid.IntRange(0, 2).Draw(t, "print")), rapid.Bool().Draw(t, "start")
+				}
+				if old := m.Find(j.ID); m.Push(w.now, j).Taken {
+					if old != nil {
+						t.Fatalf("%s is taken twice", j.ID)
+					}
+					w.pushed, w.lives[j] = append(w.pushed, j), 1
+				}
+			},
+			"fetch": func(t *rapid.T) {
+				a := rapid.SampledFrom(w.asks).Draw(t, "ask")
+				if !a.waiting {
+					m.Wait(w.now, a, "w", rapid.SliceOfN(rapid.SampledFrom(queues), 1, 4).Draw(t, "queues"))
+				}
+			},
+			"stop": func(t *rapid.T) { m.Stop(rapid.SampledFrom(w.asks).Draw(t, "ask")) },
+			"give": func(t *rapid.T) {
+				j := w.some(w.open, "open")
+				if j == nil || w.given[j] != nil {
+					return
+				}
+				var to *Ask
+				for _, a := range w.asks {
+					if a.waiting && a.Lists(j.Queue) && (to == nil || rapid.Bool().Draw(t, "other")) {
+						to = a
+					}
+				}
+				if to == nil && j.Queue != "tables" {
+					return
+				}
+				w.runs[j]++
+				w.given[j] = to
+				if to == nil {
+					w.given[j] = &Ask{}
+				}
+				m.Given(w.now, j, "w", to)
+				if m.Figures().Working == 0 {
+					t.Fatal("given and not working")
+				}
+			},
+			"end": func(t *rapid.T) {
+				if j := w.some(w.open, "open"); j != nil && w.given[j] != nil {
+					w.end(j, rapid.SampledFrom([]End{EndServed, EndFailed}).Draw(t, "end"))
+				} else if j != nil {
+					w.end(j, EndRefused)
+				}
+			},
+			"time": func(t *rapid.T) {
+				w.now += Time(rapid.IntRange(1, 30_000).Draw(t, "ms")) * Millisecond
+				for range 40 {
+					if !m.Due(w.now, 3) {
+						return
+					}
+				}
+			},
+			"tables": func(t *rapid.T) { m.Tables(w.now, rapid.Bool().Draw(t, "ready")) },
+			"pause":  func(t *rapid.T) { m.Pause(w.now, rapid.SampledFrom(queues).Draw(t, "queue")) },
+			"resume": func(t *rapid.T) { m.Resume(w.now, rapid.SampledFrom(queues).Draw(t, "queue")) },
+			"remove": func(t *rapid.T) { m.Remove(w.now, rapid.SampledFrom(queues).Draw(t, "queue")) },
+			"mutate": func(t *rapid.T) {
+				before := map[*Job]bool{}
+				for _, j := range w.pushed {
+					before[j] = j.State == Dead && m.jobs[j.ID] == j
+				}
+				mu := Mutation{Command: rapid.SampledFrom([]Command{Kill, Discard, Requeue}).Draw(t, "command"),
+					Set: rapid.SampledFrom([]Set{SetScheduled, SetRetries, SetDead}).Draw(t, "set")}
+				if rapid.Bool().Draw(t, "some") {
+					mu.IDs = []string{"job-1", "job-2", "job-3", "none"}
+				}
+				m.Mutate(mu, 1)
+				for done := w.mutated; w.mutated == done; {
+					m.Due(w.now, 2)
+				}
+				for _, j := range w.pushed {
+					if before[j] && !j.State.Final() {
+						w.lives[j]++
+					}
+				}
+			},
+			"flush": func(t *rapid.T) {
+				if rapid.IntRange(0, 9).Draw(t, "rarely") > 0 {
+					return
+				}
+				for m.Clear(); m.Clearing(); {
+					m.Due(w.now, 5)
+				}
+				if f := m.Figures(); f.Held+f.Dead+f.Ended != 0 {
+					t.Fatalf("left after a flush: %+v", f)
+				}
+			},
+			"": func(t *rapid.T) { w.t = t; w.check() },
+		})
+		// The end: what nobody holds is ended at once, the rest with its worker.
+		m.Drain()
+		for m.Clearing() {
+			m.Due(w.now, 2)
+		}
+		for _, j := range w.pushed {
+			if w.open[j] {
+				w.end(j, EndServed)
+			}
+		}
+		w.check()
+		if f := m.Figures(); f.Held != 0 || f.Clients != 0 {
+			t.Fatalf("held after the end: %+v", f)
+		}
+	})
+}
--- /dev/null
+++ b/internal/jobs/timers.go
@@ -0,0 +1,124 @@
+package jobs
+
+import "container/heap"
+
+// timer is an entry of the machine's one ordered structure of times. Jobs hold two, for the end of their time
+// and for their next step, locks one.
+type timer struct {
+	at    Time
+	index int // in the heap, from 1; 0: not in it
+	seq   uint64
+	job   *Job
+	lock  *lock
+	wakes bool // the job's next step; else its end
+}
+
+type timers struct {
+	items []*timer
+	seq   uint64
+}
+
+func (h *timers) Len() int { return len(h.items) }
+func (h *timers) Less(i, j int) bool {
+	a, b := h.items[i], h.items[j]
+	return a.at < b.at || a.at == b.at && a.seq < b.seq
+}
+func (h *timers) Swap(i, j int) {
+	h.items[i], h.items[j] = h.items[j], h.items[i]
+	h.items[i].index, h.items[j].index = i+1, j+1
+}
+func (h *timers) Push(x any) {
+	t := x.(*timer)
+	h.items = append(h.items, t)
+	t.index = len(h.items)
+}
+func (h *timers) Pop() any {
+	n := len(h.items) - 1
+	t := h.items[n]
+	h.items[n] = nil
+	h.items = h.items[:n]
+	t.index = 0
+	return t
+}
+
+// set arms a timer, or moves it; at 0 takes it out.
+func (h *timers) set(t *timer, at Time) {
+	if at == 0 {
+		if t.index > 0 {
+			heap.Remove(h, t.index-1)
+		}
+		return
+	}
+	h.seq++
+	t.at, t.seq = at, h.seq
+	if t.index > 0 {
+		heap.Fix(h, t.index-1)
+	} else {
+		heap.Push(h, t)
+	}
+}
+
+func (h *timers) pop() *timer { return heap.Pop(h).(*timer) }
+
+// list is a set of jobs in the order of their coming; a job is in one list at most.
+type list struct {
+	first, last *Job
+	count       int
+	bytes       int
+	order       uint64
+	cursor      *Job // of a walk that is under way
+}
+
+func (l *list) add(j *Job) {
+	l.order++
+	j.order = l.order
+	if j.prev, j.next = l.last, nil; l.last != nil {
+		l.last.next = j
+	} else {
+		l.first = j
+	}
+	l.last = j
+	l.joined(j)
+}
+
+// addFirst puts a job back to the head.
+func (l *list) addFirst(j *Job) {
+	j.order = 0
+	if j.prev, j.next = nil, l.first; l.first != nil {
+		l.first.prev = j
+	} else {
+		l.last = j
+	}
+	l.first = j
+	l.joined(j)
+}
+
+func (l *list) joined(j *Job) {
+	j.home = l
+	l.count++
+	l.bytes += j.Size
+}
+
+// leave takes a job out of the list that it is in.
+func (j *Job) leave() {
+	l := j.home
+	if l == nil {
+		return
+	}
+	if j.prev != nil {
+		j.prev.next = j.next
+	} else {
+		l.first = j.next
+	}
+	if j.next != nil {
+		j.next.prev = j.prev
+	} else {
+		l.last = j.prev
+	}
+	if l.cursor == j {
+		l.cursor = j.next
+	}
+	l.count--
+	l.bytes -= j.Size
+	j.home, j.prev, j.next = nil, nil, nil
+}
--- a/rules/api.go
+++ b/rules/api.go
@@ -142,6 +142,7 @@
 	Hint     Time    // expected running time; 0: unknown
 	Slots    float64 // 0: 1
 	Memory   float64
+	Asker    WorkerID // a worker that asks for work, and stands first in the sample; empty: none does
 }
 
 // Status is how an attempt ended.
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -741,6 +741,9 @@
 // that dispatchers that share nothing try the same ones in the same order [D2].
 func (d *Dispatcher) sample(r *request, size int) {
 	d.buf = d.buf[:0]
+	if w := d.byID[r.Asker]; w != nil {
+		d.buf = append(d.buf, w) // it has room now, which no report tells as well [D8]
+	}
 	k := d.classes[r.Class].Kind + 1
 	if k < 0 || k >= len(d.rings) {
 		k = 0
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -970,3 +970,38 @@
 		t.Errorf("a worker that was never seen is taken to bear %.0f for what one reported of itself", load)
 	}
 }
+
+// In a large fleet the sample would seldom hold the one worker that asks for work [D8].
+func TestAWorkerThatAsksStandsInTheSample(t *testing.T) {
+	var fleet []ListEntry
+	for i := range 300 {
+		fleet = append(fleet, ListEntry{Worker: WorkerID(fmt.Sprint("w", i)), Weight: 1})
+	}
+	b := newBed(Settings{Classes: []Class{{Deadline: 10_000 * ms, Kind: -1}}}, fleet...)
+	for i := range 40 {
+		asker := fleet[7*i].Worker
+		b.Request(b.now, &Request{ID: RequestID(fmt.Sprint("r", i)), Deadline: b.now + 1000*ms, Asker: asker})
+		if got := b.a.last().w; got != asker {
+			t.Fatalf("%s asked, %s got the job", asker, got)
+		}
+	}
+	// It gets no job that the rules keep from it.
+	b.List(b.now, &List{Form: ListDelta, Entries: []ListEntry{{Worker: "w1", State: Draining}}})
+	b.Request(b.now, &Request{ID: "r", Deadline: b.now + 1000*ms, Asker: "w1"})
+	if b.a.last().w == "w1" {
+		t.Fatal("a draining worker asked and got a job")
+	}
+}
+
+// Wake-ups of requests that are over give way before the heap grows: their times may be hours away.
+func TestWakeUpsOfEndedRequestsAreLetGo(t *testing.T) {
+	b := newBed(Settings{Classes: []Class{{Deadline: 10_000 * ms, Kind: -1}}}, ListEntry{Worker: "w", Weight: 1})
+	for i := range 20_000 {
+		id := RequestID(fmt.Sprint("r", i))
+		b.Request(b.now, &Request{ID: id, Deadline: b.now + 3_600_000*ms})
+		b.Outcome(b.now, &Outcome{Request: id, Worker: "w", Status: OK, Closed: true})
+	}
+	if len(b.heap) > 100 {
+		t.Fatalf("%d wake-ups for no open request", len(b.heap))
+	}
+}
--- a/rules/structs.go
+++ b/rules/structs.go
@@ -3,7 +3,11 @@
 // Plain data structures of rules.go: means, counts that fade, buckets, the heap of wake-ups, the
 // order of use of table entries, hashes. Nothing here decides anything.
 
-import "math"
+import (
+	"cmp"
+	"math"
+	"slices"
+)
 
 type mean struct{ v, n float64 }
 
@@ -137,6 +141,9 @@
 }
 
 func (h *wakes) push(k wake) {
+	if len(*h) == cap(*h) {
+		h.thin()
+	}
 	*h = append(*h, k)
 	a := *h
 	for i := len(a) - 1; i > 0 && a[(i-1)/2].at > a[i].at; i = (i - 1) / 2 {
@@ -144,6 +151,23 @@
 	}
 }
 
+// thin drops the wake-ups of requests that are over, when the heap would have to grow: a client's patience may
+// be hours, and its job be done in milliseconds.
+func (h *wakes) thin() {
+	kept := (*h)[:0]
+	for _, k := range *h {
+		if k.r == nil || !k.r.closed || k.r.out > 0 {
+			kept = append(kept, k)
+		}
+	}
+	clear((*h)[len(kept):])
+	if len(kept) > cap(kept)/2 {
+		kept = slices.Grow(kept, cap(kept))
+	}
+	slices.SortFunc(kept, func(a, b wake) int { return cmp.Compare(a.at, b.at) }) // sorted is a heap
+	*h = kept
+}
+
 func (q *wakes) pop() wake {
 	h := *q
 	top, n := h[0], len(h)-1
