--- /dev/null
+++ b/cmd/cobaltflow/conformance.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"cobaltflow/internal/conformance"
+)
+
+func conformanceCommand() *cobra.Command {
+	c := &cobra.Command{Use: "conformance", Short: "Hold a server to a protocol, over real sockets"}
+	var s conformance.Faktory
+	fk := &cobra.Command{
+		Use: "faktory ADDRESS", Short: "Hold a server of the Faktory work protocol to its public description", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			s.Address = args[0]
+			if _, failed := conformance.Report(c.OutOrStdout(), conformance.RunFaktory(s)); failed > 0 {
+				return fmt.Errorf("%d cases failed", failed)
+			}
+			return nil
+		},
+	}
+	fk.Flags().StringVar(&s.Password, "password", "", "the server's password")
+	fk.Flags().StringVar(&s.Jobtype, "jobtype", "conformance", "a jobtype that the server takes, of a class that may run again")
+	fk.Flags().BoolVar(&s.Flush, "flush", false, "the server allows FLUSH and may lose all it has")
+	c.AddCommand(fk)
+	return c
+}
--- a/cmd/cobaltflow/main.go
+++ b/cmd/cobaltflow/main.go
@@ -47,7 +47,7 @@
 	}
 	serve := serveCommand(load)
 	root.RunE = serve.RunE
-	root.AddCommand(serve, checkCommand(load), describeCommand(), &cobra.Command{
+	root.AddCommand(serve, checkCommand(load), describeCommand(), conformanceCommand(), &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			_, err := fmt.Fprintln(c.OutOrStdout(), "cobaltflow", version)
--- /dev/null
+++ b/internal/conformance/conformance_test.go
@@ -0,0 +1,33 @@
+package conformance_test
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"cobaltflow/internal/config"
+	"cobaltflow/internal/conformance"
+	"cobaltflow/internal/standin"
+)
+
+// Our own front passes the whole suite, with a password and FLUSH on.
+func TestFaktoryFrontConforms(t *testing.T) {
+	n := standin.Start(t, func(c *config.Config) {
+		c.Faktory.Listen, c.Faktory.Password, c.Faktory.AllowFlush, c.Faktory.DefaultClass = "127.0.0.1:0", "pw", true, "board-view"
+		c.Settings.WarmWithin, c.Settings.TipAfter = 1, 1
+	})
+	var out bytes.Buffer
+	passed, failed := conformance.Report(&out, conformance.RunFaktory(conformance.Faktory{Address: n.Faktory.Address(), Password: "pw", Flush: true}))
+	assert.Zero(t, failed, out.String())
+	assert.Equal(t, conformance.FaktoryCases()+1, passed)
+}
+
+// The suite tells a server that is none: every case fails, and says why.
+func TestTheSuiteCanFail(t *testing.T) {
+	n := standin.Start(t, nil)
+	var out bytes.Buffer
+	passed, _ := conformance.Report(&out, conformance.RunFaktory(conformance.Faktory{Address: n.Front.Address()}))
+	assert.Zero(t, passed, out.String())
+	assert.Contains(t, out.String(), "0 passed")
+}
--- /dev/null
+++ b/internal/conformance/faktory.go
@@ -0,0 +1,282 @@
+package conformance
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"cobaltflow/internal/faktory/client"
+)
+
+// Faktory says how to reach a server of the Faktory work protocol.
+type Faktory struct {
+	Address  string
+	Password string
+	Jobtype  string // one that the server takes, and whose failed jobs it tries again; empty: "conformance"
+	Flush    bool   // the server allows FLUSH, and may lose all it has
+}
+
+// fk is what a case of the suite works with: names that are its own, so that cases don't meet one another.
+type fk struct {
+	Faktory
+	run, name string
+	jobs      int
+	conns     []*client.Conn
+}
+
+type faktoryCase struct {
+	name, says string
+	run        func(k *fk)
+}
+
+// RunFaktory runs the suite, some cases at a time, and gives the results in the order of the table.
+func RunFaktory(s Faktory) <-chan Result {
+	if s.Jobtype == "" {
+		s.Jobtype = "conformance"
+	}
+	run := fmt.Sprintf("%x", time.Now().UnixNano()&0xfffffffff)
+	out := make(chan Result)
+	done := make([]chan Result, len(faktoryCases))
+	room := make(chan struct{}, 16)
+	for i, c := range faktoryCases {
+		done[i] = make(chan Result, 1)
+		go func() {
+			room <- struct{}{}
+			k := &fk{Faktory: s, run: run, name: c.name}
+			began := time.Now()
+			err := caught(func() { c.run(k) })
+			for _, conn := range k.conns {
+				conn.Close()
+			}
+			<-room
+			done[i] <- Result{c.name, c.says, err, time.Since(began)}
+		}()
+	}
+	go func() {
+		defer close(out)
+		for _, d := range done {
+			out <- <-d
+		}
+		if s.Flush { // alone, since it takes everything from everybody
+			began := time.Now()
+			k := &fk{Faktory: s, run: run, name: "flush-empties"}
+			err := caught(func() { flushEmpties(k) })
+			out <- Result{k.name, "FLUSH leaves no job behind", err, time.Since(began)}
+		}
+	}()
+	return out
+}
+
+// FaktoryCases is the number of cases in the table.
+func FaktoryCases() int { return len(faktoryCases) }
+
+func (k *fk) fail(format string, args ...any) { panic(failure{fmt.Errorf(format, args...)}) }
+
+func (k *fk) must(err error) {
+	if err != nil {
+		panic(failure{err})
+	}
+}
+
+func (k *fk) equal(want, got any, what string) {
+	if !reflect.DeepEqual(want, got) {
+		k.fail("%s: wanted %v, got %v", what, want, got)
+	}
+}
+
+func (k *fk) add(c *client.Conn, err error) *client.Conn {
+	k.must(err)
+	k.conns = append(k.conns, c)
+	return c
+}
+
+func (k *fk) producer() *client.Conn {
+	return k.add(client.Dial(k.Address, client.Options{Password: k.Password}))
+}
+
+func (k *fk) worker() *client.Conn {
+	k.jobs++
+	return k.add(client.Dial(k.Address, client.Options{Password: k.Password, WID: fmt.Sprintf("%s-%s-%d", k.run, k.name, k.jobs)}))
+}
+
+func (k *fk) wid(n int) string { return fmt.Sprintf("%s-%s-%d", k.run, k.name, n) }
+
+// queue is a name that only this case uses.
+func (k *fk) queue(suffix string) string { return k.run + "-" + k.name + suffix }
+
+// job makes a job of this case's own, in its own queue.
+func (k *fk) job(change func(*client.Job)) client.Job {
+	k.jobs++
+	j := client.Job{JID: fmt.Sprintf("%s-%s-%d", k.run, k.name, k.jobs), Type: k.Jobtype, Args: []any{1.0, "two", nil}, Queue: k.queue("")}
+	if change != nil {
+		change(&j)
+	}
+	return j
+}
+
+func (k *fk) do(c *client.Conn, verb, arg string) client.Reply {
+	r, err := c.Do(verb, arg)
+	if err != nil {
+		k.fail("%s: %v", verb, err)
+	}
+	return r
+}
+
+func (k *fk) ok(c *client.Conn, verb, arg string) {
+	if r := k.do(c, verb, arg); !r.OK() {
+		k.fail("%s %s: wanted +OK, got %s%s", verb, arg, r.Text, r.Err)
+	}
+}
+
+func (k *fk) errs(c *client.Conn, verb, arg string) {
+	if r := k.do(c, verb, arg); r.Err == "" {
+		k.fail("%s %s: wanted an error, got %q", verb, arg, r.Text)
+	}
+}
+
+func (k *fk) push(c *client.Conn, j client.Job) client.Job {
+	k.must(c.Push(j))
+	return j
+}
+
+// fetch fetches until there is a job, for a few seconds.
+func (k *fk) fetch(c *client.Conn, queues ...string) *client.Job {
+	if len(queues) == 0 {
+		queues = []string{k.queue("")}
+	}
+	for end := time.Now().Add(8 * time.Second); time.Now().Before(end); {
+		j, err := c.Fetch(queues...)
+		k.must(err)
+		if j != nil {
+			return j
+		}
+	}
+	k.fail("no job came from %v", queues)
+	return nil
+}
+
+// none has a FETCH find nothing.
+func (k *fk) none(c *client.Conn, queues ...string) {
+	if len(queues) == 0 {
+		queues = []string{k.queue("")}
+	}
+	j, err := c.Fetch(queues...)
+	k.must(err)
+	if j != nil {
+		k.fail("job %s came, and none was due", j.JID)
+	}
+}
+
+// tasks gives the size of a set, by INFO.
+func (k *fk) tasks(c *client.Conn, set string) int {
+	info, err := c.Info()
+	k.must(err)
+	f, _ := info["faktory"].(map[string]any)
+	t, _ := f["tasks"].(map[string]any)
+	s, _ := t[set].(map[string]any)
+	n, ok := s["size"].(float64)
+	if !ok {
+		k.fail("INFO has no faktory.tasks.%s.size", set)
+	}
+	return int(n)
+}
+
+// failed pushes, fetches and fails a job.
+func (k *fk) failed(p, w *client.Conn, change func(*client.Job)) client.Job {
+	j := k.push(p, k.job(change))
+	k.fetch(w, j.Queue)
+	k.must(w.Fail(j.JID, "ConformanceError", "it failed on purpose", "one.go:1", "two.go:2"))
+	return j
+}
+
+func (k *fk) mutate(c *client.Conn, cmd, target string, filter map[string]any) {
+	arg := map[string]any{"cmd": cmd, "target": target}
+	if filter != nil {
+		arg["filter"] = filter
+	}
+	text, _ := json.Marshal(arg)
+	k.ok(c, "MUTATE", string(text))
+}
+
+func only(ids ...string) map[string]any { return map[string]any{"jids": ids} }
+
+func soon(d time.Duration) string { return time.Now().Add(d).UTC().Format(time.RFC3339Nano) }
+
+func ptr(n int) *int { return &n }
+
+// eventually waits for a condition.
+func (k *fk) eventually(what string, f func() bool) {
+	for end := time.Now().Add(8 * time.Second); !f(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			k.fail("it never came true that %s", what)
+		}
+	}
+}
+
+func (k *fk) state(c *client.Conn, jid string) string {
+	var t struct {
+		State string `json:"state"`
+	}
+	r := k.do(c, "TRACK", "GET "+jid)
+	k.must(json.Unmarshal([]byte(r.Text), &t))
+	return t.State
+}
+
+func (k *fk) closed(c *client.Conn) {
+	for {
+		if _, err := c.Read(); errors.Is(err, client.ErrClosed) || errors.Is(err, io.EOF) {
+			return
+		} else if err != nil {
+			k.fail("wanted the end of the connection, got %v", err)
+		}
+	}
+}
+
+func flushEmpties(k *fk) {
+	p := k.producer()
+	k.push(p, k.job(nil))
+	k.push(p, k.job(func(j *client.Job) { j.At = soon(time.Hour) }))
+	k.ok(p, "FLUSH", "")
+	info, err := p.Info()
+	k.must(err)
+	f, _ := info["faktory"].(map[string]any)
+	k.equal(0.0, f["total_enqueued"], "total_enqueued")
+	k.equal(0, k.tasks(p, "Scheduled"), "scheduled jobs")
+}
+
+// together runs functions at once and waits for them.
+func (k *fk) together(fs ...func()) {
+	var wg sync.WaitGroup
+	errs := make([]error, len(fs))
+	for i, f := range fs {
+		wg.Go(func() { errs[i] = caught(f) })
+	}
+	wg.Wait()
+	k.must(errors.Join(errs...))
+}
+
+func ids(jobs []client.Job) (out []string) {
+	for _, j := range jobs {
+		out = append(out, j.JID)
+	}
+	return out
+}
+
+func sorted(s []string) []string {
+	s = slices.Clone(s)
+	slices.Sort(s)
+	return s
+}
+
+func pushB(jobs ...any) string {
+	text, _ := json.Marshal(jobs)
+	return string(text)
+}
+
+func has(text, part string) bool { return strings.Contains(text, part) }
--- /dev/null
+++ b/internal/conformance/suite.go
@@ -0,0 +1,48 @@
+// Package conformance holds suites of cases that any server of a protocol can be held to, over real sockets: each
+// case is named and says in a sentence what it checks. It knows nothing of the server but its address.
+package conformance
+
+import (
+	"fmt"
+	"io"
+	"time"
+)
+
+// Result is what became of one case.
+type Result struct {
+	Name, Says string
+	Err        error
+	Took       time.Duration
+}
+
+// Report writes a line for each result as it comes, and a total. It returns the number of cases that failed.
+func Report(w io.Writer, results <-chan Result) (passed, failed int) {
+	for r := range results {
+		if r.Err != nil {
+			failed++
+			fmt.Fprintf(w, "FAIL  %-28s %s\n      %v\n", r.Name, r.Says, r.Err)
+			continue
+		}
+		passed++
+		fmt.Fprintf(w, "ok    %-28s %s\n", r.Name, r.Says)
+	}
+	fmt.Fprintf(w, "%d passed, %d failed\n", passed, failed)
+	return passed, failed
+}
+
+// failure ends a case from within its helpers.
+type failure struct{ err error }
+
+func caught(run func()) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			f, ours := r.(failure)
+			if !ours {
+				panic(r)
+			}
+			err = f.err
+		}
+	}()
+	run()
+	return nil
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,7 +16,6 @@
 	Target string // what is to be done, in the form of a path and query
 	Key    string // what it concerns; may be empty
 	Body   []byte // valid until the transaction's Released call
-	Native any    // the front's own form of it, for a carrier of the same front
 }
 
 // Transaction is one request of a user agent.
@@ -30,6 +29,9 @@
 	Agent    UserAgent
 	Pool     *Pool  // whose workers may run it; nil: the main one's
 	Asker    string // a worker that asks for work; empty: none does
+	// Single is for a front that decides on other tries itself: the decisions end the transaction once it may
+	// have run, whatever its class. The core must have been made with SingleClasses.
+	Single bool
 
 	ref      Ref
 	closed   bool
@@ -52,7 +54,9 @@
 }
 
 // Placed may be implemented by a UserAgent: it is told of each pass that a carrier takes.
-type Placed interface{ Placed(t *Transaction) }
+type Placed interface {
+	Placed(t *Transaction, p *ProxyPass)
+}
 
 // AnswerKind is how a transaction ended.
 type AnswerKind uint8
@@ -136,6 +140,17 @@
 	return c
 }
 
+// SingleClasses gives settings in which each class stands a second time, for transactions that are Single.
+func SingleClasses(s rules.Settings) rules.Settings {
+	classes := append([]rules.Class(nil), s.Classes...)
+	for _, class := range s.Classes {
+		class.Effect = rules.Once
+		classes = append(classes, class)
+	}
+	s.Classes = classes
+	return s
+}
+
 // Settings are those that the decisions were given.
 func (c *Core) Settings() *rules.Settings { return &c.settings }
 
@@ -157,17 +172,24 @@
 	}
 	c.Counts.Taken++
 	c.open++
+	class := t.Work.Class
+	if t.Single {
+		class += len(c.settings.Classes) / 2
+	}
 	t.ref = c.transactions.Add(t)
 	c.byID[t.ID] = t
 	t.deadline = c.Loop.At(t.Deadline, func() { c.overdue(t) })
 	t.Pool.dispatcher.Request(now, &rules.Request{
-		ID: rules.RequestID(t.ID), Class: t.Work.Class, Key: keyOf(t.Work.Key), HasKey: t.Work.Key != "",
+		ID: rules.RequestID(t.ID), Class: class, Key: keyOf(t.Work.Key), HasKey: t.Work.Key != "",
 		Deadline: t.Deadline, Hint: t.Hint, Slots: t.Slots, Memory: t.Memory,
 		Asker: rules.WorkerID(t.Asker),
 	})
 	return true
 }
 
+// Known tells whether a transaction with the id is open.
+func (c *Core) Known(id string) bool { return c.byID[id] != nil }
+
 // HangUp tells that the agent has gone away.
 func (c *Core) HangUp(t *Transaction) {
 	if t.closed {
@@ -185,14 +207,9 @@
 	if t.closed {
 		return
 	}
-	for _, ref := range append([]Ref(nil), t.out...) {
-		if p, ok := c.passes.Get(ref); ok {
-			status := rules.TimedOut
-			if !p.carrier.Withdraw(p) {
-				status = rules.NotSent
-			}
-			c.end(p, status, nil, rules.Load{})
-		}
+	c.TimeOut(t)
+	if t.closed {
+		return
 	}
 	t.deadline = c.Loop.At(c.Loop.now+max(c.settings.AnswerSlack, 5*Millisecond), func() {
 		if !t.closed {
@@ -204,6 +221,20 @@
 	})
 }
 
+// TimeOut ends the passes of a transaction that are out, as timed out or, where they never reached a worker, as
+// not sent. What becomes of it the decisions say.
+func (c *Core) TimeOut(t *Transaction) {
+	for _, ref := range append([]Ref(nil), t.out...) {
+		if p, ok := c.passes.Get(ref); ok && p.carrier != nil {
+			status := rules.TimedOut
+			if !p.carrier.Withdraw(p) {
+				status = rules.NotSent
+			}
+			c.end(p, status, nil, rules.Load{})
+		}
+	}
+}
+
 // GiveUp answers all that is open of the agents named, at once, since the program ends: they are still
 // there to hear it, and those whose jobs may be asked for again can do so elsewhere. The decisions are not
 // asked any more; their rule for what may be refused holds.
@@ -218,7 +249,7 @@
 			}
 		}
 		answer := Answer{Kind: Failed}
-		if !t.ran || c.settings.Classes[t.Work.Class].Effect == rules.Repeatable {
+		if !t.ran || !t.Single && c.settings.Classes[t.Work.Class].Effect == rules.Repeatable {
 			answer = unavailableAnswer(0)
 		}
 		c.answer(t, answer)
@@ -386,7 +417,7 @@
 	}
 	p.carrier.Carry(p)
 	if agent, ok := t.Agent.(Placed); ok {
-		agent.Placed(t)
+		agent.Placed(t, p)
 	}
 }
 
--- a/internal/core/farm.go
+++ b/internal/core/farm.go
@@ -63,6 +63,9 @@
 	p.core.pools = slices.DeleteFunc(p.core.pools, func(other *Pool) bool { return other == p })
 }
 
+// Idle tells whether no worker is left in the pool.
+func (p *Pool) Idle() bool { return len(p.farm.workers) == 0 }
+
 // Ready tells whether a carrier's worker, other than but's, may be sent work in the pool.
 func (p *Pool) Ready(but Carrier) bool {
 	for _, m := range p.farm.workers {
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -38,6 +38,7 @@
 	due       []*Deadline
 	seq       uint64
 	turnEnd   func()
+	after     []func() // at the very end of each turn
 }
 
 // NewLoop makes a loop whose clock starts now.
@@ -94,6 +95,15 @@
 	}
 }
 
+// AfterTurn has a function called at the end of each turn, when all that was decided is carried out.
+func (l *Loop) AfterTurn(f func()) { l.after = append(l.after, f) }
+
+// FromWall turns a wall-clock time into the loop's; it may be called from any goroutine.
+func (l *Loop) FromWall(t time.Time) Time { return clockBase + t.UnixMicro() - l.startUnix }
+
+// Wall turns a time of the loop into the wall clock's.
+func (l *Loop) Wall(at Time) time.Time { return time.UnixMicro(at - clockBase + l.startUnix) }
+
 // Stop ends Run after the present turn.
 func (l *Loop) Stop() { l.stopped = true }
 
@@ -146,6 +156,9 @@
 	if l.turnEnd != nil {
 		l.turnEnd()
 	}
+	for _, f := range l.after {
+		f()
+	}
 }
 
 type deadlineHeap []*Deadline
--- a/internal/describe/describe_test.go
+++ b/internal/describe/describe_test.go
@@ -120,6 +120,7 @@
 	fits("job", w.Do("FETCH", "default"))
 	fits("tracked", c.Do("TRACK", "GET job-0001"))
 	fits("information", c.Do("INFO", ""))
+	fits("notTaken", c.Do("PUSHB", `[{"jid":"job-0009","jobtype":"none","args":[]}]`))
 	fits("ACK", `{"jid":"job-0001"}`)
 	assert.Equal(t, "OK", w.Do("ACK", `{"jid":"job-0001"}`))
 	got := make(chan standin.Answer)
--- /dev/null
+++ b/internal/faktory/carrier.go
@@ -0,0 +1,217 @@
+package faktory
+
+import (
+	"strings"
+
+	"cobaltflow/internal/core"
+	"cobaltflow/rules"
+)
+
+// worker is a process that fetches jobs, over one or more sessions.
+type worker struct {
+	wid      string
+	name     string // in the farm
+	process  string // what HELLO told of it: another one under the same wid is another worker
+	sessions int
+	in       map[*core.Pool]bool // the pools that it has joined
+	start    core.Time           // when it first did
+	draining bool
+	state    string    // as its BEAT told
+	beat     core.Time // the last sign of life
+	rss      int64     // kB, as its BEAT told
+	pending  []hand    // not fetched yet, in order of their sending
+	fetched  map[string]*core.ProxyPass
+	waiting  []*session // FETCHes that wait
+}
+
+// hand is a pass that waits for its worker's FETCH.
+type hand struct {
+	pass  *core.ProxyPass
+	queue string
+	since core.Time
+}
+
+type handState struct{ fetched bool }
+
+// vanish takes a worker out of the farm. What it had fetched may have run, what it had not never did.
+func (f *Front) vanish(w *worker) {
+	if f.workers[w.wid] != w {
+		return // it has vanished before; another may have come under its wid since
+	}
+	delete(f.workers, w.wid)
+	pending, fetched := w.pending, w.fetched
+	w.pending, w.fetched = nil, nil
+	f.tell(w, rules.Gone)
+	for _, h := range pending {
+		f.core.Ended(h.pass.Ref, rules.Unreachable, nil, rules.Load{})
+	}
+	for _, p := range fetched {
+		f.failed(p, "WorkerVanished", "worker "+w.wid+" vanished with the job")
+		f.core.Ended(p.Ref, rules.Reset, nil, rules.Load{})
+	}
+}
+
+// tell tells all pools of a worker.
+func (f *Front) tell(w *worker, state rules.WorkerState) {
+	for p := range w.in {
+		f.tellOne(w, p, state)
+	}
+}
+
+func (f *Front) tellOne(w *worker, p *core.Pool, state rules.WorkerState) {
+	p.Farm(f, rules.ListDelta, []core.FarmWorker{{Name: w.name, Zone: f.core.Settings().Zone, Kind: -1,
+		State: state, Weight: 1, StartedAt: w.start}})
+}
+
+// join makes a worker that fetches from a queue for the first time a member of its pool. It has just started as
+// far as is known here, so the rules for cold workers hold for it.
+func (f *Front) join(w *worker, queue string) {
+	p := f.pool(queue)
+	if w.in[p] {
+		return
+	}
+	if w.start == 0 {
+		w.start = f.loop.Now()
+	}
+	w.in[p] = true
+	state := rules.Ready
+	if w.draining {
+		state = rules.Draining
+	}
+	f.tellOne(w, p, state)
+}
+
+func (f *Front) workerOf(name string) *worker {
+	return f.workers[strings.TrimPrefix(name, workerPrefix)]
+}
+
+// Carry implements core.Carrier: the pass waits for the worker's FETCH.
+func (f *Front) Carry(p *core.ProxyPass) {
+	p.Carried = &handState{}
+	w := f.workerOf(p.Worker)
+	if w == nil {
+		f.loop.Post(func() { f.core.Ended(p.Ref, rules.Unreachable, nil, rules.Load{}) })
+		return
+	}
+	queue := f.queueOf(p.Transaction)
+	for _, s := range w.waiting {
+		if s.ask.Lists(queue) {
+			f.give(w, s, p)
+			return
+		}
+	}
+	w.pending = append(w.pending, hand{p, queue, f.loop.Now()})
+}
+
+// Withdraw implements core.Carrier. A pass that was not fetched never ran; of one that was, the
+// protocol has no way to tell the worker, which goes on with it.
+func (f *Front) Withdraw(p *core.ProxyPass) (mayHaveRun bool) {
+	if w := f.workerOf(p.Worker); w != nil {
+		for i, h := range w.pending {
+			if h.pass == p {
+				w.pending = append(w.pending[:i], w.pending[i+1:]...)
+				return false
+			}
+		}
+		if w.fetched[p.Transaction.ID] == p {
+			delete(w.fetched, p.Transaction.ID)
+		}
+	}
+	return p.Carried.(*handState).fetched
+}
+
+// Probe implements core.Carrier. What would be asked is known here.
+func (f *Front) Probe(name string) {
+	w := f.workerOf(name)
+	status, load := rules.Unreachable, rules.Load{}
+	if w != nil {
+		status, load = rules.OK, w.load(0)
+	}
+	f.loop.Post(func() { f.core.Probed(name, status, 0, load) })
+}
+
+// load is what the decisions would hear from a table worker. free are FETCHes that are sure to come.
+func (w *worker) load(free int) rules.Load {
+	return rules.Load{Has: rules.HasQueue | rules.HasInFlight | rules.HasFreeSlots, Queue: float64(len(w.pending)),
+		InFlight: float64(len(w.pending) + len(w.fetched)), FreeSlots: float64(len(w.waiting) + free)}
+}
+
+// give answers a FETCH with a pass. From here on it may have run.
+func (f *Front) give(w *worker, s *session, p *core.ProxyPass) {
+	p.Carried.(*handState).fetched = true
+	w.fetched[p.Transaction.ID] = p
+	w.unwait(s)
+	f.loop.Drop(s.fetch)
+	s.fetch = nil
+	if try, ours := p.Transaction.Agent.(*try); ours {
+		f.jobs.Given(f.loop.Now(), try.job, w.wid, &s.ask)
+	} else {
+		f.jobs.Stop(&s.ask)
+	}
+	s.resume(bulk(f.payload(p.Transaction)))
+	f.core.Started(p.Ref)
+}
+
+// fromHand answers a FETCH with what waits in its worker's hand: in the order of its queues, and of these in the
+// order of their coming.
+func (f *Front) fromHand(w *worker, s *session) bool {
+	for _, q := range s.queues {
+		for i, h := range w.pending {
+			if h.queue == q {
+				w.pending = append(w.pending[:i], w.pending[i+1:]...)
+				f.give(w, s, h.pass)
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// rehand hands back what waits for a busy worker while another asks for it.
+func (f *Front) rehand(w *worker, now core.Time) {
+	for i := 0; i < len(w.pending); i++ {
+		h := w.pending[i]
+		if now-h.since < handMost || !f.asked(h.queue) {
+			continue
+		}
+		w.pending = append(w.pending[:i], w.pending[i+1:]...)
+		i--
+		f.core.Ended(h.pass.Ref, rules.Refused, nil, w.load(0))
+	}
+}
+
+func (f *Front) asked(queue string) bool {
+	for _, w := range f.workers {
+		for _, s := range w.waiting {
+			if s.ask.Lists(queue) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// handBack ends the passes that a worker will not fetch any more.
+func (f *Front) handBack(w *worker) {
+	pending := w.pending
+	w.pending = nil
+	for _, h := range pending {
+		f.core.Ended(h.pass.Ref, rules.Refused, nil, rules.Load{})
+	}
+}
+
+func (w *worker) unwait(s *session) {
+	for i, other := range w.waiting {
+		if other == s {
+			w.waiting = append(w.waiting[:i], w.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+func (f *Front) queueOf(t *core.Transaction) string {
+	if try, ok := t.Agent.(*try); ok {
+		return try.job.Queue
+	}
+	return f.conf.Faktory.Queue
+}
--- a/internal/faktory/front.go
+++ b/internal/faktory/front.go
@@ -1,8 +1,9 @@
 // Package faktory is the second front: it speaks the public Faktory work protocol with clients that
 // push jobs and workers that fetch them, on the same core, decisions and rules as the HTTP front.
 //
-// A PUSH opens a transaction. A worker that fetches is a member of the farm; a proxy pass to it waits
-// in its hand until it fetches, and is withdrawn unrun before that.
+// Package jobs owns the life of a pushed job. For each try the front opens a transaction, and a worker that
+// fetches is a member of the farm; a proxy pass to it waits in its hand until it fetches, and is withdrawn unrun
+// before that. Jobs of a queue go to the workers that fetch from it, by decisions of the queue's own.
 package faktory
 
 import (
@@ -10,30 +11,35 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
-	"fmt"
+	"hash/fnv"
 	"log/slog"
-	"strings"
+	mathrand "math/rand/v2"
+	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/netpoll"
 
 	"cobaltflow/internal/config"
 	"cobaltflow/internal/core"
+	"cobaltflow/internal/jobs"
 	"cobaltflow/internal/link"
 	"cobaltflow/rules"
 )
 
 const (
-	fetchWait     = 2 * core.Second        // a FETCH that finds nothing is answered after it
-	decideWithin  = 100 * core.Millisecond // a PUSH that is held longer than this counts as taken
+	fetchWait     = 2 * core.Second // a FETCH that finds nothing is answered after it
+	helloWithin   = 5 * core.Second
 	sweepEvery    = core.Second / 4
-	restartTime   = 2 * core.Second // after which a client may look for the next process
-	hashRounds    = 1545
+	handMost      = core.Second / 4 // a pass waits in one worker's hand for so long, while another asks
+	dueAtOnce     = 1000            // steps of the jobs' machine in one turn
+	unreadMost    = 4 << 20         // bytes of replies that a session may leave unread
 	workerPrefix  = "faktory:"
 	protocolLevel = 2
 )
 
-// Front is the Faktory front, and the carrier to the workers that are connected to it.
+// Front is the Faktory front, and the carrier to the workers that are connected to it. All but what its fields
+// say otherwise is the loop's.
 type Front struct {
 	loop *core.Loop
 	core *core.Core
@@ -43,38 +49,48 @@
 	listener netpoll.Listener
 	server   netpoll.EventLoop
 	sessions core.Table[*session]
+	dirty    []*session         // with replies of this turn
 	workers  map[string]*worker // by wid
-	jobs     map[string]*pushed // by jid
-	ended    []*pushed          // in order of their end
+	pools    map[string]*core.Pool
+	jobs     *jobs.Machine
+	tries    map[*jobs.Job]*try
+	wake     *core.Deadline // of the machine
+	wakeAt   core.Time
+	waits    map[uint64]*session // whose MUTATE is under way, by its token
+	flushes  []*session
+	token    uint64
+
+	input     atomic.Int64 // bytes of commands that are not handled, of all sessions
+	inputMost int64
+	longest   int // bytes of a command
+
 	closed   bool
 	quiet    bool // the program is to end: nothing new is taken
+	state    string
 	began    time.Time
-	pushes   uint64
-	fetches  uint64
-}
-
-// worker is a process that fetches jobs, over one or more sessions.
-type worker struct {
-	wid      string
-	sessions int
-	joined   bool
-	start    core.Time // when it joined
-	draining bool
-	beat     core.Time // the last sign of life
-	queues   []string
-	pending  []*core.ProxyPass // not fetched yet, in order of their sending
-	fetched  map[string]*core.ProxyPass
-	waiting  []*session // FETCHes that wait
+	commands uint64
+	turned   map[string]uint64 // what was turned away, by the bound
 }
 
-type handState struct{ fetched bool }
-
 type sessionKey struct{}
 
-// New makes the front; Start opens it.
+// New makes the front; Start opens it. The core must have been made with
+// core.SingleClasses: of a try that may have run the jobs' own life decides whether there is another, and when.
 func New(c *core.Core, conf *config.Config, log *slog.Logger) *Front {
-	return &Front{loop: c.Loop, core: c, conf: conf, log: log, workers: map[string]*worker{}, jobs: map[string]*pushed{},
-		began: time.Now()}
+	k := &conf.Faktory
+	f := &Front{loop: c.Loop, core: c, conf: conf, log: log, workers: map[string]*worker{}, pools: map[string]*core.Pool{},
+		tries: map[*jobs.Job]*try{}, waits: map[uint64]*session{}, began: time.Now(), turned: map[string]uint64{},
+		inputMost: int64(k.MaxInputMB) << 20, longest: k.MaxCommandKB << 10}
+	set := jobs.Settings{Reserve: core.Time(k.ReserveS) * core.Second, MaxHeld: k.MaxHeldJobs, MaxHeldBytes: k.MaxHeldMB << 20,
+		MaxQueue: k.MaxQueueJobs, MaxClient: k.MaxClientJobs, MaxClientBytes: k.MaxClientMB << 20, MaxScheduled: k.MaxScheduled,
+		MaxRetries: k.MaxRetries, MaxQueues: k.MaxQueues, MaxDead: k.MaxDead, MaxDeadBytes: k.MaxDeadMB << 20,
+		MaxEnded: k.KeptJobs, MaxEndedBytes: k.KeptMB << 20, TableWindow: k.TableWindow}
+	for i := range conf.Names.Classes {
+		set.Repeatable = append(set.Repeatable, conf.Settings.Classes[i].Effect == rules.Repeatable)
+	}
+	f.jobs = jobs.New(set, mathrand.New(mathrand.NewPCG(conf.Seed, 0x6661_6b74_6f72_79)), host{f}, k.RunsAtTables)
+	c.Listed = func() { f.jobs.Tables(f.loop.Now(), c.Main().Ready(f)) }
+	return f
 }
 
 // Start listens.
@@ -84,7 +100,7 @@
 		return &config.Error{Key: "faktory.listen", Text: err.Error()}
 	}
 	f.listener = ln
-	f.server, err = netpoll.NewEventLoop(onRequest, netpoll.WithOnPrepare(f.prepare),
+	f.server, err = netpoll.NewEventLoop(onRequest, netpoll.WithOnPrepare(f.accept),
 		netpoll.WithOnDisconnect(func(ctx context.Context, _ netpoll.Connection) {
 			s := ctx.Value(sessionKey{}).(*session)
 			f.loop.Post(func() { f.gone(s) })
@@ -93,16 +109,31 @@
 		return err
 	}
 	go f.server.Serve(ln)
-	f.loop.Post(f.sweep)
+	f.loop.AfterTurn(f.afterTurn)
+	f.loop.Post(func() {
+		f.jobs.Tables(f.loop.Now(), f.core.Main().Ready(f))
+		f.sweep()
+	})
 	return nil
 }
 
 // Address is where the front listens.
 func (f *Front) Address() string { return f.listener.Addr().String() }
 
-// Quiet has the front take no new jobs, since the program is to end. What was taken goes on: workers
-// fetch and report until the last of it has its final state.
-func (f *Front) Quiet() { f.quiet = true }
+// Quiet has the front take no new jobs, since the program is to end. What no worker holds ends now, unrun;
+// workers are told to take nothing new, and what they hold is waited for, up to the time for it.
+func (f *Front) Quiet() {
+	if f.quiet {
+		return
+	}
+	f.quiet, f.state = true, "quiet"
+	f.jobs.Drain()
+	stop := core.Time(f.conf.Faktory.StopS * float64(core.Second))
+	f.loop.At(f.loop.Now()+stop/2, func() { f.state = "terminate" })
+	f.loop.At(f.loop.Now()+stop, func() {
+		f.core.GiveUp(func(u core.UserAgent) bool { _, ours := u.(*try); return ours })
+	})
+}
 
 // Close ends all sessions.
 func (f *Front) Close() {
@@ -111,9 +142,11 @@
 	f.sessions.Each(func(_ core.Ref, s *session) { s.Close(link.ShutDown) })
 }
 
-func (f *Front) prepare(nc netpoll.Connection) context.Context {
+func (f *Front) accept(nc netpoll.Connection) context.Context {
 	s := &session{front: f}
 	s.Init(nc, "faktory", nc.RemoteAddr().String(), 0)
+	s.client, _, _ = net.SplitHostPort(s.Peer)
+	s.in.room, s.in.gone = make(chan struct{}, 1), make(chan struct{})
 	nc.AddCloseCallback(func(netpoll.Connection) error {
 		f.loop.Post(func() { f.gone(s) })
 		return nil
@@ -129,7 +162,8 @@
 	s.Opened = f.loop.Now()
 	s.ref = f.sessions.Add(s)
 	if f.sessions.Len() > f.conf.Faktory.MaxSessions {
-		s.Close(link.OverBudget)
+		f.turned["max_sessions"]++
+		s.end(fault("refused, max_sessions is reached, return in 1.000 s"), link.OverBudget)
 		return
 	}
 	hi := map[string]any{"v": protocolLevel}
@@ -137,11 +171,11 @@
 		var salt [8]byte
 		rand.Read(salt[:])
 		s.salt = hex.EncodeToString(salt[:])
-		hi["s"], hi["i"] = s.salt, hashRounds
+		hi["s"], hi["i"] = s.salt, f.conf.Faktory.HashRounds
 	}
 	text, _ := json.Marshal(hi)
 	s.reply(simple("HI " + string(text)))
-	f.loop.At(f.loop.Now()+5*core.Second, func() {
+	f.loop.At(f.loop.Now()+helloWithin, func() {
 		if !s.greeted && !s.Ended {
 			s.Close(link.SlowInput)
 		}
@@ -153,61 +187,51 @@
 	if !s.Farewell(f.log, f.loop.Now()) {
 		return
 	}
+	s.letGo()
 	f.sessions.Free(s.ref)
 	f.loop.Drop(s.fetch)
+	f.jobs.Stop(&s.ask)
 	if w := s.worker; w != nil {
 		w.unwait(s)
 		if w.sessions--; w.sessions == 0 {
 			f.vanish(w)
 		}
 	}
-	s.Release()
 }
 
-// vanish takes a worker out of the farm. What it had fetched may have run, what it had not never did.
-func (f *Front) vanish(w *worker) {
-	if f.workers[w.wid] != w {
-		return // it has vanished before; another may have come under its wid since
-	}
-	delete(f.workers, w.wid)
-	pending, fetched := w.pending, w.fetched
-	w.pending, w.fetched = nil, nil
-	if w.joined {
-		f.tell(w, rules.Gone)
+// afterTurn sends the replies of a turn, each session's in one piece, and has the machine called when it is due.
+func (f *Front) afterTurn() {
+	for _, s := range f.dirty {
+		s.flush()
 	}
-	for _, p := range pending {
-		f.core.Ended(p.Ref, rules.Unreachable, nil, rules.Load{})
-	}
-	for _, p := range fetched {
-		f.core.Ended(p.Ref, rules.Reset, nil, rules.Load{})
-	}
-}
-
-func (f *Front) tell(w *worker, state rules.WorkerState) {
-	f.core.Farm(f, rules.ListDelta, []core.FarmWorker{{Name: workerPrefix + w.wid, Zone: f.core.Settings().Zone, Kind: -1,
-		State: state, Weight: 1, StartedAt: w.start}})
-}
-
-// join makes a worker that fetches for the first time a member of the farm. It has just started as far
-// as is known here, so the rules for cold workers hold for it.
-func (f *Front) join(w *worker) {
-	if !w.joined {
-		w.joined = true
-		w.start = f.loop.Now()
-		f.tell(w, w.state())
+	clear(f.dirty)
+	f.dirty = f.dirty[:0]
+	at, ok := f.jobs.Next(f.loop.Now())
+	switch {
+	case !ok || f.wake != nil && f.wakeAt <= at:
+	default:
+		f.loop.Drop(f.wake)
+		f.wakeAt = at
+		f.wake = f.loop.At(at, f.due)
 	}
 }
 
-func (w *worker) state() rules.WorkerState {
-	if w.draining {
-		return rules.Draining
+func (f *Front) due() {
+	f.wake = nil
+	f.jobs.Due(f.loop.Now(), dueAtOnce)
+	if len(f.flushes) > 0 && !f.jobs.Clearing() {
+		done := f.flushes
+		f.flushes = nil
+		for _, s := range done {
+			s.resume(replyOK)
+		}
 	}
-	return rules.Ready
 }
 
-// sweep ends workers that have given no sign of life for too long, and floods.
+// sweep ends workers that have given no sign of life for too long, floods, and waits in the wrong hand.
 func (f *Front) sweep() {
-	limit := f.loop.Now() - f.conf.Faktory.Beat()
+	now := f.loop.Now()
+	limit := now - f.conf.Faktory.Beat()
 	for _, w := range f.workers {
 		if w.beat < limit {
 			f.log.Warn("faktory: a worker missed its beats", "wid", w.wid)
@@ -217,145 +241,57 @@
 				}
 			})
 			f.vanish(w)
+			continue
 		}
+		f.rehand(w, now)
 	}
 	f.sessions.Each(func(_ core.Ref, s *session) {
-		if s.NC.Reader().Len() > longestCommand+link.AheadMost {
+		if s.NC.Reader().Len() > f.longest+link.AheadMost {
 			s.Close(link.Flooding)
+		} else if s.Queued() > unreadMost {
+			s.Close(link.NotReading)
 		}
 	})
 	if !f.closed {
-		f.loop.At(f.loop.Now()+sweepEvery, f.sweep)
-	}
-}
-
-// Carry implements core.Carrier: the pass waits for the worker's FETCH.
-func (f *Front) Carry(p *core.ProxyPass) {
-	p.Carried = &handState{}
-	ref := p.Ref
-	w := f.workers[strings.TrimPrefix(p.Worker, workerPrefix)]
-	switch {
-	case w == nil:
-		f.loop.Post(func() { f.core.Ended(ref, rules.Unreachable, nil, rules.Load{}) })
-	case !w.serves(f.queueOf(p.Transaction)):
-		// It would wait for ever: the worker fetches from other queues.
-		f.loop.Post(func() { f.core.Ended(ref, rules.Refused, nil, rules.Load{}) })
-	default:
-		w.pending = append(w.pending, p)
-		f.hand(w)
-	}
-}
-
-// Withdraw implements core.Carrier. A pass that was not fetched never ran; of one that was, the
-// protocol has no way to tell the worker, which goes on with it.
-func (f *Front) Withdraw(p *core.ProxyPass) (mayHaveRun bool) {
-	w := f.workers[strings.TrimPrefix(p.Worker, workerPrefix)]
-	if w != nil {
-		for i, q := range w.pending {
-			if q == p {
-				w.pending = append(w.pending[:i], w.pending[i+1:]...)
-				return false
-			}
-		}
-		if w.fetched[p.Transaction.ID] == p {
-			delete(w.fetched, p.Transaction.ID)
-		}
+		f.loop.At(now+sweepEvery, f.sweep)
 	}
-	return p.Carried.(*handState).fetched
 }
 
-// Probe implements core.Carrier. What would be asked is known here.
-func (f *Front) Probe(name string) {
-	w := f.workers[strings.TrimPrefix(name, workerPrefix)]
-	status, load := rules.Unreachable, rules.Load{}
-	if w != nil {
-		status = rules.OK
-		load = rules.Load{Has: rules.HasQueue | rules.HasInFlight | rules.HasFreeSlots, Queue: float64(len(w.pending)),
-			InFlight: float64(len(w.pending) + len(w.fetched)), FreeSlots: float64(len(w.waiting))}
+// pool gives the pool of a queue: the main one where the table workers run its jobs too, or it is where jobs of
+// the HTTP front are handed out, else one of its own.
+func (f *Front) pool(queue string) *core.Pool {
+	if queue == f.conf.Faktory.Queue || f.conf.Faktory.RunsAtTables(queue) {
+		return f.core.Main()
 	}
-	f.loop.Post(func() { f.core.Probed(name, status, 0, load) })
-}
-
-// hand gives waiting passes to waiting FETCHes.
-func (f *Front) hand(w *worker) {
-	for i := 0; i < len(w.pending); {
-		p := w.pending[i]
-		queue := f.queueOf(p.Transaction)
-		s := w.waiter(queue)
-		if s == nil {
-			i++
-			continue
+	p := f.pools[queue]
+	if p == nil {
+		s := core.SingleClasses(f.conf.Settings)
+		for i := range s.Classes {
+			s.Classes[i].Kind = -1
 		}
-		w.pending = append(w.pending[:i], w.pending[i+1:]...)
-		w.unwait(s)
-		f.loop.Drop(s.fetch)
-		f.give(w, s, p)
+		s.MayProbe, s.CrossZonePrice, s.GroupSize, s.Rank = false, 0, 1, 0
+		h := fnv.New64a()
+		h.Write([]byte(queue))
+		p = f.core.NewPool(queue, s, f.conf.Seed^h.Sum64())
+		f.pools[queue] = p
 	}
+	return p
 }
 
-// give answers a FETCH with a pass. From here on it may have run.
-func (f *Front) give(w *worker, s *session, p *core.ProxyPass) {
-	p.Carried.(*handState).fetched = true
-	w.fetched[p.Transaction.ID] = p
-	if job := f.jobs[p.Transaction.ID]; job != nil {
-		job.state = stateWorking
+// forgetPools lets go of the pools of queues that are no more.
+func (f *Front) forgetPools() {
+	if len(f.pools) <= f.conf.Faktory.MaxQueues {
+		return
 	}
-	f.fetches++
-	s.reply(bulk(f.payload(p.Transaction)))
-	s.Release()
-	// The note goes in after the event that is being applied, as every event does.
-	ref := p.Ref
-	f.loop.Post(func() { f.core.Started(ref) })
-}
-
-func (w *worker) waiter(queue string) *session {
-	for _, s := range w.waiting {
-		for _, q := range s.queues {
-			if q == queue {
-				return s
+	for name, p := range f.pools {
+		if !f.jobs.HasQueue(name) && p.Idle() {
+			delete(f.pools, name)
+			for _, w := range f.workers {
+				delete(w.in, p)
 			}
+			p.Close()
 		}
 	}
-	return nil
-}
-
-func (w *worker) unwait(s *session) {
-	for i, other := range w.waiting {
-		if other == s {
-			w.waiting = append(w.waiting[:i], w.waiting[i+1:]...)
-			return
-		}
-	}
-}
-
-func (w *worker) serves(queue string) bool {
-	for _, q := range w.queues {
-		if q == queue {
-			return true
-		}
-	}
-	return false
-}
-
-// info is the reply to INFO, in the shape of the public server's.
-func (f *Front) info() []byte {
-	waiting, working := 0, 0
-	for _, w := range f.workers {
-		waiting += len(w.pending)
-		working += len(w.fetched)
-	}
-	n := f.core.Counts
-	text, _ := json.Marshal(map[string]any{
-		"now":             time.Now().UTC().Format(time.RFC3339Nano),
-		"server_utc_time": time.Now().UTC().Format("15:04:05 UTC"),
-		"faktory": map[string]any{"total_enqueued": waiting, "total_processed": n.Served, "total_failures": n.Failed,
-			"total_queues": 1, "queues": map[string]int{f.conf.Faktory.Queue: waiting}, "tasks": map[string]any{"working": working}},
-		"server": map[string]any{"description": "cobaltflow", "faktory_version": "1.9.0",
-			"uptime": int(time.Since(f.began).Seconds()), "connections": f.sessions.Len(), "command_count": f.pushes + f.fetches},
-	})
-	return text
 }
 
 var _ core.Carrier = (*Front)(nil)
-
-func fault(format string, args ...any) []byte { return failure(fmt.Sprintf(format, args...)) }
--- /dev/null
+++ b/internal/faktory/host.go
@@ -0,0 +1,116 @@
+package faktory
+
+import (
+	"net/url"
+
+	"cobaltflow/internal/core"
+	"cobaltflow/internal/jobs"
+)
+
+// try is one transaction of a pushed job, and its user agent.
+type try struct {
+	front   *Front
+	job     *jobs.Job
+	t       *core.Transaction
+	failure *jobs.Failure // what was told of it
+	cut     bool          // the machine has ended the job
+}
+
+// host carries out what the jobs' machine asks for.
+type host struct{ f *Front }
+
+// forever is for a try of a job whose pusher waits without end: its reservation ends it before.
+const forever = 400 * 24 * 3600 * core.Second
+
+// Open implements jobs.Actions.
+func (h host) Open(j *jobs.Job, worker string) {
+	f := h.f
+	t := &core.Transaction{ID: j.ID, Deadline: j.Deadline(), Slots: j.Slots, Pool: f.pool(j.Queue), Single: true,
+		Work: core.Work{Class: j.Class, Target: f.target(j), Key: j.Key, Body: argsOf(j)}}
+	if worker != "" {
+		t.Asker = workerPrefix + worker
+	}
+	if t.Deadline == 0 {
+		t.Deadline = f.loop.Now() + forever
+	}
+	y := &try{front: f, job: j, t: t}
+	t.Agent = y
+	f.tries[j] = y
+	if !f.core.Take(t) {
+		// The other front has a request under the same id in the core: it goes first.
+		delete(f.tries, j)
+		f.loop.Post(func() { f.jobs.Ended(f.loop.Now(), j, jobs.EndRefused, core.Second/10, nil) })
+	}
+}
+
+// target is what a table worker is asked for.
+func (f *Front) target(j *jobs.Job) string {
+	target := "/" + f.conf.Names.Classes[j.Class]
+	if j.Key != "" {
+		target += "/" + url.PathEscape(j.Key)
+	}
+	return target
+}
+
+// Withdraw implements jobs.Actions.
+func (h host) Withdraw(j *jobs.Job) {
+	if y := h.f.tries[j]; y != nil {
+		y.cut = true
+		delete(h.f.tries, j)
+		h.f.core.HangUp(y.t)
+	}
+}
+
+// Expire implements jobs.Actions.
+func (h host) Expire(j *jobs.Job) {
+	if y := h.f.tries[j]; y != nil {
+		y.failure = &jobs.Failure{Type: "ReservationExpired", Message: "worker " + j.Worker + " did not report in time"}
+		h.f.core.TimeOut(y.t)
+	}
+}
+
+// Ended implements jobs.Actions.
+func (h host) Ended(j *jobs.Job) {
+	if j.Reason == jobs.Done {
+		return
+	}
+	h.f.log.Debug("faktory: job ended", "jid", j.ID, "state", j.State.String(), "reason", string(j.Reason), "failures", j.Failures)
+}
+
+// Answer implements core.UserAgent.
+func (y *try) Answer(_ *core.Transaction, a core.Answer) {
+	f, now := y.front, y.front.loop.Now()
+	if y.cut {
+		return
+	}
+	delete(f.tries, y.job)
+	switch a.Kind {
+	case core.Served:
+		y.job.Result = append([]byte(nil), a.Result...)
+		f.jobs.Ended(now, y.job, jobs.EndServed, 0, nil)
+	case core.Unavailable:
+		f.jobs.Ended(now, y.job, jobs.EndRefused, a.RetryAfter, nil)
+	default:
+		f.jobs.Ended(now, y.job, jobs.EndFailed, 0, y.failure)
+	}
+}
+
+// Released implements core.UserAgent: the job's text is its own.
+func (y *try) Released(*core.Transaction) {}
+
+// Placed implements core.Placed: a table worker has the job from here on; one that fetches only with its FETCH.
+func (y *try) Placed(t *core.Transaction, p *core.ProxyPass) {
+	if _, waits := p.Carried.(*handState); !waits {
+		y.front.jobs.Given(y.front.loop.Now(), y.job, p.Worker, nil)
+	}
+}
+
+// failed notes what is known of a pass that failed.
+func (f *Front) failed(p *core.ProxyPass, kind, message string) {
+	if y, ours := p.Transaction.Agent.(*try); ours {
+		y.failure = &jobs.Failure{Type: kind, Message: message}
+	}
+}
+
+// argsOf finds the args within a payload, for a table worker's body.
+func argsOf(j *jobs.Job) []byte { return j.Payload[j.ArgsAt : j.ArgsAt+j.ArgsLen] }
--- /dev/null
+++ b/internal/faktory/intake.go
@@ -0,0 +1,216 @@
+package faktory
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cloudwego/netpoll"
+
+	"cobaltflow/internal/jobs"
+	"cobaltflow/internal/link"
+)
+
+// request is one command of a session, read and with its payload parsed. It holds slices of a buffer that is
+// its batch's own: a batch outlives what netpoll hands out, since commands may wait behind a FETCH.
+type request struct {
+	verb string
+	arg  []byte
+	size int
+	job  *jobs.Job // of PUSH
+	many []pushed  // of PUSHB
+	bad  error
+	end  bool // nothing can be read behind it
+}
+
+// pushed is one job of a PUSHB.
+type pushed struct {
+	jid string
+	job *jobs.Job
+	bad error
+}
+
+// intake is the reading side of a session. It belongs to netpoll's goroutine, but for what is atomic.
+type intake struct {
+	part    []byte       // of a command that is not whole yet
+	seen    int          // bytes of it in which no end was found
+	ahead   atomic.Int64 // bytes of commands that the loop has not handled
+	known   atomic.Bool  // HELLO was accepted: its payloads are worth parsing here
+	mu      sync.Mutex
+	held    int64 // bytes that count towards what all sessions may hold
+	closed  bool
+	room    chan struct{}
+	gone    chan struct{}
+	stopped bool
+}
+
+const (
+	aheadMost  = 256 << 10 // bytes that a session may have unhandled before it is read on
+	batchMost  = 256       // commands handed to the loop at once
+	bulkAtOnce = 500       // jobs of a PUSHB that are taken in one turn
+)
+
+// onRequest runs on a goroutine of netpoll's, again and again while input is unread.
+func onRequest(ctx context.Context, _ netpoll.Connection) error {
+	s := ctx.Value(sessionKey{}).(*session)
+	return s.read()
+}
+
+// read takes all that has come, cuts it into commands, parses their payloads and posts them. Where the loop is
+// behind it waits, and netpoll's own reading is bounded by the sweep.
+func (s *session) read() error {
+	f, in := s.front, &s.in
+	r := s.NC.Reader()
+	n := r.Len()
+	if in.stopped {
+		r.Skip(n)
+		return r.Release()
+	}
+	data, err := r.Next(n)
+	if err != nil {
+		return nil
+	}
+	s.account(int64(n))
+	in.part = append(in.part, data...)
+	if err := r.Release(); err != nil {
+		return err
+	}
+	for !in.stopped {
+		batch, used := s.cut()
+		if len(batch) == 0 {
+			break
+		}
+		in.ahead.Add(int64(used))
+		f.loop.Post(func() { f.handle(s, batch) })
+		for in.ahead.Load() > aheadMost {
+			select {
+			case <-in.room:
+			case <-in.gone:
+				in.stopped = true
+				return nil
+			}
+		}
+	}
+	if f.input.Load() > f.inputMost && len(in.part) > 0 && !in.stopped {
+		// Half a command that would take more than all may: the session that brings it pays.
+		in.stopped = true
+		s.account(-int64(len(in.part)))
+		in.part = nil
+		f.loop.Post(func() {
+			f.turned["max_input_mb"]++
+			s.end(fault("refused, max_input_mb is reached, return in 1.000 s"), link.OverBudget)
+		})
+	}
+	return nil
+}
+
+// cut takes whole commands off what has come. Their bytes are handed over with them; what is left of the
+// buffer is copied, so that a batch can live on.
+func (s *session) cut() (batch []request, used int) {
+	f, in := s.front, &s.in
+	at := 0
+	for at < len(in.part) && len(batch) < batchMost {
+		rest := in.part[at:]
+		if at == 0 && in.seen > 0 && rest[0] != '*' && bytes.IndexByte(rest[in.seen:], '\n') < 0 && len(rest) <= f.longest {
+			break
+		}
+		var c Command
+		need, err := ParseCommand(rest, &c, f.longest)
+		if err != nil {
+			batch = append(batch, request{bad: err, end: true, size: len(rest)})
+			in.stopped = true
+			at = len(in.part)
+			break
+		}
+		if need > 0 {
+			break
+		}
+		q := request{verb: verbOf(c.Verb), arg: c.Arg, size: c.Size}
+		if in.known.Load() {
+			s.front.prepare(s, &q)
+		}
+		batch = append(batch, q)
+		at += c.Size
+	}
+	left := in.part[at:]
+	if at > 0 {
+		left = append([]byte(nil), left...)
+		if len(left) == 0 {
+			left = nil
+		}
+	}
+	in.part, in.seen = left, len(left)
+	return batch, at
+}
+
+// verbOf gives the verb as a string without an allocation where it is known.
+func verbOf(b []byte) string {
+	if v, ok := verbs[string(b)]; ok {
+		return v
+	}
+	return fmt.Sprintf("%.32s", b)
+}
+
+// prepare parses the payloads that take time, so that the loop need not.
+func (f *Front) prepare(s *session, q *request) {
+	switch q.verb {
+	case "PUSH":
+		q.job, q.bad = f.parseJob(q.arg, s.client)
+	case "PUSHB":
+		var list []json.RawMessage
+		if err := json.Unmarshal(q.arg, &list); err != nil {
+			q.bad = fmt.Errorf("malformed PUSHB: %v", err)
+			return
+		}
+		q.many = make([]pushed, len(list))
+		for i, text := range list {
+			p := &q.many[i]
+			if p.job, p.bad = f.parseJob(text, s.client); p.bad != nil {
+				var id struct {
+					JID string `json:"jid"`
+				}
+				if json.Unmarshal(text, &id); id.JID == "" {
+					id.JID = fmt.Sprintf("#%d", i)
+				}
+				p.jid = id.JID
+			} else {
+				p.jid = p.job.ID
+			}
+		}
+		q.arg = nil
+	}
+}
+
+// account counts bytes towards what all sessions may hold, until the session has gone.
+func (s *session) account(n int64) {
+	s.in.mu.Lock()
+	defer s.in.mu.Unlock()
+	if !s.in.closed {
+		s.in.held += n
+		s.front.input.Add(n)
+	}
+}
+
+// letGo gives all that the session held back, when it has gone.
+func (s *session) letGo() {
+	s.in.mu.Lock()
+	defer s.in.mu.Unlock()
+	if !s.in.closed {
+		s.in.closed = true
+		s.front.input.Add(-s.in.held)
+		close(s.in.gone)
+	}
+}
+
+// handled tells the reading side that the loop has done with commands.
+func (s *session) handled(bytes int) {
+	s.in.ahead.Add(-int64(bytes))
+	s.account(-int64(bytes))
+	select {
+	case s.in.room <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/faktory/operate.go
@@ -0,0 +1,300 @@
+package faktory
+
+import (
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"cobaltflow/internal/core"
+	"cobaltflow/internal/jobs"
+)
+
+// What operators ask for: TRACK, QUEUE, MUTATE, FLUSH and INFO.
+
+// tracked is the reply to TRACK GET.
+func (f *Front) tracked(jid string) map[string]any {
+	out := map[string]any{"jid": jid, "state": jobs.Unknown.String()}
+	j := f.jobs.Find(jid)
+	if j == nil {
+		return out
+	}
+	out["state"], out["updated_at"] = j.State.String(), f.wall(j.Since)
+	if j.Percent > 0 || j.Desc != "" {
+		out["percent"], out["desc"] = j.Percent, j.Desc
+	}
+	if j.Reason != "" {
+		out["reason"] = string(j.Reason)
+	}
+	if j.Result != nil {
+		out["result"] = string(j.Result)
+	}
+	if j.Failure != nil {
+		out["failure"] = f.failureOf(j)
+	}
+	return out
+}
+
+const longestDesc = 300
+
+func (f *Front) trackSet(s *session, arg string) {
+	var t struct {
+		JID     string `json:"jid"`
+		Percent *int   `json:"percent"`
+		Desc    string `json:"desc"`
+		Until   string `json:"reserve_until"`
+	}
+	if err := json.Unmarshal([]byte(arg), &t); err != nil || t.JID == "" {
+		s.reply(failure("malformed TRACK SET: an object with a jid is needed"))
+		return
+	}
+	j := f.jobs.Find(t.JID)
+	switch {
+	case j == nil:
+		s.reply(fault("job %.128s is not known", t.JID))
+	case j.State.Final():
+		s.reply(fault("job %s has ended: %s", j.ID, j.State))
+	case t.Percent != nil && (*t.Percent < 0 || *t.Percent > 100):
+		s.reply(failure("percent: 0 to 100 are possible"))
+	case t.Until != "":
+		until, err := time.Parse(time.RFC3339Nano, t.Until)
+		if err != nil {
+			s.reply(failure("reserve_until: not a time of RFC 3339"))
+			return
+		}
+		f.jobs.Extend(j, min(f.loop.FromWall(until), f.loop.Now()+longestSpan*core.Second))
+		fallthrough
+	default:
+		if t.Percent != nil {
+			j.Percent = *t.Percent
+		}
+		if t.Desc != "" {
+			j.Desc = t.Desc[:min(len(t.Desc), longestDesc)]
+		}
+		s.reply(replyOK)
+	}
+}
+
+// queue pauses, resumes, removes and looks at queues: QUEUE PAUSE|RESUME|REMOVE|LATENCY names, or * for all.
+func (f *Front) queue(s *session, q *request) {
+	words := strings.Fields(string(q.arg))
+	if len(words) < 2 {
+		s.reply(failure("QUEUE takes PAUSE, RESUME, REMOVE or LATENCY, and names or *"))
+		return
+	}
+	verb, names, now := strings.ToUpper(words[0]), words[1:], f.loop.Now()
+	figures := f.jobs.Queues(now)
+	if slices.Equal(names, []string{"*"}) {
+		names = nil
+		for _, one := range figures {
+			names = append(names, one.Name)
+		}
+	}
+	for _, name := range names {
+		if !goodQueue(name) {
+			s.reply(fault("unusable queue name %.32q", name))
+			return
+		}
+	}
+	switch verb {
+	case "PAUSE":
+		for _, name := range names {
+			if !f.jobs.Pause(now, name) {
+				s.reply(fault("refused, %s is reached", jobs.FullQueues))
+				return
+			}
+		}
+	case "RESUME":
+		for _, name := range names {
+			f.jobs.Resume(now, name)
+		}
+	case "REMOVE":
+		for _, name := range names {
+			f.jobs.Remove(now, name)
+		}
+	case "LATENCY":
+		out := map[string]float64{}
+		for _, one := range figures {
+			if slices.Contains(names, one.Name) {
+				out[one.Name] = float64(one.Latency) / float64(core.Second)
+			}
+		}
+		text, _ := json.Marshal(out)
+		s.reply(bulk(text))
+		return
+	default:
+		s.reply(fault("QUEUE %.32q is not known", verb))
+		return
+	}
+	s.reply(replyOK)
+}
+
+// mutate changes the jobs of a set that a filter finds ("Mutate API" of the Faktory wiki). The reply comes when
+// it is done.
+func (f *Front) mutate(s *session, q *request) {
+	var m struct {
+		Cmd    string `json:"cmd"`
+		Target string `json:"target"`
+		Filter *struct {
+			JIDs    []string `json:"jids"`
+			Regexp  string   `json:"regexp"` // a pattern with *, ? and [...], over the whole payload
+			Jobtype string   `json:"jobtype"`
+		} `json:"filter"`
+	}
+	if err := json.Unmarshal(q.arg, &m); err != nil {
+		s.reply(failure("malformed MUTATE: " + err.Error()))
+		return
+	}
+	mu := jobs.Mutation{Command: jobs.Command(m.Cmd), Set: jobs.Set(m.Target)}
+	switch {
+	case !slices.Contains([]jobs.Command{jobs.Kill, jobs.Discard, jobs.Requeue, jobs.Wipe}, mu.Command):
+		s.reply(fault("MUTATE: cmd: %.32q is none of clear, kill, discard, requeue", m.Cmd))
+		return
+	case !slices.Contains([]jobs.Set{jobs.SetScheduled, jobs.SetRetries, jobs.SetDead}, mu.Set):
+		s.reply(fault("MUTATE: target: %.32q is none of scheduled, retries, dead", m.Target))
+		return
+	}
+	if m.Filter != nil && mu.Command != jobs.Wipe {
+		match, err := glob(m.Filter.Regexp)
+		if err != nil {
+			s.reply(fault("MUTATE: filter.regexp: %v", err))
+			return
+		}
+		mu.IDs = m.Filter.JIDs
+		mu.Match = func(j *jobs.Job) bool {
+			return (m.Filter.Jobtype == "" || j.Type == m.Filter.Jobtype) && (match == nil || match.Match(j.Payload))
+		}
+	}
+	f.token++
+	if !f.jobs.Mutate(mu, f.token) {
+		s.reply(fault("refused, %d mutations are under way, return in 1.000 s", jobs.MaxMutations))
+		return
+	}
+	s.blocked = true
+	f.waits[f.token] = s
+}
+
+// Mutated implements jobs.Actions.
+func (h host) Mutated(token uint64, m jobs.Mutation) {
+	s := h.f.waits[token]
+	delete(h.f.waits, token)
+	h.f.log.Info("faktory: mutation done", "command", string(m.Command), "set", string(m.Set), "changed", m.Changed)
+	if s == nil || s.Ended {
+		return
+	}
+	for _, why := range []jobs.Reason{jobs.MayHaveRun, jobs.Expired} {
+		if n := m.Barred[why]; n > 0 {
+			s.resume(fault("%d jobs were changed, %d not: %s, for instance %s", m.Changed, n, whyBarred[why], m.Example[why]))
+			return
+		}
+	}
+	for why, n := range m.Barred {
+		s.resume(fault("%d jobs were changed, %d not: %s is reached", m.Changed, n, why))
+		return
+	}
+	s.resume(replyOK)
+}
+
+var whyBarred = map[jobs.Reason]string{
+	jobs.MayHaveRun: "they may have run, and their class must never run twice (may-have-run)",
+	jobs.Expired:    "their expires_at is past (expired)",
+}
+
+// glob compiles a pattern in the form of the public server's filter; empty: nil, which matches all.
+func glob(pattern string) (*regexp.Regexp, error) {
+	if pattern == "" {
+		return nil, nil
+	}
+	if len(pattern) > 1024 {
+		return nil, fmt.Errorf("%d bytes are over 1024", len(pattern))
+	}
+	var b strings.Builder
+	b.WriteString(`(?s)\A`)
+	for i := 0; i < len(pattern); i++ {
+		switch c := pattern[i]; c {
+		case '*':
+			b.WriteString(".*")
+		case '?':
+			b.WriteString(".")
+		case '[':
+			end := strings.IndexByte(pattern[i+1:], ']')
+			if end < 1 {
+				return nil, fmt.Errorf("[ at %d has no end", i)
+			}
+			set := strings.NewReplacer(`\`, `\\`, "[", `\[`).Replace(pattern[i+1 : i+1+end])
+			b.WriteString("[" + set + "]")
+			i += end + 1
+		case '\\':
+			if i++; i == len(pattern) {
+				return nil, fmt.Errorf("nothing follows the last \\")
+			}
+			b.WriteString(regexp.QuoteMeta(pattern[i : i+1]))
+		default:
+			b.WriteString(regexp.QuoteMeta(string(c)))
+		}
+	}
+	b.WriteString(`\z`)
+	return regexp.Compile(b.String())
+}
+
+// flush ends and forgets all jobs, where the configuration allows it. The reply comes when it is done.
+func (f *Front) flush(s *session, _ *request) {
+	if !f.conf.Faktory.AllowFlush {
+		s.reply(failure("FLUSH is off: faktory.allow_flush switches it on"))
+		return
+	}
+	f.log.Warn("faktory: FLUSH", "peer", s.Peer)
+	f.jobs.Clear()
+	s.blocked = true
+	f.flushes = append(f.flushes, s)
+}
+
+// info is the reply to INFO, in the shape of the public server's, with our own figures beside it.
+func (f *Front) info() []byte {
+	n, now := f.jobs.Figures(), f.loop.Now()
+	queues, paused, latency := map[string]int{}, []string{}, map[string]float64{}
+	for _, q := range f.jobs.Queues(now) {
+		queues[q.Name], latency[q.Name] = q.Enqueued, float64(q.Latency)/float64(core.Second)
+		if q.Paused {
+			paused = append(paused, q.Name)
+		}
+	}
+	workers := []map[string]any{}
+	for _, w := range f.workers {
+		workers = append(workers, map[string]any{"wid": w.wid, "working": len(w.fetched), "connections": w.sessions, "state": w.state, "rss_kb": w.rss})
+	}
+	size := func(k int) map[string]any { return map[string]any{"size": k} }
+	t := &n.Totals
+	turned := map[string]uint64{"not_unique": t.NotUnique}
+	for why, k := range f.turned {
+		turned[why] += k
+	}
+	for why, k := range t.Turned {
+		turned[string(why)] += k
+	}
+	k := &f.conf.Faktory
+	text, _ := json.Marshal(map[string]any{
+		"now":             time.Now().UTC().Format(time.RFC3339Nano),
+		"server_utc_time": time.Now().UTC().Format("15:04:05 UTC"),
+		"faktory": map[string]any{
+			"total_enqueued": n.Enqueued, "total_processed": t.Served + t.Failures, "total_failures": t.Failures,
+			"total_queues": n.Queues, "queues": queues, "default_size": queues[k.Queue],
+			"tasks": map[string]any{"Scheduled": size(n.Scheduled), "Retries": size(n.Retries), "Dead": size(n.Dead),
+				"Working": size(n.Working), "Enqueued": size(n.Enqueued)},
+		},
+		"server": map[string]any{"description": "cobaltflow", "faktory_version": "1.9.0",
+			"uptime": int(time.Since(f.began).Seconds()), "connections": f.sessions.Len(), "command_count": f.commands},
+		"cobaltflow": map[string]any{
+			"held": n.Held, "max_held_jobs": k.MaxHeldJobs, "held_bytes": n.HeldBytes, "max_held_bytes": k.MaxHeldMB << 20,
+			"scheduled": n.Scheduled, "max_scheduled": k.MaxScheduled, "retries": n.Retries, "max_retries": k.MaxRetries,
+			"dead": n.Dead, "max_dead": k.MaxDead, "dead_forgotten": t.DeadForgotten, "ended": n.Ended, "kept_jobs": k.KeptJobs,
+			"ended_forgotten": t.EndedForgotten, "locks": n.Locks, "clients": n.Clients, "input_bytes": f.input.Load(),
+			"max_input_bytes": f.inputMost, "served": t.Served, "refused": t.Refused, "failed": t.Failed, "died": t.Dead,
+			"retried": t.Retried, "turned_away": turned, "paused": paused, "latency_s": latency, "workers": workers,
+			"in_core": f.core.Open(), "draining": f.quiet,
+		},
+	})
+	return text
+}
--- a/internal/faktory/resp.go
+++ b/internal/faktory/resp.go
@@ -6,8 +6,6 @@
 	"strings"
 )
 
-const longestCommand = 128 << 10
-
 // Command is one line of a client: a verb and what follows it. The slices are parts of the buffer
 // that was parsed.
 type Command struct {
@@ -20,15 +18,15 @@
 
 func (f Fault) Error() string { return string(f) }
 
-// ParseCommand parses the command at the start of buf. A need above zero tells how many bytes there
-// have to be before another try is of use. Clients write commands as plain lines; RESP's array form,
+// ParseCommand parses the command at the start of buf, of at most longest bytes. A need above zero tells how many
+// bytes there have to be before another try is of use. Clients write commands as plain lines; RESP's array form,
 // which a general client of that protocol sends, is taken as well.
-func ParseCommand(buf []byte, c *Command) (need int, err error) {
+func ParseCommand(buf []byte, c *Command, longest int) (need int, err error) {
 	*c = Command{}
 	if len(buf) > 0 && buf[0] == '*' {
-		return parseArray(buf, c)
+		return parseArray(buf, c, longest)
 	}
-	line, at, need, err := line(buf, 0)
+	line, at, need, err := line(buf, 0, longest)
 	if need > 0 || err != nil {
 		return need, err
 	}
@@ -38,21 +36,21 @@
 	return 0, nil
 }
 
-func line(buf []byte, from int) (text []byte, at, need int, err error) {
+func line(buf []byte, from, longest int) (text []byte, at, need int, err error) {
 	i := bytes.IndexByte(buf[from:], '\n')
 	if i < 0 {
-		if len(buf)-from > longestCommand {
+		if len(buf)-from > longest {
 			return nil, 0, 0, Fault("command too long")
 		}
 		return nil, 0, len(buf) + 1, nil
 	}
-	if i > longestCommand {
+	if i > longest {
 		return nil, 0, 0, Fault("command too long")
 	}
 	return bytes.TrimSuffix(buf[from:from+i], []byte("\r")), from + i + 1, 0, nil
 }
 
-func parseArray(buf []byte, c *Command) (need int, err error) {
+func parseArray(buf []byte, c *Command, longest int) (need int, err error) {
 	n, at, need, err := length(buf, 0, '*', 64)
 	if need > 0 || err != nil {
 		return need, err
@@ -62,7 +60,7 @@
 	}
 	var args [][]byte
 	for range n {
-		size, start, need, err := length(buf, at, '$', longestCommand)
+		size, start, need, err := length(buf, at, '$', longest)
 		if need > 0 || err != nil {
 			return need, err
 		}
@@ -73,7 +71,7 @@
 			return 0, Fault("malformed bulk string")
 		}
 		args = append(args, buf[start:start+size])
-		if at = start + size + 2; at > 2*longestCommand {
+		if at = start + size + 2; at > longest {
 			return 0, Fault("command too long")
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,7 +26,11 @@
 // New makes a gateway; Start opens it.
 func New(conf *config.Config, log *slog.Logger) *Gateway {
 	g := &Gateway{Conf: conf, Loop: core.NewLoop(), log: log}
-	g.Core = core.New(g.Loop, conf.Settings, conf.Seed, log)
+	settings := conf.Settings
+	if conf.Faktory.On() {
+		settings = core.SingleClasses(settings)
+	}
+	g.Core = core.New(g.Loop, settings, conf.Seed, log)
 	g.Front = platform.New(g.Core, conf, log)
 	if conf.Faktory.On() {
 		g.Faktory = faktory.New(g.Core, conf, log)
--- a/internal/jobs/api.go
+++ b/internal/jobs/api.go
@@ -10,7 +10,7 @@
 //
 // A Machine is used by one goroutine at a time and does no I/O. Every event carries now, in microseconds of
 // a clock that never goes back; randomness comes in with New. Actions are emitted from within the event
-// methods; the host may call back into the machine from Open only after the event has returned. After each
+// methods; the host calls the machine back only after the event has returned. After each
 // event the host asks Next, and calls Due at that time or later. Each Open is followed by exactly one Ended,
 // unless the machine withdrew the job with Withdraw.
 //
@@ -117,8 +117,11 @@
 	UntilStart      bool // it is unique until its start, else until it was served
 	Fingerprint     [32]byte
 	Client          string
-	Size            int // bytes that it takes
-	Native          any // the host's own; given up at the end
+	Size            int    // bytes that it takes
+	Payload         []byte // as it was pushed; let go at an end that is not dead
+	ArgsAt, ArgsLen int    // where its args stand in it
+	Key             string
+	Slots           float64
 
 	State    State
 	Reason   Reason
@@ -126,9 +129,9 @@
 	Failure  *Failure // the last
 	Since    Time     // in this state
 	Result   []byte   // of Served; set by the host before Ended
+	Worker   string   // that holds it, while working
 	Percent  int
 	Desc     string
-	Worker   string // that holds it, while working
 
 	deadline Time // its pusher has gone by then; 0: never
 	open     bool // it has a transaction in the core
--- a/internal/jobs/machine.go
+++ b/internal/jobs/machine.go
@@ -320,12 +320,12 @@
 	}
 	mine := j.cover
 	j.cover = nil
+	reserve := j.Reserve
+	if reserve == 0 {
+		reserve = m.set.Reserve
+	}
+	m.timers.set(&j.wake, now+reserve)
 	if a != nil {
-		reserve := j.Reserve
-		if reserve == 0 {
-			reserve = m.set.Reserve
-		}
-		m.timers.set(&j.wake, now+reserve)
 		other := a.cover
 		a.waiting, a.cover = false, nil
 		a.rise()
--- a/internal/jobs/queue.go
+++ b/internal/jobs/queue.go
@@ -47,7 +47,6 @@
 // Ask is a FETCH that waits. The host keeps one for each connection and may use it again once it has ended.
 type Ask struct {
 	Worker string
-	Native any // the host's own
 
 	names   []string // as last given, to be compared with
 	queues  []weighted
@@ -181,6 +180,12 @@
 	}
 }
 
+// HasQueue tells whether anything is known of a queue.
+func (m *Machine) HasQueue(name string) bool { return m.queues[name] != nil }
+
+// Make has a queue known; false: there are too many.
+func (m *Machine) Make(name string) bool { return m.queue(name) != nil }
+
 // Pause has a queue hand out nothing more, and Resume has it go on. What is in the core goes on.
 func (m *Machine) Pause(now Time, name string) bool {
 	q := m.queue(name)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -69,6 +69,7 @@
 	mu      sync.Mutex
 	outbox  []Outgoing
 	writing bool
+	queued  atomic.Int64 // bytes that the peer has not taken yet
 }
 
 // Outgoing is a message to be written.
@@ -100,6 +101,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.outbox = append(l.outbox, o)
+	l.queued.Add(int64(len(o.Message)))
 	if !l.writing {
 		l.writing = true
 		go l.write(loop)
@@ -123,6 +125,7 @@
 		if l.NC.IsActive() {
 			_, err = l.NC.Write(o.Message)
 		}
+		l.queued.Add(-int64(len(o.Message)))
 		if o.Done != nil {
 			loop.Post(func() { o.Done(err) })
 		}
@@ -187,6 +190,9 @@
 		"age_ms", age / core.Millisecond}, more...)...)
 }
 
+// Queued is the number of bytes that wait for the peer to take them.
+func (l *Link) Queued() int64 { return l.queued.Load() }
+
 // IdleWriter tells that nothing waits to be written.
 func (l *Link) IdleWriter() bool {
 	l.mu.Lock()
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -129,7 +129,7 @@
 		f.loop.Post(func() { f.core.Ended(ref, rules.NotSent, nil, rules.Load{}) })
 		return
 	}
-	left := max(1, t.Left(f.loop.Now())/core.Millisecond)
+	left := min(max(1, t.Left(f.loop.Now())/core.Millisecond), longestLeft)
 	// The message is a copy: its writer may still be at it when the transaction is over.
 	message := http1.AppendRequest(make([]byte, 0, 320+len(t.Work.Body)), "POST", t.Work.Target, w.address, len(t.Work.Body),
 		HeaderID, t.ID, HeaderClass, f.conf.Names.Classes[t.Work.Class], HeaderTimeLeft, strconv.FormatInt(left, 10))
