--- a/cmd/cobaltflow/main.go
+++ b/cmd/cobaltflow/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"strings"
@@ -16,7 +17,7 @@
 
 func main() {
 	root := newRoot()
-	if err := root.Execute(); err != nil {
+	if err := root.ExecuteContext(context.Background()); err != nil {
 		name := "cobaltflow"
 		if c, _, e := root.Find(os.Args[1:]); e == nil && c != root {
 			name += " " + c.Name()
@@ -47,7 +48,7 @@
 	}
 	serve := serveCommand(load)
 	root.RunE = serve.RunE
-	root.AddCommand(serve, checkCommand(load), describeCommand(), conformanceCommand(), &cobra.Command{
+	root.AddCommand(serve, checkCommand(load), describeCommand(), conformanceCommand(), demoCommand(), measureCommand(), &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			_, err := fmt.Fprintln(c.OutOrStdout(), "cobaltflow", version)
--- /dev/null
+++ b/cmd/cobaltflow/measure.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"cobaltflow/internal/measure"
+)
+
+func measureCommand() *cobra.Command {
+	c := &cobra.Command{Use: "measure", Short: "Measure a gateway on one core, under load from the others"}
+	var o measure.Faktory
+	fk := &cobra.Command{
+		Use: "faktory", Short: "Cycles, bulk pushes, latency, memory and isolation of the Faktory front, as Markdown", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+			return measure.RunFaktory(ctx, c.OutOrStdout(), o)
+		},
+	}
+	fk.Flags().StringVar(&o.Binary, "binary", "", "the `program` to measure; this one where absent")
+	fk.Flags().StringVar(&o.Old, "old", "", "an earlier `program`, of before cobaltflow.json, to measure beside it")
+	fk.Flags().IntVar(&o.Core, "core", 0, "the `core` that the gateway gets")
+	fk.Flags().Float64Var(&o.Seconds, "seconds", 5, "`seconds` of each measurement")
+	fk.Flags().StringVar(&o.Only, "only", "", "`parts`: of cycles, bulk, latency, memory, held, flood")
+	c.AddCommand(fk)
+	return c
+}
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -24,17 +24,17 @@
 
 // schedulerFile holds what the platform's file would tell.
 type schedulerFile struct {
-	Name      string       `json:"name"`
-	Listen    string       `json:"listen"`
-	Discovery string       `json:"discovery"`
-	Seed      string       `json:"seed"`
-	Limits    limitsFile   `json:"limits"`
-	Zones     []string     `json:"zones"`
-	Zone      string       `json:"zone"`
-	Kinds     []string     `json:"kinds"`
-	Classes   []classFile  `json:"classes"`
-	Rules     rulesFile    `json:"rules"`
-	Workers   []workerFile `json:"workers"`
+	Name      string        `json:"name"`
+	Listen    string        `json:"listen"`
+	Discovery string        `json:"discovery"`
+	Seed      string        `json:"seed"`
+	Limits    limitsFile    `json:"limits"`
+	Zones     []string      `json:"zones"`
+	Zone      string        `json:"zone"`
+	Kinds     []string      `json:"kinds"`
+	Classes   []classFile   `json:"classes"`
+	Rules     rulesFile     `json:"rules"`
+	Workers   []KnownWorker `json:"workers"`
 }
 
 type limitsFile struct {
@@ -68,7 +68,8 @@
 	TellsStart       bool    `json:"tells_start"`
 }
 
-type workerFile struct {
+// KnownWorker is a table worker that is known from the start. Zone and Kind may be empty: the first of their kind.
+type KnownWorker struct {
 	Name    string `json:"name"`
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
@@ -166,11 +167,11 @@
 		set.Classes = append(set.Classes, class)
 	}
 	c.Settings = set
-	return c.knownWorkers(s.Workers)
+	return c.Know(s.Workers)
 }
 
-// knownWorkers writes the section's workers as discovery would.
-func (c *Config) knownWorkers(workers []workerFile) error {
+// Know has the configuration name workers, as discovery would.
+func (c *Config) Know(workers []KnownWorker) error {
 	type endpoint struct {
 		Name    string  `json:"name"`
 		Address string  `json:"address"`
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,251 @@
+// Package demo runs the main job end to end in one process: a gateway with the embedded example configuration,
+// stand-in workers on both fronts and mixed jobs, and tells what ended how. It is for a newcomer's first look.
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"cobaltflow/internal/config"
+	"cobaltflow/internal/faktory/client"
+	"cobaltflow/internal/gateway"
+	"cobaltflow/internal/measure"
+	"cobaltflow/internal/platform"
+)
+
+// Options of a run.
+type Options struct {
+	Jobs int           // in all, over both fronts
+	Time time.Duration // over which they are spread
+	Seed uint64
+	Log  *slog.Logger
+}
+
+// tally counts how jobs ended, by front and class.
+type tally struct {
+	mu   sync.Mutex
+	rows map[[2]string]map[string]int
+	runs map[string]int // of jobs that must not run twice, by id
+}
+
+func (t *tally) add(front, class, end string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	key := [2]string{front, class}
+	if t.rows[key] == nil {
+		t.rows[key] = map[string]int{}
+	}
+	t.rows[key][end]++
+}
+
+func (t *tally) ran(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.runs[id]++
+}
+
+// Run runs the demonstration and writes its table. It fails where a job had no end, or one that must not ran twice.
+func Run(ctx context.Context, w io.Writer, o Options) error {
+	conf, err := config.LoadExample()
+	if err != nil {
+		return err
+	}
+	conf.Listen, conf.Faktory.Listen = "127.0.0.1:0", "127.0.0.1:0"
+	t := &tally{rows: map[[2]string]map[string]int{}, runs: map[string]int{}}
+	var tables []*measure.TableWorker
+	var entries []config.KnownWorker
+	for i := range 3 {
+		worker, err := measure.NewTableWorker(fmt.Sprint("table-", i), 4, 30*time.Millisecond, t.ran)
+		if err != nil {
+			return err
+		}
+		defer worker.Close()
+		tables = append(tables, worker)
+		entries = append(entries, config.KnownWorker{Name: fmt.Sprint("table-", i), Address: worker.Address()})
+	}
+	if err := conf.Know(entries); err != nil {
+		return err
+	}
+	g := gateway.New(conf, o.Log)
+	if err := g.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	go func() {
+		g.Run()
+		close(ended)
+	}()
+	defer func() {
+		g.Stop()
+		<-ended
+	}()
+	for _, worker := range tables {
+		worker.CallBack(g.Front.Address())
+	}
+	fmt.Fprintf(w, "gateway: HTTP on %s, Faktory on %s; 3 table workers, 4 Faktory workers; %d jobs over %v\n",
+		g.Front.Address(), g.Faktory.Address(), o.Jobs, o.Time)
+
+	working, stop := context.WithCancel(ctx)
+	var workers sync.WaitGroup
+	defer workers.Wait()
+	defer stop()
+	for i := range 4 {
+		workers.Go(func() { fetcher(working, g.Faktory.Address(), i, o.Seed, t) })
+	}
+	if err := pushAll(ctx, g, o, conf, t); err != nil {
+		return err
+	}
+	t.table(w)
+	for id, n := range t.runs {
+		if n > 1 && !strings.Contains(id, "board-view") {
+			return fmt.Errorf("job %s ran %d times", id, n)
+		}
+	}
+	return ctx.Err()
+}
+
+// fetcher is a worker of the Faktory protocol: it does most jobs, fails some, and now and then goes away with one.
+func fetcher(ctx context.Context, address string, i int, seed uint64, t *tally) {
+	rng := rand.New(rand.NewPCG(seed, uint64(i)))
+	for life := 0; ctx.Err() == nil; life++ {
+		c, err := client.Dial(address, client.Options{WID: fmt.Sprintf("demo-%d-%d", i, life), PID: life})
+		if err != nil {
+			return
+		}
+		free := context.AfterFunc(ctx, func() { c.Close() })
+		for {
+			j, err := c.Fetch("default", "tables")
+			if err != nil {
+				break
+			}
+			if j == nil {
+				continue
+			}
+			t.ran(j.JID)
+			time.Sleep(time.Duration(10+rng.IntN(30)) * time.Millisecond)
+			switch n := rng.IntN(100); {
+			case n < 2:
+				c.Close() // it vanishes, with a job in its hands
+			case n < 8:
+				err = c.Fail(j.JID, "DemoError", "one of the few that fail")
+			default:
+				err = c.Ack(j.JID)
+			}
+			if err != nil {
+				break
+			}
+		}
+		free()
+		c.Close()
+	}
+}
+
+// pushAll submits all jobs, half over each front, and waits until each has its end.
+func pushAll(ctx context.Context, g *gateway.Gateway, o Options, conf *config.Config, t *tally) error {
+	rng := rand.New(rand.NewPCG(o.Seed, 99))
+	p, err := client.Dial(g.Faktory.Address(), client.Options{})
+	if err != nil {
+		return err
+	}
+	defer p.Close()
+	var http_ sync.WaitGroup
+	var pushed []string
+	pause := o.Time / time.Duration(max(1, o.Jobs))
+	for n := range o.Jobs {
+		class := conf.Names.Classes[[]int{0, 0, 0, 1, 1, 1, 2}[rng.IntN(7)]]
+		id := fmt.Sprintf("demo-%s-%05d", class, n)
+		if n%2 == 0 {
+			http_.Go(func() { t.add("HTTP", class, ask(g.Front.Address(), class, id)) })
+		} else if err := p.Push(client.Job{JID: id, Type: class, Args: []any{n}, Queue: "default",
+			Custom: map[string]any{"time_left_ms": 10_000}}); err != nil {
+			t.add("Faktory", class, "turned away")
+		} else {
+			pushed = append(pushed, id)
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	http_.Wait()
+	until := time.Now().Add(20 * time.Second)
+	for len(pushed) > 0 {
+		pushed = slices.DeleteFunc(pushed, func(id string) bool {
+			r, err := p.Do("TRACK", "GET "+id)
+			end := ""
+			for _, s := range []string{"served", "refused", "failed", "dead", "retries"} {
+				if err == nil && strings.Contains(r.Text, `"state":"`+s+`"`) {
+					end = s
+				}
+			}
+			if end == "" {
+				return false
+			}
+			t.add("Faktory", strings.TrimPrefix(id, "demo-")[:len(id)-len("demo--00000")], end)
+			return true
+		})
+		if time.Now().After(until) {
+			return fmt.Errorf("%d jobs have no end, for instance %s", len(pushed), pushed[0])
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return nil
+}
+
+// ask submits a job over HTTP and waits for its answer.
+func ask(address, class, id string) string {
+	q, _ := http.NewRequest("POST", fmt.Sprintf("http://%s/%s/t%d", address, class, len(id)%7), strings.NewReader("demo"))
+	q.Header.Set(platform.HeaderID, id)
+	q.Header.Set(platform.HeaderClass, class)
+	q.Header.Set(platform.HeaderTimeLeft, "10000")
+	r, err := http.DefaultClient.Do(q)
+	var gone net.Error
+	if errors.As(err, &gone) || err != nil {
+		return "no answer"
+	}
+	defer r.Body.Close()
+	io.Copy(io.Discard, r.Body)
+	switch r.StatusCode {
+	case 200:
+		return "served"
+	case 429, 503:
+		return "refused"
+	}
+	return "failed"
+}
+
+// table writes what ended how.
+func (t *tally) table(w io.Writer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ends := []string{"served", "refused", "failed", "dead", "retries", "turned away", "no answer"}
+	var keys [][2]string
+	for k := range t.rows {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b [2]string) int { return strings.Compare(a[0]+a[1], b[0]+b[1]) })
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(tw, "front\tclass\tjobs\t%s\t\n", strings.Join(ends, "\t"))
+	for _, k := range keys {
+		all, cells := 0, ""
+		for _, end := range ends {
+			all += t.rows[k][end]
+			cells += fmt.Sprintf("%d\t", t.rows[k][end])
+		}
+		fmt.Fprintf(tw, "%s\t%s\t%d\t%s\n", k[0], k[1], all, cells)
+	}
+	tw.Flush()
+	fmt.Fprintln(w, "A move or settle that a worker failed, or vanished with, is dead: it may have run and never runs again.\nA board-view may run again, so it stands in retries.")
+}
--- /dev/null
+++ b/internal/faktory/export_test.go
@@ -0,0 +1,30 @@
+package faktory
+
+import (
+	"fmt"
+
+	"cobaltflow/internal/core"
+)
+
+// ExpireForTest ends a job's reservation now, within the present turn.
+func (f *Front) ExpireForTest(jid string) {
+	if j := f.jobs.Find(jid); j != nil {
+		host{f}.Expire(j)
+	}
+}
+
+// DeadForTest is the number of dead jobs.
+func (f *Front) DeadForTest() int { return f.jobs.Figures().Dead }
+
+// FillForTest schedules jobs without the wire.
+func (f *Front) FillForTest(n int) {
+	for i := range n {
+		j, err := f.parseJob(fmt.Appendf(nil, `{"jid":"dead-%07d","jobtype":"move","queue":"q","args":[%d]}`, i, i), "here")
+		if err != nil {
+			panic(err)
+		}
+		if j.At = f.loop.Now() + core.Time(1<<50); !f.jobs.Push(f.loop.Now(), j).Taken {
+			panic("not taken")
+		}
+	}
+}
--- a/internal/faktory/faktory_test.go
+++ b/internal/faktory/faktory_test.go
@@ -25,7 +25,7 @@
 	}, workers...)
 }
 
-func client(n *standin.Node, wid string) *standin.Faktory {
+func session(n *standin.Node, wid string) *standin.Faktory {
 	f := standin.NewFaktory(n.T, n.Faktory.Address(), wid, n.Conf.Faktory.Password)
 	require.Equal(n.T, "OK", f.Hi)
 	return f
@@ -33,7 +33,7 @@
 
 // joined gives a worker that has fetched once, and so is in the farm; its FETCH goes on in the background.
 func joined(n *standin.Node, wid string) (*standin.Faktory, chan [2]string) {
-	w := client(n, wid)
+	w := session(n, wid)
 	got := make(chan [2]string, 1)
 	go func() {
 		for {
@@ -53,7 +53,7 @@
 func TestPushFetchAck(t *testing.T) {
 	n := start(t, nil)
 	w, got := joined(n, "w-1")
-	c := client(n, "")
+	c := session(n, "")
 	require.Equal(t, "OK", c.Push("job-0001", "settle", 9000))
 	require.Equal(t, [2]string{"job-0001", "settle"}, <-got)
 	assert.Equal(t, "working", c.State("job-0001"))
@@ -70,7 +70,7 @@
 
 func TestPasswordAndVersion(t *testing.T) {
 	n := start(t, func(c *config.Config) { c.Faktory.Password = "open sesame" })
-	client(n, "")
+	session(n, "")
 	assert.Contains(t, standin.NewFaktory(t, n.Faktory.Address(), "", "wrong").Hi, "-ERR invalid password")
 	raw := &standin.Faktory{Raw: standin.Dial(t, n.Faktory.Address())}
 	assert.Contains(t, raw.Reply(), `"i":`)
@@ -80,7 +80,7 @@
 
 func TestBadCommands(t *testing.T) {
 	n := start(t, nil)
-	c, w := client(n, ""), client(n, "w-1")
+	c, w := session(n, ""), session(n, "w-1")
 	for _, x := range []struct{ verb, arg, want string }{
 		{"FLY", "", "unknown command"}, {"PUSH", "{", "malformed job"}, {"PUSH", `{"jid":"short"}`, "malformed job: jid: "},
 		{"PUSH", `{"jid":"job-0001","jobtype":"none","args":[]}`, "no class"},
@@ -117,7 +117,7 @@
 // again.
 func TestRefusedPushSaysWhenToReturn(t *testing.T) {
 	n := start(t, func(c *config.Config) { c.Faktory.MaxHeldJobs = 1 })
-	c := client(n, "")
+	c := session(n, "")
 	require.Equal(t, "OK", c.Push("job-0001", "settle", 100))
 	assert.Contains(t, c.Push("job-0002", "settle", 9000), "-ERR refused, max_held_jobs is reached, return in")
 	assert.Equal(t, "unknown", c.State("job-0002"))
@@ -129,7 +129,7 @@
 // A job that is taken, then finds no worker by its deadline, never ran: its final state is refused.
 func TestTakenThenRefused(t *testing.T) {
 	n := start(t, nil)
-	c := client(n, "")
+	c := session(n, "")
 	require.Equal(t, "OK", c.Push("job-0001", "settle", 300))
 	n.Eventually(func() bool { return c.State("job-0001") == "refused" })
 	assert.Contains(t, c.Push("job-0001", "settle", 300), "has ended: refused", "a jid lately ended makes no second transaction")
@@ -143,14 +143,14 @@
 		t.Run(name, func(t *testing.T) {
 			n := start(t, func(c *config.Config) { c.Faktory.BeatWithin = 2.5 })
 			w, got := joined(n, "w-1")
-			c := client(n, "")
+			c := session(n, "")
 			require.Equal(t, "OK", c.Push("job-0001", "settle", 20000))
 			require.Equal(t, "job-0001", (<-got)[0])
 			vanish(n, w)
 			n.Eventually(func() bool { return c.State("job-0001") == "dead" })
 			assert.Contains(t, c.Do("TRACK", "GET job-0001"), `"reason":"may-have-run"`)
 			assert.Contains(t, c.Do("MUTATE", `{"cmd":"requeue","target":"dead"}`), "may-have-run")
-			second := client(n, "w-2")
+			second := session(n, "w-2")
 			jid, none := second.Fetch()
 			assert.Equal(t, "(none)", none, jid)
 		})
@@ -160,7 +160,7 @@
 func TestUnfetchedPassGoesElsewhereAndQuietDrains(t *testing.T) {
 	n := start(t, nil)
 	w, got := joined(n, "w-1")
-	c := client(n, "")
+	c := session(n, "")
 	require.Equal(t, "OK", c.Push("job-0001", "move", 9000))
 	require.Equal(t, "job-0001", (<-got)[0])
 	require.Equal(t, "OK", c.Push("job-0002", "move", 9000), "waits in the hand of w-1, the only one")
@@ -175,7 +175,7 @@
 func TestNoFetchAfterTheDeadline(t *testing.T) {
 	n := start(t, nil)
 	w, got := joined(n, "w-1")
-	c := client(n, "")
+	c := session(n, "")
 	require.Equal(t, "OK", c.Push("job-0001", "move", 9000))
 	<-got
 	require.Equal(t, "OK", c.Push("job-0002", "move", 250))
@@ -189,7 +189,7 @@
 func TestQuietFrontEndsWhatItHasTaken(t *testing.T) {
 	n := start(t, nil)
 	w, got := joined(n, "w-1")
-	c := client(n, "")
+	c := session(n, "")
 	require.Equal(t, "OK", c.Push("job-0001", "settle", 9000))
 	require.Equal(t, "job-0001", (<-got)[0])
 	require.Equal(t, "OK", c.Push("job-0002", "settle", 9000))
@@ -210,7 +210,7 @@
 func TestWorkerThatJoinsIsTakenForCold(t *testing.T) {
 	n := start(t, func(c *config.Config) { c.Settings.WarmWithin, c.Settings.TipAfter = 30_000_000, 1_000_000 })
 	joined(n, "w-1")
-	c := client(n, "")
+	c := session(n, "")
 	for i := range 6 {
 		require.Equal(t, "OK", c.Push(fmt.Sprint("job-000", i), "move", 9000))
 	}
--- a/internal/faktory/host.go
+++ b/internal/faktory/host.go
@@ -26,7 +26,10 @@
 func (h host) Open(j *jobs.Job, worker string) {
 	f := h.f
 	t := &core.Transaction{ID: j.ID, Deadline: j.Deadline(), Slots: j.Slots, Pool: f.pool(j.Queue), Single: true,
-		Work: core.Work{Class: j.Class, Target: f.target(j), Key: j.Key, Body: argsOf(j)}}
+		Work: core.Work{Class: j.Class, Target: f.target(j), Key: j.Key}}
+	if f.conf.Faktory.RunsAtTables(j.Queue) {
+		t.Work.Body = argsOf(j)
+	}
 	if worker != "" {
 		t.Asker = workerPrefix + worker
 	}
@@ -113,4 +116,4 @@
 }
 
 // argsOf finds the args within a payload, for a table worker's body.
-func argsOf(j *jobs.Job) []byte { return j.Payload[j.ArgsAt : j.ArgsAt+j.ArgsLen] }
+func argsOf(j *jobs.Job) []byte { return []byte(j.Payload[j.ArgsAt : j.ArgsAt+j.ArgsLen]) }
--- a/internal/faktory/intake.go
+++ b/internal/faktory/intake.go
@@ -3,12 +3,13 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
 
 	"github.com/cloudwego/netpoll"
+	"github.com/tidwall/gjson"
 
 	"cobaltflow/internal/jobs"
 	"cobaltflow/internal/link"
@@ -160,26 +161,21 @@
 	case "PUSH":
 		q.job, q.bad = f.parseJob(q.arg, s.client)
 	case "PUSHB":
-		var list []json.RawMessage
-		if err := json.Unmarshal(q.arg, &list); err != nil {
-			q.bad = fmt.Errorf("malformed PUSHB: %v", err)
+		if !gjson.ValidBytes(q.arg) || q.arg[0] != '[' {
+			q.bad = errors.New("malformed PUSHB: a list of jobs is needed")
 			return
 		}
-		q.many = make([]pushed, len(list))
-		for i, text := range list {
-			p := &q.many[i]
-			if p.job, p.bad = f.parseJob(text, s.client); p.bad != nil {
-				var id struct {
-					JID string `json:"jid"`
-				}
-				if json.Unmarshal(text, &id); id.JID == "" {
-					id.JID = fmt.Sprintf("#%d", i)
-				}
-				p.jid = id.JID
-			} else {
+		q.many = []pushed{}
+		gjson.ParseBytes(q.arg).ForEach(func(_, v gjson.Result) bool {
+			p := pushed{}
+			if p.job, p.bad = f.parseJob([]byte(v.Raw), s.client); p.bad == nil {
 				p.jid = p.job.ID
+			} else if p.jid = v.Get("jid").String(); p.jid == "" {
+				p.jid = fmt.Sprintf("#%d", len(q.many))
 			}
-		}
+			q.many = append(q.many, p)
+			return true
+		})
 		q.arg = nil
 	}
 }
--- a/internal/faktory/operate.go
+++ b/internal/faktory/operate.go
@@ -164,7 +164,7 @@
 		}
 		mu.IDs = m.Filter.JIDs
 		mu.Match = func(j *jobs.Job) bool {
-			return (m.Filter.Jobtype == "" || j.Type == m.Filter.Jobtype) && (match == nil || match.Match(j.Payload))
+			return (m.Filter.Jobtype == "" || j.Type == m.Filter.Jobtype) && (match == nil || match.MatchString(j.Payload))
 		}
 	}
 	f.token++
--- a/internal/faktory/payload.go
+++ b/internal/faktory/payload.go
@@ -6,34 +6,17 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"strings"
 	"time"
 	"unicode/utf8"
 
+	"github.com/tidwall/gjson"
+
 	"cobaltflow/internal/core"
 	"cobaltflow/internal/jobs"
 )
 
-// wireJob is the part of the public job payload that is of use here ("The Job Payload" of the Faktory wiki).
-type wireJob struct {
-	JID        string          `json:"jid"`
-	Jobtype    string          `json:"jobtype"`
-	Args       json.RawMessage `json:"args"`
-	Queue      string          `json:"queue"`
-	At         string          `json:"at"`
-	Retry      *int            `json:"retry"`
-	ReserveFor int64           `json:"reserve_for"` // seconds
-	Priority   *int            `json:"priority"`
-	Custom     struct {
-		TimeLeftMS  *int64  `json:"time_left_ms"` // for which the pusher waits, from the PUSH or from at
-		Key         string  `json:"key"`          // what the job concerns
-		Slots       float64 `json:"slots"`
-		ExpiresAt   string  `json:"expires_at"` // it has to have started by then
-		UniqueFor   float64 `json:"unique_for"` // seconds
-		UniqueUntil string  `json:"unique_until"`
-	} `json:"custom"`
-}
-
 // Bounds of a payload.
 const (
 	longestID   = 128
@@ -46,33 +29,151 @@
 // jobOverhead is what a held job takes beyond its payload, in bytes; docs/measurements/faktory.md has it measured.
 const jobOverhead = 400
 
+// field is one key of the public job payload ("The Job Payload" of the Faktory wiki), or of its custom object, with
+// the JSON type that it has to have.
+type field struct {
+	kind string
+	take func(p *parsing, v gjson.Result) error
+}
+
+// parsing is a payload as it is read.
+type parsing struct {
+	f    *Front
+	j    *jobs.Job
+	args string
+	uFor float64
+	bad  error
+}
+
+var jobFields, customFields map[string]field
+
+func init() {
+	text := func(to func(p *parsing) *string) field {
+		return field{"string", func(p *parsing, v gjson.Result) error { *to(p) = v.Str; return nil }}
+	}
+	whole := func(least, most int64, to func(p *parsing, n int64)) field {
+		return field{"number", func(p *parsing, v gjson.Result) error {
+			if v.Num != math.Trunc(v.Num) || v.Num < float64(least) || v.Num > float64(most) {
+				return fmt.Errorf("%s is no whole number from %d to %d", v.Raw, least, most)
+			}
+			to(p, int64(v.Num))
+			return nil
+		}}
+	}
+	at := func(to func(p *parsing) *core.Time) field {
+		return field{"string", func(p *parsing, v gjson.Result) error {
+			if v.Str == "" {
+				return nil
+			}
+			t, err := time.Parse(time.RFC3339Nano, v.Str)
+			if err != nil {
+				return errors.New("not a time of RFC 3339")
+			}
+			*to(p) = max(1, p.f.loop.FromWall(t))
+			return nil
+		}}
+	}
+	jobFields = map[string]field{
+		"jid":     text(func(p *parsing) *string { return &p.j.ID }),
+		"jobtype": text(func(p *parsing) *string { return &p.j.Type }),
+		"queue":   text(func(p *parsing) *string { return &p.j.Queue }),
+		"args": {"array", func(p *parsing, v gjson.Result) error {
+			if p.args = v.Raw; len(v.Raw) > longestArgs {
+				return fmt.Errorf("%d bytes are over %d", len(v.Raw), longestArgs)
+			}
+			p.j.ArgsAt, p.j.ArgsLen = v.Index, len(v.Raw)
+			return nil
+		}},
+		"at":          at(func(p *parsing) *core.Time { return &p.j.At }),
+		"retry":       whole(-1, 1<<20, func(p *parsing, n int64) { p.j.Retry = int(n) }),
+		"reserve_for": whole(0, longestSpan, func(p *parsing, n int64) { p.j.Reserve = n * core.Second }),
+		"priority":    whole(jobs.LowestPriority, jobs.HighestPriority, func(p *parsing, n int64) { p.j.Priority = int(n) }),
+		"custom":      {"object", func(p *parsing, v gjson.Result) error { p.each(v, customFields, "custom."); return nil }},
+	}
+	customFields = map[string]field{
+		"time_left_ms": whole(1, longestTime, func(p *parsing, n int64) { p.j.Left = n * core.Millisecond }),
+		"key":          text(func(p *parsing) *string { return &p.j.Key }),
+		"slots": {"number", func(p *parsing, v gjson.Result) error {
+			if p.j.Slots = v.Num; v.Num < 0 || v.Num > 1e6 {
+				return errors.New("0 to 1000000 are possible")
+			}
+			return nil
+		}},
+		"expires_at": at(func(p *parsing) *core.Time { return &p.j.ExpiresAt }),
+		"unique_for": {"number", func(p *parsing, v gjson.Result) error {
+			if p.uFor = v.Num; v.Num < 0 || v.Num > longestSpan {
+				return errors.New("not a usable number of seconds")
+			}
+			return nil
+		}},
+		"unique_until": {"string", func(p *parsing, v gjson.Result) error {
+			if p.j.UntilStart = v.Str == "start"; !p.j.UntilStart && v.Str != "" && v.Str != "success" {
+				return errors.New("start or success is possible")
+			}
+			return nil
+		}},
+	}
+}
+
+// each reads the known keys of an object; a null stands for an absent one.
+func (p *parsing) each(object gjson.Result, fields map[string]field, prefix string) {
+	object.ForEach(func(key, v gjson.Result) bool {
+		f, known := fields[key.Str]
+		if !known || v.Type == gjson.Null {
+			return true
+		}
+		err := error(nil)
+		if kind := kindOf(v); kind != f.kind {
+			err = fmt.Errorf("a %s can't stand here, a %s is needed", kind, f.kind)
+		} else {
+			err = f.take(p, v)
+		}
+		if err != nil && p.bad == nil {
+			p.bad = fmt.Errorf("malformed job: %s%s: %w", prefix, key.Str, err)
+		}
+		return p.bad == nil
+	})
+}
+
+func kindOf(v gjson.Result) string {
+	switch {
+	case v.IsArray():
+		return "array"
+	case v.IsObject():
+		return "object"
+	case v.Type == gjson.String:
+		return "string"
+	case v.Type == gjson.Number:
+		return "number"
+	}
+	return "boolean"
+}
+
 // parseJob reads a pushed job; the text is copied, since the job outlives the command. It runs on a session's
 // own goroutine and touches nothing that changes.
 func (f *Front) parseJob(text []byte, client string) (*jobs.Job, error) {
-	var p wireJob
-	if err := json.Unmarshal(text, &p); err != nil {
-		var typed *json.UnmarshalTypeError
-		if errors.As(err, &typed) && typed.Field != "" {
-			return nil, fmt.Errorf("malformed job: %s: a %s can't stand here", typed.Field, typed.Value)
-		}
-		return nil, fmt.Errorf("malformed job: %v", err)
-	}
-	if !goodID(p.JID) {
+	text = bytes.TrimSpace(text)
+	if len(text) == 0 || text[0] != '{' || !gjson.ValidBytes(text) {
+		return nil, errors.New("malformed job: not an object of JSON")
+	}
+	// One piece of memory holds the payload and the names, which are parts of it.
+	payload := string(text)
+	j := &jobs.Job{Priority: jobs.UsualPriority, Retry: jobs.UsualRetry, Client: client}
+	p := parsing{f: f, j: j}
+	if p.each(gjson.Parse(payload), jobFields, ""); p.bad != nil {
+		return nil, p.bad
+	}
+	if !goodID(j.ID) {
 		return nil, errors.New("malformed job: jid: 8 to 128 plain characters are needed")
 	}
-	if p.Jobtype == "" {
+	if j.Type == "" {
 		return nil, errors.New("malformed job: jobtype: missing")
 	}
-	if len(p.Args) == 0 || p.Args[0] != '[' {
+	if p.args == "" {
 		return nil, errors.New("malformed job: args: an array is needed")
 	}
-	if len(p.Args) > longestArgs {
-		return nil, fmt.Errorf("malformed job: args: %d bytes are over %d", len(p.Args), longestArgs)
-	}
-	j := &jobs.Job{ID: p.JID, Type: p.Jobtype, Queue: p.Queue, Priority: jobs.UsualPriority, Retry: jobs.UsualRetry,
-		Class: f.conf.JobClass(p.Jobtype), Client: client, Key: p.Custom.Key, Slots: p.Custom.Slots}
-	if j.Class < 0 {
-		return nil, fmt.Errorf("no class for jobtype %.64q", p.Jobtype)
+	if j.Class = f.conf.JobClass(j.Type); j.Class < 0 {
+		return nil, fmt.Errorf("no class for jobtype %.64q", j.Type)
 	}
 	if j.Queue == "" {
 		j.Queue = f.conf.Faktory.Queue
@@ -80,62 +181,12 @@
 	if !goodQueue(j.Queue) {
 		return nil, errors.New("malformed job: queue: 1 to 128 of letters, digits and .-_ are needed")
 	}
-	if p.Retry != nil {
-		if j.Retry = *p.Retry; j.Retry < -1 {
-			return nil, errors.New("malformed job: retry: -1 is the least")
-		}
-	}
-	if p.Priority != nil {
-		if j.Priority = *p.Priority; j.Priority < jobs.LowestPriority || j.Priority > jobs.HighestPriority {
-			return nil, errors.New("malformed job: priority: 1 to 9 are possible")
-		}
-	}
-	if p.ReserveFor < 0 || p.ReserveFor > longestSpan {
-		return nil, errors.New("malformed job: reserve_for: not a usable number of seconds")
-	}
-	j.Reserve = p.ReserveFor * core.Second
-	for _, t := range []struct {
-		key, text string
-		to        *core.Time
-	}{{"at", p.At, &j.At}, {"custom.expires_at", p.Custom.ExpiresAt, &j.ExpiresAt}} {
-		if t.text == "" {
-			continue
-		}
-		at, err := time.Parse(time.RFC3339Nano, t.text)
-		if err != nil {
-			return nil, fmt.Errorf("malformed job: %s: not a time of RFC 3339", t.key)
-		}
-		*t.to = max(1, f.loop.FromWall(at))
-	}
-	if left := p.Custom.TimeLeftMS; left != nil {
-		if *left <= 0 || *left > longestTime {
-			return nil, fmt.Errorf("malformed job: custom.time_left_ms: 1 to %d are possible", int64(longestTime))
-		}
-		j.Left = *left * core.Millisecond
-	}
-	if j.Slots < 0 || j.Slots > 1e6 {
-		return nil, errors.New("malformed job: custom.slots: 0 to 1000000 are possible")
-	}
-	if u := p.Custom.UniqueFor; u != 0 {
-		if u < 0 || u > longestSpan {
-			return nil, errors.New("malformed job: custom.unique_for: not a usable number of seconds")
-		}
-		switch p.Custom.UniqueUntil {
-		case "", "success":
-		case "start":
-			j.UntilStart = true
-		default:
-			return nil, errors.New("malformed job: custom.unique_until: start or success is possible")
-		}
-		j.UniqueFor = core.Time(u * float64(core.Second))
-		j.Fingerprint = sha256.Sum256([]byte(j.Type + "\x00" + j.Queue + "\x00" + string(p.Args)))
-	}
-	// One piece of memory holds the payload and, as parts of it where they can be, the names.
-	j.Payload = append([]byte(nil), text...)
-	if j.ArgsAt, j.ArgsLen = bytes.Index(text, p.Args), len(p.Args); j.ArgsAt < 0 {
-		return nil, errors.New("malformed job: args: not readable")
+	if p.uFor > 0 {
+		j.UniqueFor = core.Time(p.uFor * float64(core.Second))
+		j.Fingerprint = sha256.Sum256([]byte(j.Type + "\x00" + j.Queue + "\x00" + p.args))
 	}
-	j.Size = len(j.Payload) + jobOverhead
+	j.Payload = payload
+	j.Size = len(payload) + jobOverhead
 	return j, nil
 }
 
@@ -177,11 +228,10 @@
 	if try, ok := t.Agent.(*try); ok {
 		j := try.job
 		if j.Failure == nil {
-			return j.Payload
+			return []byte(j.Payload)
 		}
 		text, _ := json.Marshal(f.failureOf(j))
-		raw := strings.TrimRight(string(j.Payload), " \t\r\n")
-		return []byte(strings.TrimSuffix(raw, "}") + `,"failure":` + string(text) + "}")
+		return []byte(strings.TrimSuffix(j.Payload, "}") + `,"failure":` + string(text) + "}")
 	}
 	request := map[string]string{"target": t.Work.Target}
 	if utf8.Valid(t.Work.Body) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,10 @@
 	"log/slog"
 	"runtime"
 	"runtime/debug"
+	"runtime/metrics"
+	"sync"
+	"sync/atomic"
+	"time"
 
 	"cobaltflow/internal/config"
 	"cobaltflow/internal/core"
@@ -97,4 +101,28 @@
 	// take milliseconds: with one proc more than the cores nothing waits for that.
 	runtime.GOMAXPROCS(int(l.Cores+0.999) + 1)
 	debug.SetMemoryLimit(int64(l.MemoryMB) << 20 / 3 * 2)
+	// The collector runs when the heap has grown by a part of the limit, not of what lives: with little alive a
+	// ratio has it run all the time, and with much it lets the heap double.
+	headroom.Store(int64(l.MemoryMB) << 20 / 8)
+	pace()
+	pacing.Do(func() {
+		go func() {
+			for range time.Tick(time.Second) {
+				pace()
+			}
+		}()
+	})
+}
+
+var (
+	headroom atomic.Int64 // bytes
+	pacing   sync.Once
+)
+
+// pace sets the collector's ratio by what was alive after its last run.
+func pace() {
+	sample := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
+	metrics.Read(sample)
+	live := int64(max(sample[0].Value.Uint64(), 1<<20))
+	debug.SetGCPercent(int(min(max(headroom.Load()*100/live, 25), 1600)))
 }
--- a/internal/jobs/api.go
+++ b/internal/jobs/api.go
@@ -118,7 +118,7 @@
 	Fingerprint     [32]byte
 	Client          string
 	Size            int    // bytes that it takes
-	Payload         []byte // as it was pushed; let go at an end that is not dead
+	Payload         string // as it was pushed; let go at an end that is not dead
 	ArgsAt, ArgsLen int    // where its args stand in it
 	Key             string
 	Slots           float64
--- a/internal/jobs/end.go
+++ b/internal/jobs/end.go
@@ -172,7 +172,7 @@
 		m.trim(&m.dead, m.set.MaxDead, m.set.MaxDeadBytes, &m.totals.DeadForgotten)
 		return
 	}
-	j.Payload = nil
+	j.Payload = ""
 	j.Size = endedSize + len(j.ID) + len(j.Type) + len(j.Result)
 	m.ended.add(j)
 	m.trim(&m.ended, m.set.MaxEnded, m.set.MaxEndedBytes, &m.totals.EndedForgotten)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"github.com/bytedance/gopkg/util/gopool"
 	"github.com/cloudwego/netpoll"
 
 	"cobaltflow/internal/core"
@@ -104,7 +105,8 @@
 	l.queued.Add(int64(len(o.Message)))
 	if !l.writing {
 		l.writing = true
-		go l.write(loop)
+		// From a pool, as netpoll's own: a new goroutine's stack would have to grow for each message.
+		gopool.Go(func() { l.write(loop) })
 	}
 }
 
--- /dev/null
+++ b/internal/measure/faktory.go
@@ -0,0 +1,398 @@
+package measure
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"cobaltflow/internal/faktory/client"
+)
+
+// classTable holds the classes of a measured gateway.
+var classTable = []struct {
+	name, effect      string
+	deadlineMS, aimMS int
+	worth             float64
+}{{"board-view", "repeatable", 5000, 500, 3}, {"move", "once", 10000, 1000, 2}, {"settle", "once", 20000, 1200, 10}}
+
+// Faktory says what is measured of the Faktory front.
+type Faktory struct {
+	Binary  string // of the gateway; empty: this program
+	Old     string // an earlier build, measured beside it; empty: none
+	Core    int
+	Seconds float64 // of each measurement
+	Only    string  // the name of one part; empty: all
+}
+
+const (
+	pushers = 32
+	workers = 16
+	ahead   = 64 // jobs that may be on their way at once in the closed loop
+)
+
+// RunFaktory measures and writes tables in Markdown. With a word of Only it does the parts that have it.
+func RunFaktory(ctx context.Context, w io.Writer, o Faktory) error {
+	if o.Binary == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		o.Binary = self
+	}
+	keepOff(o.Core)
+	for _, part := range []struct {
+		name string
+		run  func(context.Context, io.Writer, Faktory) error
+	}{{"cycles", measureCycles}, {"bulk", measureBulk}, {"latency", measureLatency}, {"memory", measureMemory}, {"held", measureHeld}, {"flood", measureFlood}} {
+		if o.Only != "" && !strings.Contains(o.Only, part.name) {
+			continue
+		}
+		if err := part.run(ctx, w, o); err != nil {
+			return fmt.Errorf("%s: %w", part.name, err)
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		fmt.Fprintln(w)
+	}
+	return nil
+}
+
+// load is a closed loop of pushers and workers, or an open one where rate is above 0.
+type load struct {
+	address string
+	queue   string
+	rate    float64 // jobs a second in all; 0: as fast as the workers take them
+	pad     string
+	left    int // time_left_ms of each job; 0: none
+
+	done    atomic.Int64
+	refused atomic.Int64
+	late    *hdrhistogram.Histogram // µs from when a job was due to the worker's receipt
+	mu      sync.Mutex
+	tokens  chan struct{}
+}
+
+// run runs the load until ctx ends.
+func (l *load) run(ctx context.Context, pushers, workers int) error {
+	l.tokens = make(chan struct{}, ahead)
+	l.late = hdrhistogram.New(1, 60_000_000, 3)
+	var wg sync.WaitGroup
+	errs := make(chan error, pushers+workers)
+	began := time.Now()
+	work := func(f func() error) {
+		wg.Go(func() {
+			if err := f(); err != nil && ctx.Err() == nil {
+				errs <- err
+			}
+		})
+	}
+	for i := range workers {
+		work(func() error { return l.work(ctx, began, i) })
+	}
+	for i := range pushers {
+		work(func() error { return l.push(ctx, began, i, pushers) })
+	}
+	wg.Wait()
+	close(errs)
+	return errors.Join(<-errs)
+}
+
+func open(ctx context.Context, address, wid string) (*client.Conn, error) {
+	c, err := client.Dial(address, client.Options{WID: wid})
+	if err == nil {
+		context.AfterFunc(ctx, func() { c.Close() })
+	}
+	return c, err
+}
+
+var serial atomic.Int64
+
+func (l *load) push(ctx context.Context, began time.Time, i, of int) error {
+	c, err := open(ctx, l.address, "")
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	next := 0.0
+	if l.rate > 0 {
+		next = float64(i) / l.rate
+	}
+	custom := ""
+	if l.left > 0 {
+		custom = fmt.Sprintf(`,"custom":{"time_left_ms":%d}`, l.left)
+	}
+	for ctx.Err() == nil {
+		due := time.Since(began)
+		if l.rate > 0 {
+			due = time.Duration(next * float64(time.Second))
+			if wait := due - time.Since(began); wait > 0 {
+				time.Sleep(wait)
+			}
+			next += float64(of) / l.rate
+		} else {
+			select {
+			case l.tokens <- struct{}{}:
+			case <-ctx.Done():
+				return nil
+			}
+		}
+		r, err := c.Do("PUSH", fmt.Sprintf(`{"jid":"load-%012d","jobtype":"board-view","queue":%q,"retry":0,"args":[%d,%q]%s}`,
+			serial.Add(1), l.queue, due.Microseconds(), l.pad, custom))
+		if err != nil {
+			return err
+		}
+		if !r.OK() {
+			l.refused.Add(1)
+			if l.rate == 0 {
+				<-l.tokens
+			}
+		}
+	}
+	return nil
+}
+
+func (l *load) work(ctx context.Context, began time.Time, i int) error {
+	c, err := open(ctx, l.address, fmt.Sprintf("measure-%s-%d-%d", l.queue, i, serial.Add(1)))
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	for ctx.Err() == nil {
+		r, err := c.Do("FETCH", l.queue)
+		if err != nil {
+			return err
+		}
+		if r.Null {
+			continue
+		}
+		now := time.Since(began)
+		jid, due := between(r.Text, `"jid":"`, `"`), between(r.Text, `"args":[`, `,`)
+		var us int64
+		fmt.Sscan(due, &us)
+		if _, err := c.Do("ACK", `{"jid":"`+jid+`"}`); err != nil {
+			return err
+		}
+		l.done.Add(1)
+		if l.rate > 0 {
+			l.mu.Lock()
+			l.late.RecordValue(max(1, now.Microseconds()-us))
+			l.mu.Unlock()
+		} else {
+			select {
+			case <-l.tokens:
+			default:
+			}
+		}
+	}
+	return nil
+}
+
+func between(text, from, to string) string {
+	_, rest, _ := strings.Cut(text, from)
+	out, _, _ := strings.Cut(rest, to)
+	return out
+}
+
+// rate runs a load for some seconds after a warm-up and gives jobs a second and the gateway's CPU time for each.
+func rate(ctx context.Context, g *gateway, l *load, seconds float64) (perSecond float64, cpu time.Duration, err error) {
+	run, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- l.run(run, pushers, workers) }()
+	sleep(ctx, time.Duration(seconds/4*float64(time.Second)))
+	done, used, at := l.done.Load(), g.cpu(), time.Now()
+	sleep(ctx, time.Duration(seconds*float64(time.Second)))
+	n, took := l.done.Load()-done, time.Since(at)
+	cpu = g.cpu() - used
+	cancel()
+	err = <-ended
+	if n == 0 {
+		return 0, 0, errors.Join(err, errors.New("no job was done"))
+	}
+	return float64(n) / took.Seconds(), cpu / time.Duration(n), err
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// measureCycles compares the closed loop of this build with an earlier one's, in turn.
+func measureCycles(ctx context.Context, w io.Writer, o Faktory) error {
+	fmt.Fprintf(w, "### Cycles (PUSH, FETCH, ACK) on one core, %d pushers, %d workers\n\n| build | cycles/s | CPU µs/cycle |\n| --- | ---: | ---: |\n", pushers, workers)
+	for range 2 {
+		for _, b := range []options{{binary: o.Binary}, {binary: o.Old, old: true}} {
+			if b.binary == "" {
+				continue
+			}
+			b.core = o.Core
+			g, err := start(b)
+			if err != nil {
+				return err
+			}
+			l := &load{address: g.faktory, queue: "default", pad: strings.Repeat("x", 60)}
+			n, cpu, err := rate(ctx, g, l, o.Seconds)
+			g.stop()
+			if err != nil {
+				return err
+			}
+			name := "this"
+			if b.old {
+				name = "earlier"
+			}
+			fmt.Fprintf(w, "| %s | %.0f | %.1f |\n", name, n, float64(cpu.Nanoseconds())/1000)
+		}
+	}
+	return nil
+}
+
+// bulkOf makes a PUSHB of n jobs of about 200 bytes.
+func bulkOf(n int, queue string) string {
+	var b bytes.Buffer
+	b.WriteByte('[')
+	for i := range n {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		j := fmt.Sprintf(`{"jid":"bulk-%012d","jobtype":"board-view","queue":%q,"args":["","%%s"]}`, serial.Add(1), queue)
+		fmt.Fprintf(&b, j, strings.Repeat("x", max(0, 202-len(j))))
+	}
+	b.WriteByte(']')
+	return b.String()
+}
+
+func measureBulk(ctx context.Context, w io.Writer, o Faktory) error {
+	g, err := start(options{binary: o.Binary, core: o.Core})
+	if err != nil {
+		return err
+	}
+	defer g.stop()
+	const size, conns = 1000, 4
+	var n atomic.Int64
+	var busy atomic.Int64
+	var wg sync.WaitGroup
+	errs := make(chan error, conns)
+	began := time.Now()
+	for i := range conns {
+		wg.Go(func() {
+			c, err := open(ctx, g.faktory, "")
+			if err != nil {
+				errs <- err
+				return
+			}
+			queue := fmt.Sprint("bulk-", i)
+			for k := 1; time.Since(began).Seconds() < o.Seconds && ctx.Err() == nil; k++ {
+				text := bulkOf(size, queue)
+				at := time.Now()
+				r, err := c.Do("PUSHB", text)
+				busy.Add(int64(time.Since(at)))
+				if err != nil || r.Text != "{}" {
+					errs <- fmt.Errorf("PUSHB: %.100s%v", r.Text, err)
+					return
+				}
+				if n.Add(size); k%20 == 0 {
+					c.Do("QUEUE", "REMOVE "+queue)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	took := time.Since(began).Seconds()
+	fmt.Fprintf(w, "### PUSHB on one core, %d connections, %d jobs of 200 bytes in each\n\n| jobs/s | CPU µs/job | wait for a reply, ms |\n| ---: | ---: | ---: |\n| %.0f | %.2f | %.1f |\n",
+		conns, size, float64(n.Load())/took, float64(g.cpu().Microseconds())/float64(n.Load()), float64(busy.Load())/1e6/float64(n.Load()/size))
+	select {
+	case err := <-errs:
+		return err
+	default:
+		return nil
+	}
+}
+
+func measureLatency(ctx context.Context, w io.Writer, o Faktory) error {
+	g, err := start(options{binary: o.Binary, core: o.Core})
+	if err != nil {
+		return err
+	}
+	defer g.stop()
+	most, _, err := rate(ctx, g, &load{address: g.faktory, queue: "closed"}, o.Seconds)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "### From when a PUSH was due to the worker's receipt, on one core, %d pushers, %d workers\n\n| load, jobs/s | p50 ms | p99 ms | p99.9 ms | most ms |\n| ---: | ---: | ---: | ---: | ---: |\n", pushers, workers)
+	for _, part := range []float64{0.25, 0.5, 0.75} {
+		l := &load{address: g.faktory, queue: fmt.Sprint("open-", part), rate: part * most}
+		if _, _, err := rate(ctx, g, l, o.Seconds); err != nil {
+			return err
+		}
+		ms := func(q float64) float64 { return float64(l.late.ValueAtQuantile(q)) / 1000 }
+		fmt.Fprintf(w, "| %.0f (%.0f %%) | %.2f | %.2f | %.2f | %.2f |\n", l.rate, 100*part, ms(50), ms(99), ms(99.9), ms(100))
+	}
+	return nil
+}
+
+func measureMemory(ctx context.Context, w io.Writer, o Faktory) error {
+	fmt.Fprint(w, "### Memory of held jobs of 200 bytes\n\n| held | resident MB | highest MB | bytes a job over an empty one |\n| ---: | ---: | ---: | ---: |\n")
+	g, err := start(options{binary: o.Binary, core: o.Core, memory: 192, faktory: map[string]any{"max_held_mb": 64, "max_client_mb": 64}})
+	if err != nil {
+		return err
+	}
+	defer g.stop()
+	c, err := open(ctx, g.faktory, "")
+	if err != nil {
+		return err
+	}
+	empty := g.memory("VmRSS")
+	fmt.Fprintf(w, "| 0 | %.1f | %.1f | |\n", float64(empty)/(1<<20), float64(g.memory("VmHWM"))/(1<<20))
+	for held := 0; held < 100_000; {
+		for range 50 {
+			if r, err := c.Do("PUSHB", bulkOf(1000, "held")); err != nil || r.Text != "{}" {
+				return fmt.Errorf("PUSHB: %.100s%v", r.Text, err)
+			}
+			held += 1000
+		}
+		now := g.memory("VmRSS")
+		fmt.Fprintf(w, "| %d | %.1f | %.1f | %d |\n", held, float64(now)/(1<<20), float64(g.memory("VmHWM"))/(1<<20), (now-empty)/int64(held))
+	}
+	return nil
+}
+
+// measureHeld runs the closed loop beside a backlog of the same queue.
+func measureHeld(ctx context.Context, w io.Writer, o Faktory) error {
+	fmt.Fprint(w, "### Cycles beside held jobs of the same queue, on one core\n\n| held | cycles/s | CPU µs/cycle |\n| ---: | ---: | ---: |\n")
+	for _, held := range []int{10, 1000, 100_000} {
+		g, err := start(options{binary: o.Binary, core: o.Core})
+		if err != nil {
+			return err
+		}
+		c, err := open(ctx, g.faktory, "")
+		for n := 0; err == nil && n < held; n += 1000 {
+			var r client.Reply
+			if r, err = c.Do("PUSHB", bulkOf(min(held, 1000), "held")); err == nil && r.Text != "{}" {
+				err = errors.New(r.Text)
+			}
+		}
+		if err == nil {
+			var n float64
+			var cpu time.Duration
+			n, cpu, err = rate(ctx, g, &load{address: g.faktory, queue: "held"}, o.Seconds)
+			fmt.Fprintf(w, "| %d | %.0f | %.1f |\n", held, n, float64(cpu.Nanoseconds())/1000)
+		}
+		g.stop()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/measure/process.go
@@ -0,0 +1,227 @@
+// Package measure runs a gateway as a process of its own on one core, puts load on it from the others, and prints
+// what it did as tables. It measures and decides nothing.
+package measure
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// gateway is a gateway that runs as a process.
+type gateway struct {
+	cmd     *exec.Cmd
+	http    string
+	faktory string
+	dir     string
+}
+
+// free gives an address that nothing listens on.
+func free() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// options say what a gateway is started with.
+type options struct {
+	binary  string
+	old     bool // the binary takes the platform's file and a Faktory file of its own
+	core    int  // the one core that it gets; below 0: any
+	workers []string
+	faktory map[string]any
+	memory  int // MB
+}
+
+// start runs a gateway and waits until both its fronts take connections.
+func start(o options) (*gateway, error) {
+	dir, err := os.MkdirTemp("", "measure")
+	if err != nil {
+		return nil, err
+	}
+	g := &gateway{dir: dir}
+	if g.http, err = free(); err == nil {
+		g.faktory, err = free()
+	}
+	if err != nil {
+		return nil, err
+	}
+	if o.memory == 0 {
+		o.memory = 1024
+	}
+	env, args, err := g.configure(o)
+	if err != nil {
+		return nil, err
+	}
+	g.cmd = exec.Command(o.binary, args...)
+	g.cmd.Env = append(os.Environ(), env...)
+	g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	log, err := os.Create(filepath.Join(dir, "log"))
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	g.cmd.Stdout, g.cmd.Stderr = log, log
+	if err := startOn(g.cmd, o.core); err != nil {
+		return nil, err
+	}
+	for _, address := range []string{g.http, g.faktory} {
+		if err := reachable(address); err != nil {
+			text, _ := os.ReadFile(filepath.Join(dir, "log"))
+			g.stop()
+			return nil, fmt.Errorf("the gateway did not start: %w\n%s", err, text)
+		}
+	}
+	return g, nil
+}
+
+func reachable(address string) (err error) {
+	for range 200 {
+		var c net.Conn
+		if c, err = net.DialTimeout("tcp", address, time.Second); err == nil {
+			return c.Close()
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return err
+}
+
+// configure writes the files of a gateway.
+func (g *gateway) configure(o options) (env, args []string, err error) {
+	classes := []map[string]any{}
+	for _, c := range classTable {
+		classes = append(classes, map[string]any{"name": c.name, "effect": c.effect, "deadline_ms": c.deadlineMS, "aim_ms": c.aimMS, "worth": c.worth})
+	}
+	limits := map[string]any{"cores": 1, "memory_mb": o.memory, "sockets": 4096}
+	workers := []map[string]any{}
+	for i, address := range o.workers {
+		workers = append(workers, map[string]any{"name": fmt.Sprint("table-", i), "address": address})
+	}
+	write := func(name string, v any) (string, error) {
+		text, err := json.Marshal(v)
+		path := filepath.Join(g.dir, name)
+		if err == nil {
+			err = os.WriteFile(path, text, 0o600)
+		}
+		return path, err
+	}
+	if !o.old {
+		f := map[string]any{"listen": g.faktory, "default_class": "board-view", "max_sessions": 1000, "max_held_jobs": 400_000,
+			"max_queue_jobs": 400_000, "max_client_jobs": 400_000, "max_held_mb": 400, "max_client_mb": 400, "table_queues": []string{}}
+		for k, v := range o.faktory {
+			f[k] = v
+		}
+		path, err := write("cobaltflow.json", map[string]any{"log": map[string]any{"level": "warn"},
+			"scheduler": map[string]any{"name": "measured", "listen": g.http, "limits": limits, "classes": classes, "workers": workers,
+				"rules": map[string]any{"max_attempts": 4}}, "faktory": f})
+		return nil, []string{"serve", "--config", path}, err
+	}
+	for _, c := range classes {
+		c["deadlineUs"], c["aimUs"] = c["deadline_ms"].(int)*1000, c["aim_ms"].(int)*1000
+	}
+	discovery, err := free()
+	if err != nil {
+		return nil, nil, err
+	}
+	platform, err := write("platform.json", map[string]any{"name": "measured", "listen": g.http, "discovery": discovery, "limits": limits,
+		"known": map[string]any{"index": 1, "snapshot": true, "endpoints": []any{}},
+		"settings": map[string]any{"classes": classes, "caps": map[string]any{"cancel": true, "mostTries": 4, "retryAfter": true},
+			"rules": map[string]any{"warmWithinUs": 1, "tipAfterUs": 1, "coldFrom": 1}, "specifics": map[string]any{"tellsStart": true}}})
+	if err != nil {
+		return nil, nil, err
+	}
+	path, err := write("faktory.json", map[string]any{"listen": g.faktory, "max_sessions": 1000})
+	return []string{"RELAY_CONFIG=" + platform}, []string{"serve", "-faktory", path}, err
+}
+
+// startOn starts a process on one core. Its threads inherit the affinity of the thread that starts it.
+func startOn(cmd *exec.Cmd, core int) error {
+	if core < 0 {
+		return cmd.Start()
+	}
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	var before, one unix.CPUSet
+	if err := unix.SchedGetaffinity(0, &before); err != nil {
+		return err
+	}
+	one.Set(core)
+	if err := unix.SchedSetaffinity(0, &one); err != nil {
+		return err
+	}
+	err := cmd.Start()
+	if back := unix.SchedSetaffinity(0, &before); err == nil {
+		err = back
+	}
+	return err
+}
+
+// keepOff takes this process off a core, where it has others.
+func keepOff(core int) {
+	var set unix.CPUSet
+	if unix.SchedGetaffinity(0, &set) != nil || set.Count() < 2 {
+		return
+	}
+	set.Clear(core)
+	tasks, _ := os.ReadDir("/proc/self/task")
+	for _, t := range tasks {
+		if id, err := strconv.Atoi(t.Name()); err == nil {
+			unix.SchedSetaffinity(id, &set)
+		}
+	}
+}
+
+// stop ends the gateway.
+func (g *gateway) stop() {
+	if g.cmd.Process != nil {
+		g.cmd.Process.Kill()
+		g.cmd.Wait()
+	}
+	os.RemoveAll(g.dir)
+}
+
+// cpu is the processor time that the gateway has used.
+func (g *gateway) cpu() time.Duration {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", g.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(text), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		return 0
+	}
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * 10 * time.Millisecond
+}
+
+// memory gives a figure of /proc/PID/status in bytes: VmRSS or VmHWM.
+func (g *gateway) memory(key string) int64 {
+	f, err := os.Open(fmt.Sprintf("/proc/%d/status", g.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	defer f.Close()
+	for s := bufio.NewScanner(f); s.Scan(); {
+		if rest, found := strings.CutPrefix(s.Text(), key+":"); found {
+			n, _ := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(rest), " kB"), 10, 64)
+			return n << 10
+		}
+	}
+	return 0
+}
