--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -40,6 +40,7 @@
 	Settings  rules.Settings
 	Names     Names
 	Faktory   Faktory
+	HTTP2     HTTP2
 	Log       log.Settings
 	Notes     []string // what was read otherwise than it may seem; for the log
 
@@ -106,6 +107,9 @@
 		return nil, err
 	}
 	c.Log, c.file = file.Log, own
+	if err := c.http2(file.HTTP2); err != nil {
+		return nil, err
+	}
 	return c, c.faktory(file.Faktory)
 }
 
@@ -120,7 +124,7 @@
 	if err != nil {
 		return nil, err
 	}
-	next.Faktory = c.Faktory
+	next.Faktory, next.HTTP2 = c.Faktory, c.HTTP2
 	return next, next.checkFaktory()
 }
 
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -20,6 +20,7 @@
 	Log       log.Settings     `json:"log"`
 	Scheduler *schedulerFile   `json:"scheduler"`
 	Faktory   *json.RawMessage `json:"faktory"`
+	HTTP2     *json.RawMessage `json:"http2"`
 }
 
 // schedulerFile holds what the platform's file would tell.
--- a/internal/conformance/conformance_test.go
+++ b/internal/conformance/conformance_test.go
@@ -31,3 +31,12 @@
 	assert.Zero(t, passed, out.String())
 	assert.Contains(t, out.String(), "0 passed")
 }
+
+// Our own HTTP/2 front passes the whole suite.
+func TestHTTP2FrontConforms(t *testing.T) {
+	n := standin.Start(t, func(c *config.Config) { c.HTTP2.Listen = "127.0.0.1:0" })
+	var out bytes.Buffer
+	passed, failed := conformance.Report(&out, conformance.RunHTTP2(conformance.HTTP2{Address: n.HTTP2.Address()}))
+	assert.Zero(t, failed, out.String())
+	assert.Equal(t, conformance.HTTP2Cases(), passed)
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return err
 	}
-	conf.Listen, conf.Faktory.Listen = "127.0.0.1:0", "127.0.0.1:0"
+	conf.Listen, conf.Faktory.Listen, conf.HTTP2.Listen = "127.0.0.1:0", "127.0.0.1:0", ""
 	t := &tally{rows: map[[2]string]map[string]int{}, runs: map[string]int{}}
 	var tables []*measure.TableWorker
 	var entries []config.KnownWorker
--- a/internal/faktory/front.go
+++ b/internal/faktory/front.go
@@ -50,6 +50,7 @@
 	server   netpoll.EventLoop
 	sessions core.Table[*session]
 	dirty    []*session         // with replies of this turn
+	asking   []*session         // whose FETCH came in this turn
 	workers  map[string]*worker // by wid
 	pools    map[string]*core.Pool
 	jobs     *jobs.Machine
@@ -201,6 +202,7 @@
 
 // afterTurn sends the replies of a turn, each session's in one piece, and has the machine called when it is due.
 func (f *Front) afterTurn() {
+	f.patient()
 	for _, s := range f.dirty {
 		s.flush()
 	}
--- a/internal/faktory/host.go
+++ b/internal/faktory/host.go
@@ -26,7 +26,7 @@
 func (h host) Open(j *jobs.Job, worker string) {
 	f := h.f
 	t := &core.Transaction{ID: j.ID, Deadline: j.Deadline(), Slots: j.Slots, Pool: f.pool(j.Queue), Single: true,
-		Work: core.Work{Class: j.Class, Target: f.target(j), Key: j.Key}}
+		Work: core.Work{Class: int(j.Class), Target: f.target(j), Key: j.Key}}
 	if f.conf.Faktory.RunsAtTables(j.Queue) {
 		t.Work.Body = argsOf(j)
 	}
@@ -89,7 +89,7 @@
 	delete(f.tries, y.job)
 	switch a.Kind {
 	case core.Served:
-		y.job.Result = append([]byte(nil), a.Result...)
+		y.job.Result = string(a.Result)
 		f.jobs.Ended(now, y.job, jobs.EndServed, 0, nil)
 	case core.Unavailable:
 		f.jobs.Ended(now, y.job, jobs.EndRefused, a.RetryAfter, nil)
--- a/internal/faktory/operate.go
+++ b/internal/faktory/operate.go
@@ -22,14 +22,14 @@
 		return out
 	}
 	out["state"], out["updated_at"] = j.State.String(), f.wall(j.Since)
-	if j.Percent > 0 || j.Desc != "" {
-		out["percent"], out["desc"] = j.Percent, j.Desc
+	if j.Progress != nil {
+		out["percent"], out["desc"] = j.Progress.Percent, j.Progress.Desc
 	}
 	if j.Reason != "" {
 		out["reason"] = string(j.Reason)
 	}
-	if j.Result != nil {
-		out["result"] = string(j.Result)
+	if j.Result != "" {
+		out["result"] = j.Result
 	}
 	if j.Failure != nil {
 		out["failure"] = f.failureOf(j)
@@ -67,11 +67,14 @@
 		f.jobs.Extend(j, min(f.loop.FromWall(until), f.loop.Now()+longestSpan*core.Second))
 		fallthrough
 	default:
+		if j.Progress == nil {
+			j.Progress = &jobs.Progress{}
+		}
 		if t.Percent != nil {
-			j.Percent = *t.Percent
+			j.Progress.Percent = *t.Percent
 		}
 		if t.Desc != "" {
-			j.Desc = t.Desc[:min(len(t.Desc), longestDesc)]
+			j.Progress.Desc = t.Desc[:min(len(t.Desc), longestDesc)]
 		}
 		s.reply(replyOK)
 	}
--- a/internal/faktory/payload.go
+++ b/internal/faktory/payload.go
@@ -48,6 +48,12 @@
 var jobFields, customFields map[string]field
 
 func init() {
+	own := func(p *parsing) *jobs.Options {
+		if p.j.Options == nil {
+			p.j.Options = &jobs.Options{}
+		}
+		return p.j.Options
+	}
 	text := func(to func(p *parsing) *string) field {
 		return field{"string", func(p *parsing, v gjson.Result) error { *to(p) = v.Str; return nil }}
 	}
@@ -81,33 +87,34 @@
 			if p.args = v.Raw; len(v.Raw) > longestArgs {
 				return fmt.Errorf("%d bytes are over %d", len(v.Raw), longestArgs)
 			}
-			p.j.ArgsAt, p.j.ArgsLen = v.Index, len(v.Raw)
+			p.j.ArgsAt, p.j.ArgsLen = int32(v.Index), int32(len(v.Raw))
 			return nil
 		}},
 		"at":          at(func(p *parsing) *core.Time { return &p.j.At }),
-		"retry":       whole(-1, 1<<20, func(p *parsing, n int64) { p.j.Retry = int(n) }),
-		"reserve_for": whole(0, longestSpan, func(p *parsing, n int64) { p.j.Reserve = n * core.Second }),
-		"priority":    whole(jobs.LowestPriority, jobs.HighestPriority, func(p *parsing, n int64) { p.j.Priority = int(n) }),
+		"retry":       whole(-1, 1<<20, func(p *parsing, n int64) { p.j.Retry = int32(n) }),
+		"reserve_for": whole(0, longestSpan, func(p *parsing, n int64) { own(p).Reserve = n * core.Second }),
+		"priority":    whole(jobs.LowestPriority, jobs.HighestPriority, func(p *parsing, n int64) { p.j.Priority = int32(n) }),
 		"custom":      {"object", func(p *parsing, v gjson.Result) error { p.each(v, customFields, "custom."); return nil }},
 	}
 	customFields = map[string]field{
 		"time_left_ms": whole(1, longestTime, func(p *parsing, n int64) { p.j.Left = n * core.Millisecond }),
-		"key":          text(func(p *parsing) *string { return &p.j.Key }),
+		"key":          text(func(p *parsing) *string { return &own(p).Key }),
 		"slots": {"number", func(p *parsing, v gjson.Result) error {
-			if p.j.Slots = v.Num; v.Num < 0 || v.Num > 1e6 {
+			if own(p).Slots = v.Num; v.Num < 0 || v.Num > 1e6 {
 				return errors.New("0 to 1000000 are possible")
 			}
 			return nil
 		}},
-		"expires_at": at(func(p *parsing) *core.Time { return &p.j.ExpiresAt }),
+		"expires_at": at(func(p *parsing) *core.Time { return &own(p).ExpiresAt }),
 		"unique_for": {"number", func(p *parsing, v gjson.Result) error {
+			own(p)
 			if p.uFor = v.Num; v.Num < 0 || v.Num > longestSpan {
 				return errors.New("not a usable number of seconds")
 			}
 			return nil
 		}},
 		"unique_until": {"string", func(p *parsing, v gjson.Result) error {
-			if p.j.UntilStart = v.Str == "start"; !p.j.UntilStart && v.Str != "" && v.Str != "success" {
+			if own(p).UntilStart = v.Str == "start"; !p.j.UntilStart && v.Str != "" && v.Str != "success" {
 				return errors.New("start or success is possible")
 			}
 			return nil
@@ -172,7 +179,7 @@
 	if p.args == "" {
 		return nil, errors.New("malformed job: args: an array is needed")
 	}
-	if j.Class = f.conf.JobClass(j.Type); j.Class < 0 {
+	if j.Class = int32(f.conf.JobClass(j.Type)); j.Class < 0 {
 		return nil, fmt.Errorf("no class for jobtype %.64q", j.Type)
 	}
 	if j.Queue == "" {
@@ -186,7 +193,7 @@
 		j.Fingerprint = sha256.Sum256([]byte(j.Type + "\x00" + j.Queue + "\x00" + p.args))
 	}
 	j.Payload = payload
-	j.Size = len(payload) + jobOverhead
+	j.Size = int32(len(payload) + jobOverhead)
 	return j, nil
 }
 
@@ -216,7 +223,7 @@
 	if j.Failure == nil {
 		return nil
 	}
-	return &wireFailure{RetryCount: j.Failures - 1, Remaining: max(0, j.Retry-j.Failures+1), FailedAt: f.wall(j.Failure.At),
+	return &wireFailure{RetryCount: int(j.Failures) - 1, Remaining: int(max(0, j.Retry-j.Failures+1)), FailedAt: f.wall(j.Failure.At),
 		Message: j.Failure.Message, Type: j.Failure.Type, Backtrace: j.Failure.Backtrace}
 }
 
--- a/internal/faktory/verbs.go
+++ b/internal/faktory/verbs.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"strings"
 
+	"github.com/tidwall/gjson"
+
 	"cobaltflow/internal/core"
 	"cobaltflow/internal/jobs"
 	"cobaltflow/rules"
@@ -153,62 +155,75 @@
 		return
 	}
 	f.forgetPools()
-	if s.fetch == nil && s.blocked {
-		s.fetch = f.loop.At(f.loop.Now()+fetchWait, func() {
-			s.fetch = nil
-			w.unwait(s)
-			f.jobs.Stop(&s.ask)
-			s.resume(replyNone)
-		})
+	f.asking = append(f.asking, s)
+}
+
+// patient gives the FETCHes of a turn that found nothing in it their time.
+func (f *Front) patient() {
+	for _, s := range f.asking {
+		if w := s.worker; s.blocked && s.fetch == nil && s.ask.Waiting() && !s.Ended {
+			s.fetch = f.loop.At(f.loop.Now()+fetchWait, func() {
+				s.fetch = nil
+				w.unwait(s)
+				f.jobs.Stop(&s.ask)
+				s.resume(replyNone)
+			})
+		}
 	}
+	clear(f.asking)
+	f.asking = f.asking[:0]
 }
 
-// held finds the pass that a worker reports on; nil: its time was over, or it came before a restart.
-func (f *Front) held(s *session, verb string, arg []byte, into any, jid *string) *core.ProxyPass {
-	if err := json.Unmarshal(arg, into); err != nil || *jid == "" {
-		s.reply(fault("malformed %s", verb))
-		return nil
+// held finds the pass that a worker reports on, and the object that it sent; nil: its time was over, or it came
+// before a restart.
+func (f *Front) held(s *session, verb string, arg []byte) (*core.ProxyPass, gjson.Result) {
+	if !gjson.ValidBytes(arg) {
+		s.reply(fault("malformed %s: not an object of JSON", verb))
+		return nil, gjson.Result{}
+	}
+	r := gjson.ParseBytes(arg)
+	jid := r.Get("jid")
+	if jid.Type != gjson.String || jid.Str == "" {
+		s.reply(fault("malformed %s: jid: missing", verb))
+		return nil, r
 	}
 	if s.worker == nil {
 		s.reply(fault("%s is for workers: HELLO had no wid", verb))
-		return nil
+		return nil, r
 	}
 	s.reply(replyOK)
-	p := s.worker.fetched[*jid]
-	delete(s.worker.fetched, *jid)
-	return p
+	p := s.worker.fetched[jid.Str]
+	if p != nil {
+		delete(s.worker.fetched, jid.Str)
+	}
+	return p, r
 }
 
 func (f *Front) ack(s *session, q *request) {
-	var r struct {
-		JID    string          `json:"jid"`
-		Result json.RawMessage `json:"result"`
-	}
-	p := f.held(s, "ACK", q.arg, &r, &r.JID)
+	p, r := f.held(s, "ACK", q.arg)
 	if p == nil {
 		return
 	}
-	var text string
-	result := []byte(r.Result)
-	if len(result) > 0 && json.Unmarshal(r.Result, &text) == nil {
-		result = []byte(text)
+	var result []byte // a text as it reads, anything else as it was written
+	if v := r.Get("result"); v.Type == gjson.String {
+		result = []byte(v.Str)
+	} else if v.Exists() {
+		result = []byte(v.Raw)
 	}
 	f.core.Ended(p.Ref, rules.OK, result, s.worker.load(1))
 }
 
 func (f *Front) fail(s *session, q *request) {
-	var r struct {
-		JID       string   `json:"jid"`
-		Type      string   `json:"errtype"`
-		Message   string   `json:"message"`
-		Backtrace []string `json:"backtrace"`
-	}
-	p := f.held(s, "FAIL", q.arg, &r, &r.JID)
+	p, r := f.held(s, "FAIL", q.arg)
 	if p == nil {
 		return
 	}
 	if y, ours := p.Transaction.Agent.(*try); ours {
-		y.failure = &jobs.Failure{Type: r.Type, Message: r.Message, Backtrace: r.Backtrace}
+		y.failure = &jobs.Failure{Type: r.Get("errtype").String(), Message: r.Get("message").String()}
+		r.Get("backtrace").ForEach(func(_, line gjson.Result) bool {
+			y.failure.Backtrace = append(y.failure.Backtrace, line.String())
+			return len(y.failure.Backtrace) < jobs.MostBacktrace
+		})
 	}
 	f.core.Ended(p.Ref, rules.Error, nil, s.worker.load(1))
 }
--- /dev/null
+++ b/internal/front/admission/admission.go
@@ -0,0 +1,145 @@
+// Package admission is what the HTTP fronts share: how a request becomes a transaction of the core, what is wrong
+// with one that can't, how an answer reads, and which ids are open or have lately ended. It knows no framing: a
+// front hands it method, path, headers and body, and writes what comes back. All of it is the loop's.
+package admission
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"cobaltflow/internal/config"
+	"cobaltflow/internal/core"
+)
+
+// Headers of the platform's protocol.
+const (
+	HeaderID       = "X-Correlation-Id"
+	HeaderClass    = "X-Service-Class"
+	HeaderTimeLeft = "X-Time-Left-Ms"
+	HeaderFacts    = "X-Facts"
+)
+
+// Bounds of a request.
+const (
+	LongestID   = 128
+	LongestLeft = 24 * 3600 * 1000 // milliseconds
+	MaxBody     = 64 << 10
+	// An answer at a client's deadline is on its way while the client gives up, so ours is due earlier.
+	answerMargin = 10 * core.Millisecond
+)
+
+// Request is what a front has read of one.
+type Request struct {
+	Method, Target, Path string
+	Body                 []byte // valid until the transaction is released
+	// Header gives a header's first value and how often it stands there.
+	Header func(name string) (value []byte, count int)
+}
+
+// Fault is a request that can't be served.
+type Fault struct {
+	Status int
+	Text   string
+	Allow  string // the method that would do, of a 405
+}
+
+// Desk admits requests. The fronts of one gateway share it, since ids are unique over all of them.
+type Desk struct {
+	core  *core.Core
+	names *config.Names
+	ended recent
+}
+
+// NewDesk makes the desk of a core.
+func NewDesk(c *core.Core, names *config.Names) *Desk { return &Desk{core: c, names: names} }
+
+// Admit turns a request into a transaction of the core's; what can't be one reaches no worker.
+func (d *Desk) Admit(q *Request, agent core.UserAgent) (*core.Transaction, *Fault) {
+	segments := strings.Split(strings.TrimPrefix(q.Path, "/"), "/")
+	class := d.names.Class(segments[0])
+	if class < 0 {
+		return nil, &Fault{Status: 404, Text: "no such path or class"}
+	}
+	if q.Method != "POST" {
+		return nil, &Fault{Status: 405, Text: "POST", Allow: "POST"}
+	}
+	t, text := newTransaction(q, segments, class)
+	if text != "" {
+		return nil, &Fault{Status: 400, Text: text}
+	}
+	// An id is fresh for every request. One that has lately ended is another client's, and workers, which
+	// know whose it was, would turn it away.
+	if d.ended.has(t.ID) {
+		return nil, &Fault{Status: 400, Text: HeaderID + " was in use"}
+	}
+	t.Agent = agent
+	t.Deadline = d.core.Loop.Now() + max(core.Millisecond, t.Deadline-answerMargin)
+	if !d.core.Take(t) {
+		return nil, &Fault{Status: 400, Text: HeaderID + " is in use"}
+	}
+	return t, nil
+}
+
+// Released notes the id of a transaction that no pass needs any more.
+func (d *Desk) Released(t *core.Transaction) { d.ended.add(t.ID) }
+
+// newTransaction reads the headers; Deadline is still the time left. A text tells what is wrong.
+func newTransaction(q *Request, segments []string, class int) (*core.Transaction, string) {
+	id, n := q.Header(HeaderID)
+	if len(id) == 0 || len(id) > LongestID || n > 1 || strings.ContainsAny(string(id), " ,\t\"/?#%") {
+		return nil, HeaderID + " is missing or unusable"
+	}
+	text, n := q.Header(HeaderTimeLeft)
+	left, err := strconv.ParseUint(string(text), 10, 32)
+	if err != nil || left == 0 || left > LongestLeft || n > 1 {
+		return nil, HeaderTimeLeft + " is missing or unusable"
+	}
+	if named, n := q.Header(HeaderClass); n > 1 || n == 1 && string(named) != segments[0] {
+		return nil, HeaderClass + " is not the class of the path"
+	}
+	t := &core.Transaction{ID: string(id), Deadline: core.Time(left) * core.Millisecond,
+		Work: core.Work{Class: class, Target: q.Target, Body: q.Body}}
+	if len(segments) > 1 {
+		t.Work.Key = segments[len(segments)-1]
+	}
+	facts, _ := q.Header(HeaderFacts)
+	for fact := range strings.SplitSeq(string(facts), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(fact), "=")
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(v >= 0 && v < 1e9) {
+			continue // a figure that is not known here or is none
+		}
+		switch name {
+		case "slots":
+			t.Slots = v
+		case "memory":
+			t.Memory = v
+		}
+	}
+	return t, ""
+}
+
+// Reply is an answer as HTTP says it.
+type Reply struct {
+	Status     int
+	Body       []byte // valid as long as the answer's result
+	RetryAfter string // empty: none
+}
+
+// ReplyTo gives the form of an answer: 200 with the result, 503 with Retry-After, or 500.
+func ReplyTo(a core.Answer) Reply {
+	switch a.Kind {
+	case core.Served:
+		return Reply{Status: 200, Body: a.Result}
+	case core.Unavailable:
+		return Reply{Status: 503, RetryAfter: Seconds(a.RetryAfter)}
+	}
+	return Reply{Status: 500}
+}
+
+// Seconds writes a length of time in decimal seconds, to the millisecond above.
+func Seconds(t core.Time) string {
+	ms := (t + core.Millisecond - 1) / core.Millisecond
+	return fmt.Sprintf("%d.%03d", ms/1000, ms%1000)
+}
--- a/internal/platform/recent.go
+++ b/internal/front/admission/recent.go
@@ -1,4 +1,4 @@
-package platform
+package admission
 
 import "hash/maphash"
 
--- /dev/null
+++ b/internal/front/http2/front.go
@@ -0,0 +1,242 @@
+// Package http2 is the HTTP/2 front for clients (RFC 9113, without TLS, by prior knowledge): frames, HPACK, streams
+// and flow control before the same desk, core and decisions as the HTTP/1.1 front. It holds wire and nothing else;
+// what a request needs to be taken package admission says. Workers' call-backs don't come here.
+package http2
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"sync"
+
+	"github.com/cloudwego/netpoll"
+	"golang.org/x/net/http2/hpack"
+
+	"cobaltflow/internal/config"
+	"cobaltflow/internal/core"
+	"cobaltflow/internal/front/admission"
+	"cobaltflow/internal/link"
+)
+
+const (
+	sweepEvery = 50 * core.Millisecond
+	aheadMost  = 256 << 10 // bytes of frames that the loop has not handled, before a connection is read on
+	batchMost  = 128       // frames handed to the loop at once: the work of a turn for a connection
+	unreadMost = 4 << 20   // bytes that a client may leave unread in its socket
+)
+
+// Front is the HTTP/2 front. All of it is the loop's.
+type Front struct {
+	loop   *core.Loop
+	core   *core.Core
+	conf   *config.Config
+	log    *slog.Logger
+	limits Limits
+	desk   *admission.Desk
+	books  *admission.Books
+
+	listener netpoll.Listener
+	server   netpoll.EventLoop
+	conns    core.Table[*conn]
+	dirty    []*conn
+	quiet    bool
+	last     bool // the second GOAWAY has been sent
+	closed   bool
+	Figures  Figures
+}
+
+// Figures are totals since the start.
+type Figures struct {
+	Connections, Streams, Answered, Resets, Refused uint64
+	Ended                                           map[string]uint64 // connections that the front ended, by reason
+}
+
+type connKey struct{}
+
+// New makes the front; Start opens it.
+func New(c *core.Core, conf *config.Config, desk *admission.Desk, log *slog.Logger) *Front {
+	k := &conf.HTTP2
+	return &Front{loop: c.Loop, core: c, conf: conf, log: log, desk: desk, Figures: Figures{Ended: map[string]uint64{}},
+		books: admission.NewBooks(k.KeptJobs, k.KeptMB<<20, core.Time(k.KeptS*float64(core.Second))),
+		limits: Limits{Connections: k.MaxConnections, Streams: k.MaxStreams, HeaderList: k.MaxHeaderKB << 10, HeaderTable: k.HeaderTableBytes,
+			HeaderFrames: 16, Unsent: k.MaxUnsentKB << 10, BodyBytes: k.MaxBodyKB << 10, Stall: core.Time(k.StallMS) * core.Millisecond,
+			Settings: core.Time(k.SettingsMS) * core.Millisecond, Idle: core.Time(k.IdleS) * core.Second, Drain: core.Second,
+			ResetsPerS: float64(k.ResetsPerS), ControlPerS: float64(k.ControlPerS), EmptyPerS: float64(k.EmptyPerS)}}
+}
+
+// Start listens.
+func (f *Front) Start() error {
+	ln, err := netpoll.CreateListener("tcp", f.conf.HTTP2.Listen)
+	if err != nil {
+		return &config.Error{Key: "http2.listen", Text: err.Error()}
+	}
+	f.listener = ln
+	f.server, err = netpoll.NewEventLoop(onRequest, netpoll.WithOnPrepare(f.accept),
+		netpoll.WithOnDisconnect(func(ctx context.Context, _ netpoll.Connection) {
+			c := ctx.Value(connKey{}).(*conn)
+			f.loop.Post(func() { f.gone(c) })
+		}))
+	if err != nil {
+		return err
+	}
+	go f.server.Serve(ln)
+	f.loop.AfterTurn(f.afterTurn)
+	f.loop.Post(f.sweep)
+	return nil
+}
+
+// Address is where the front listens.
+func (f *Front) Address() string { return f.listener.Addr().String() }
+
+// Books tell how jobs that came here ended.
+func (f *Front) Books() *admission.Books { return f.books }
+
+func (f *Front) accept(nc netpoll.Connection) context.Context {
+	c := &conn{front: f, streams: map[uint32]*stream{}, window: usualWindow, peerWindow: usualWindow, peerFrame: usualMaxFrame,
+		received: usualWindow, in: newReader(&f.limits), room: make(chan struct{}, 1), ended: make(chan struct{}), rest: newForgotten()}
+	c.encoder = hpack.NewEncoder(&c.encoded)
+	c.Init(nc, "h2-agent", nc.RemoteAddr().String(), 0)
+	nc.AddCloseCallback(func(netpoll.Connection) error {
+		f.loop.Post(func() { f.gone(c) })
+		return nil
+	})
+	f.loop.Post(func() { f.greet(c) })
+	return context.WithValue(context.Background(), connKey{}, c)
+}
+
+// greet takes a connection in and sends our SETTINGS, which need not wait for the client's (RFC 9113, section 3.4).
+func (f *Front) greet(c *conn) {
+	if c.Ended {
+		return
+	}
+	now := f.loop.Now()
+	c.Opened, c.used, c.moved = now, now, now
+	c.ref = f.conns.Add(c)
+	f.Figures.Connections++
+	c.write(appendSettings(nil, settingMaxStreams, uint32(f.limits.Streams), settingMaxHeaderList, uint32(f.limits.HeaderList),
+		settingTableSize, uint32(f.limits.HeaderTable)))
+	switch {
+	case f.conns.Len() > f.limits.Connections:
+		c.goAway(EnhanceYourCalm, link.OverBudget, "max_connections is reached")
+	case f.quiet:
+		c.warn(mostStreamID)
+	}
+}
+
+// gone has a connection end. What it waited for goes on or is withdrawn, as for a stream that was reset.
+func (f *Front) gone(c *conn) {
+	if !c.Farewell(f.log, f.loop.Now()) {
+		return
+	}
+	if c.Reason != "" {
+		f.Figures.Ended[c.Reason]++
+	}
+	c.endOnce.Do(func() { close(c.ended) })
+	f.conns.Free(c.ref)
+	for _, s := range c.streams {
+		s.abandon()
+	}
+	clear(c.streams)
+}
+
+func (f *Front) afterTurn() {
+	for _, c := range f.dirty {
+		c.flush()
+	}
+	clear(f.dirty)
+	f.dirty = f.dirty[:0]
+}
+
+// sweep looks after connections that are slow, silent or full.
+func (f *Front) sweep() {
+	now := f.loop.Now()
+	f.books.Expire(now)
+	f.conns.Each(func(_ core.Ref, c *conn) {
+		switch {
+		case c.Reason != "" || c.Closed:
+		case c.NC.Reader().Len() > aheadMost+mostUnread:
+			c.goAway(EnhanceYourCalm, link.Flooding, "more came than a client may send ahead")
+		case c.Queued() > unreadMost:
+			c.Close(link.NotReading)
+		case (!c.settled || !c.acked) && now-c.Opened > f.limits.Settings:
+			c.goAway(SettingsTimeout, ReasonSettings, "no SETTINGS, or no acknowledgement of ours, came in time")
+		case c.unsent > 0 && now-c.moved > f.limits.Stall:
+			c.stalled()
+		case len(c.streams) == 0 && now-c.used > f.limits.Idle:
+			c.goAway(NoError, link.IdleOut, "")
+		}
+	})
+	if !f.closed {
+		f.loop.At(now+sweepEvery, f.sweep)
+	}
+}
+
+const mostUnread = 128 << 10
+
+// Quiet begins the end: a first GOAWAY tells that there will be a last stream, a second which one it was. Streams
+// that were taken go on to their answers; those past the last were never taken.
+func (f *Front) Quiet() {
+	if f.quiet {
+		return
+	}
+	f.quiet = true
+	f.conns.Each(func(_ core.Ref, c *conn) { c.warn(mostStreamID) })
+	f.loop.At(f.loop.Now()+f.limits.Drain, func() {
+		f.last = true
+		f.conns.Each(func(_ core.Ref, c *conn) { c.warn(c.highest) })
+	})
+}
+
+// Done tells whether no connection has a stream any more, and the last GOAWAY has been sent.
+func (f *Front) Done() bool {
+	if !f.last {
+		return false
+	}
+	done := true
+	f.conns.Each(func(_ core.Ref, c *conn) { done = done && len(c.streams) == 0 && c.unsent == 0 && c.IdleWriter() })
+	return done
+}
+
+// Ours tells whether a user agent is a stream of this front.
+func Ours(u core.UserAgent) bool { _, ours := u.(*stream); return ours }
+
+// Close ends all connections.
+func (f *Front) Close() {
+	f.closed = true
+	f.listener.Close()
+	f.conns.Each(func(_ core.Ref, c *conn) { c.Close(link.ShutDown) })
+}
+
+// conn is a client's connection. Its reader and what is said to be so are netpoll's goroutine's.
+type conn struct {
+	link.Link
+	ref     core.Ref
+	front   *Front
+	in      *reader // netpoll's
+	room    chan struct{}
+	ended   chan struct{}
+	endOnce sync.Once
+	backlog backlog
+
+	streams    map[uint32]*stream
+	highest    uint32 // the last stream that was taken, or refused
+	rest       *forgotten
+	settled    bool // the client's SETTINGS came
+	acked      bool // and its acknowledgement of ours
+	encoder    *hpack.Encoder
+	encoded    bytes.Buffer
+	window     int64 // that the client gives us, for the connection
+	received   int64 // that it has left of what we gave
+	peerWindow int64 // of a new stream
+	peerFrame  int
+	waiting    []*stream // with data that a window holds back, in the order of their turn
+	unsent     int       // bytes of it
+	bodies     int       // bytes of requests that are not whole
+	moved      core.Time // when a byte of an answer left last, or there was none to leave
+	used       core.Time
+	out        []byte
+	marked     bool
+	warned     bool
+
+	resets, control, empty, over budget
+}
--- /dev/null
+++ b/internal/front/http2/head.go
@@ -0,0 +1,132 @@
+package http2
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"golang.org/x/net/http2/hpack"
+)
+
+// head is a decoded block of headers: a request's, or trailers.
+type head struct {
+	method, scheme, path, authority string
+	fields                          []hpack.HeaderField // without the pseudo-header fields
+	length                          int64               // Content-Length; -1: none
+	pseudo                          bool                // there is some pseudo-header field
+	tooLarge                        bool
+	bad                             string // malformed, as a stream error (RFC 9113, section 8.1.1)
+}
+
+// newHead reads a block. What is malformed is told in bad, the first fault of it.
+func newHead(fields []hpack.HeaderField, tooLarge bool) *head {
+	h := &head{length: -1, tooLarge: tooLarge}
+	fail := func(format string, args ...any) {
+		if h.bad == "" {
+			h.bad = fmt.Sprintf(format, args...)
+		}
+	}
+	host, hosts := "", 0
+	seen := map[string]bool{}
+	for _, f := range fields {
+		if strings.HasPrefix(f.Name, ":") {
+			to := map[string]*string{":method": &h.method, ":scheme": &h.scheme, ":path": &h.path, ":authority": &h.authority}[f.Name]
+			switch {
+			case to == nil:
+				fail("pseudo-header field %q", f.Name)
+			case seen[f.Name]:
+				fail("%s stands twice", f.Name)
+			case len(h.fields) > 0:
+				fail("%s stands behind a regular field", f.Name)
+			default:
+				*to = f.Value
+			}
+			seen[f.Name], h.pseudo = true, true
+			if !goodValue(f.Value) {
+				fail("%s has a value that can't be one", f.Name)
+			}
+			continue
+		}
+		switch {
+		case !goodName(f.Name):
+			fail("field name %q", f.Name)
+		case !goodValue(f.Value):
+			fail("%s has a value that can't be one", f.Name)
+		case connectionFields[f.Name]:
+			fail("%s is of HTTP/1.1 alone", f.Name)
+		case f.Name == "te" && f.Value != "trailers":
+			fail("te: %s", f.Value)
+		case f.Name == "host":
+			if hosts++; hosts > 1 {
+				fail("host stands twice")
+			}
+			host = f.Value
+		case f.Name == "content-length":
+			n, err := strconv.ParseUint(f.Value, 10, 62)
+			if err != nil || h.length >= 0 && h.length != int64(n) {
+				fail("content-length: %s", f.Value)
+			}
+			h.length = int64(n)
+		}
+		h.fields = append(h.fields, f)
+	}
+	if h.authority != "" && hosts > 0 && !strings.EqualFold(host, h.authority) {
+		fail(":authority and host differ")
+	}
+	return h
+}
+
+// checkRequest tells what a request lacks (RFC 9113, section 8.3.1).
+func (h *head) checkRequest() {
+	if h.bad != "" || h.tooLarge {
+		return
+	}
+	switch {
+	case h.method == "":
+		h.bad = ":method is missing"
+	case h.method == "CONNECT":
+		h.bad = "CONNECT is not served"
+	case h.scheme == "":
+		h.bad = ":scheme is missing"
+	case h.path == "" || h.path[0] != '/' && !(h.path == "*" && h.method == "OPTIONS"):
+		h.bad = ":path is missing or is none"
+	}
+}
+
+// get gives a field's first value and how often it stands there; the name may be in any case.
+func (h *head) get(name string) (value []byte, count int) {
+	for i := range h.fields {
+		if strings.EqualFold(h.fields[i].Name, name) {
+			if count++; count == 1 {
+				value = []byte(h.fields[i].Value)
+			}
+		}
+	}
+	return value, count
+}
+
+// connectionFields must not stand in HTTP/2 (RFC 9113, section 8.2.2).
+var connectionFields = map[string]bool{"connection": true, "keep-alive": true, "proxy-connection": true, "transfer-encoding": true, "upgrade": true}
+
+// goodName tells of a field name that is a token in lower case (RFC 9113, section 8.2.1).
+func goodName(s string) bool {
+	if s == "" {
+		return false
+	}
+	for i := range len(s) {
+		c := s[i]
+		if c <= ' ' || c >= 0x7f || c >= 'A' && c <= 'Z' || strings.IndexByte(`"(),/:;<=>?@[\]{}`, c) >= 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// goodValue tells of a value without NUL, CR and LF, and without blanks at its ends.
+func goodValue(s string) bool {
+	if s == "" {
+		return true
+	}
+	first, last := s[0], s[len(s)-1]
+	return !strings.ContainsAny(s, "\x00\r\n") && first != ' ' && first != '\t' && last != ' ' && last != '\t'
+}
--- /dev/null
+++ b/internal/front/http2/intake.go
@@ -0,0 +1,109 @@
+package http2
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+
+	"github.com/cloudwego/netpoll"
+
+	"cobaltflow/internal/link"
+)
+
+// backlog counts what the loop has not handled of a connection.
+type backlog struct {
+	bytes   atomic.Int64
+	stopped bool // nothing is read any more; netpoll's
+}
+
+// onRequest runs on a goroutine of netpoll's: it cuts what has come into frames, and hands them over in batches. Where
+// the loop is behind, it waits.
+func onRequest(ctx context.Context, _ netpoll.Connection) error {
+	c := ctx.Value(connKey{}).(*conn)
+	return c.read()
+}
+
+func (c *conn) read() error {
+	r := c.NC.Reader()
+	if c.backlog.stopped {
+		r.Skip(r.Len())
+		return r.Release()
+	}
+	for need := 1; ; {
+		buf, err := r.Peek(max(need, r.Len()))
+		if err != nil {
+			reason := link.PeerClosed
+			if errors.Is(err, netpoll.ErrReadTimeout) {
+				reason = link.SlowInput
+			}
+			c.front.loop.Post(func() { c.Close(reason) })
+			c.backlog.stopped = true
+			r.Skip(r.Len())
+			c.NC.Close()
+			return nil
+		}
+		batch, used, more := c.cut(buf)
+		r.Skip(used)
+		if err := r.Release(); err != nil {
+			return err
+		}
+		if len(batch) > 0 {
+			c.backlog.bytes.Add(int64(used))
+			c.front.loop.Post(func() { c.front.handle(c, batch, used) })
+			for c.backlog.bytes.Load() > aheadMost {
+				select {
+				case <-c.room:
+				case <-c.ended:
+					c.backlog.stopped = true
+					return nil
+				}
+			}
+		}
+		if more == 0 || c.backlog.stopped {
+			return nil
+		}
+		need = more
+	}
+}
+
+// cut takes frames off buf. more above 0 tells that a frame is begun, and how many bytes it needs.
+func (c *conn) cut(buf []byte) (batch []*frame, used, more int) {
+	for used < len(buf) && len(batch) < batchMost {
+		f, n, need := c.in.take(buf[used:])
+		if need > 0 {
+			return batch, used, need
+		}
+		used += n
+		if f != nil {
+			batch = append(batch, f)
+			if f.bad != nil {
+				c.backlog.stopped = true
+				return batch, len(buf), 0
+			}
+		}
+	}
+	return batch, used, 0
+}
+
+// handle has a batch of frames in hand.
+func (f *Front) handle(c *conn, batch []*frame, bytes int) {
+	c.used = f.loop.Now()
+	for _, fr := range batch {
+		if c.Ended || c.Reason != "" {
+			break
+		}
+		c.Count++
+		if fr.bad != nil {
+			c.fail(fr.bad)
+			break
+		}
+		if bad := c.frame(fr); bad != nil {
+			c.fail(bad)
+		}
+	}
+	c.backlog.bytes.Add(-int64(bytes))
+	select {
+	case c.room <- struct{}{}:
+	default:
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,11 +9,12 @@
 	"runtime/metrics"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"cobaltflow/internal/config"
 	"cobaltflow/internal/core"
 	"cobaltflow/internal/faktory"
+	"cobaltflow/internal/front/admission"
+	"cobaltflow/internal/front/http2"
 	"cobaltflow/internal/platform"
 )
 
@@ -24,7 +25,9 @@
 	Core    *core.Core
 	Front   *platform.Front
 	Faktory *faktory.Front // nil: off
+	HTTP2   *http2.Front   // nil: off
 	log     *slog.Logger
+	ending  int
 }
 
 // New makes a gateway; Start opens it.
@@ -35,7 +38,11 @@
 		settings = core.SingleClasses(settings)
 	}
 	g.Core = core.New(g.Loop, settings, conf.Seed, log)
-	g.Front = platform.New(g.Core, conf, log)
+	desk := admission.NewDesk(g.Core, &conf.Names)
+	g.Front = platform.New(g.Core, conf, desk, log)
+	if conf.HTTP2.On() {
+		g.HTTP2 = http2.New(g.Core, conf, desk, log)
+	}
 	if conf.Faktory.On() {
 		g.Faktory = faktory.New(g.Core, conf, log)
 	}
@@ -51,6 +58,12 @@
 		return err
 	}
 	g.log.Info("serves", "name", g.Conf.Name, "address", g.Front.Address(), "workers", g.Core.FarmSize())
+	if g.HTTP2 != nil {
+		if err := g.HTTP2.Start(); err != nil {
+			return err
+		}
+		g.log.Info("http2: serves", "address", g.HTTP2.Address())
+	}
 	if g.Faktory != nil {
 		if err := g.Faktory.Start(); err != nil {
 			return err
@@ -86,43 +99,65 @@
 		if g.Faktory != nil {
 			g.Faktory.Quiet()
 		}
-		g.Front.Stop(func() {
-			if g.Faktory != nil {
-				g.Faktory.Close()
-			}
-			g.Loop.Stop()
-		})
+		if g.HTTP2 != nil {
+			g.HTTP2.Quiet()
+		}
+		g.Front.Stop(g.end)
 	})
 }
 
+// end closes the other fronts when the first has nothing left: their jobs are the core's too, so that only answers
+// may still be on their way, for a bounded time.
+func (g *Gateway) end() {
+	if g.HTTP2 != nil && !g.HTTP2.Done() && g.ending < 100 {
+		g.ending++
+		g.Loop.At(g.Loop.Now()+20*core.Millisecond, g.end)
+		return
+	}
+	if g.Faktory != nil {
+		g.Faktory.Close()
+	}
+	if g.HTTP2 != nil {
+		g.HTTP2.Close()
+	}
+	g.Loop.At(g.Loop.Now()+20*core.Millisecond, g.Loop.Stop)
+}
+
 // KeepWithin sets the runtime's own limits.
 func KeepWithin(l config.Limits) {
 	// A poller that sleeps in a system call holds a proc until the runtime takes it back, which can
 	// take milliseconds: with one proc more than the cores nothing waits for that.
 	runtime.GOMAXPROCS(int(l.Cores+0.999) + 1)
 	debug.SetMemoryLimit(int64(l.MemoryMB) << 20 / 3 * 2)
-	// The collector runs when the heap has grown by a part of the limit, not of what lives: with little alive a
-	// ratio has it run all the time, and with much it lets the heap double.
-	headroom.Store(int64(l.MemoryMB) << 20 / 8)
+	limit.Store(int64(l.MemoryMB) << 20)
 	pace()
-	pacing.Do(func() {
-		go func() {
-			for range time.Tick(time.Second) {
-				pace()
-			}
-		}()
-	})
+	pacing.Do(func() { afterEachCollection(pace) })
 }
 
 var (
-	headroom atomic.Int64 // bytes
-	pacing   sync.Once
+	limit  atomic.Int64 // bytes
+	pacing sync.Once
 )
 
-// pace sets the collector's ratio by what was alive after its last run.
+// pace has the collector run next when the heap has grown by a part of the limit, not of what lives: with little
+// alive the usual ratio has it run all the time, and with much it lets the heap double.
 func pace() {
 	sample := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
 	metrics.Read(sample)
-	live := int64(max(sample[0].Value.Uint64(), 1<<20))
-	debug.SetGCPercent(int(min(max(headroom.Load()*100/live, 25), 1600)))
+	most, live := limit.Load(), max(int64(sample[0].Value.Uint64()), 1<<20)
+	debug.SetGCPercent(int(min(max(max(most/16, most/8-live/8)*100/live, 20), 1600)))
+}
+
+// afterEachCollection calls f after each run of the collector, on a goroutine of the runtime's: an object that
+// nobody holds is found by each run.
+func afterEachCollection(f func()) {
+	type sentinel struct{ _ *byte }
+	var arm func()
+	arm = func() {
+		runtime.SetFinalizer(&sentinel{}, func(*sentinel) {
+			f()
+			arm()
+		})
+	}
+	arm()
 }
--- a/internal/jobs/api.go
+++ b/internal/jobs/api.go
@@ -103,48 +103,59 @@
 // UsualRetry is the number of retries of a job that names none.
 const UsualRetry = 25
 
-// Job is a job of the host's making. The fields of the first part are set before Push and not changed.
+// Job is a job of the host's making. The fields of the first part are set before Push and not changed. A hundred
+// thousand of them are held at once, so what few jobs have lies behind pointers.
 type Job struct {
 	ID, Type, Queue string
-	Class           int
-	Priority        int  // 1 to 9
-	Retry           int  // retries after the first failure; 0: dead at once, -1: discarded at once
-	Reserve         Time // for which a worker may hold it; 0: the usual
-	At              Time // not before; 0: now
-	ExpiresAt       Time // it must have started by then; 0: never
-	Left            Time // its pusher waits for so long, from the PUSH or from At; 0: for ever
-	UniqueFor       Time // 0: not unique
-	UntilStart      bool // it is unique until its start, else until it was served
-	Fingerprint     [32]byte
 	Client          string
-	Size            int    // bytes that it takes
 	Payload         string // as it was pushed; let go at an end that is not dead
-	ArgsAt, ArgsLen int    // where its args stand in it
-	Key             string
-	Slots           float64
+	ArgsAt, ArgsLen int32  // where its args stand in it
+	Class           int32
+	Priority        int32 // 1 to 9
+	Retry           int32 // retries after the first failure; 0: dead at once, -1: discarded at once
+	Size            int32 // bytes that it takes
+	At              Time  // not before; 0: now
+	Left            Time  // its pusher waits for so long, from the PUSH or from At; 0: for ever
+	*Options              // never nil from Push on, and perhaps shared
 
 	State    State
+	open     bool  // it has a transaction in the core
+	ran      bool  // a try may have run
+	loose    bool  // let in for the table workers, or its FETCH has gone
+	Failures int32 // tries that may have run and failed
 	Reason   Reason
-	Failures int      // tries that may have run and failed
-	Failure  *Failure // the last
-	Since    Time     // in this state
-	Result   []byte   // of Served; set by the host before Ended
-	Worker   string   // that holds it, while working
-	Percent  int
-	Desc     string
-
-	deadline Time // its pusher has gone by then; 0: never
-	open     bool // it has a transaction in the core
-	ran      bool // a try may have run
-	cover    *Ask // the FETCH for which it was let in
-	loose    bool // let in for the table workers, or its FETCH has gone
-	over     timer
-	wake     timer
-	home     *list
-	prev     *Job
-	next     *Job
-	order    uint64 // in its set
-	lock     *lock
+	Failure  *Failure  // the last
+	Since    Time      // in this state
+	Result   string    // of Served; set by the host before Ended
+	Worker   string    // that holds it, while working
+	Progress *Progress // as its worker told; nil: it has not
+
+	deadline   Time // its pusher has gone by then; 0: never
+	cover      *Ask // the FETCH for which it was let in
+	over, wake *timer
+	home       *list
+	prev, next *Job
+	order      uint64 // in its set
+	lock       *lock
+}
+
+// Options are what few jobs ask for.
+type Options struct {
+	Key         string
+	Slots       float64
+	Reserve     Time // for which a worker may hold it; 0: the usual
+	ExpiresAt   Time // it must have started by then; 0: never
+	UniqueFor   Time // 0: not unique
+	UntilStart  bool // it is unique until its start, else until it was served
+	Fingerprint [32]byte
+}
+
+var noOptions Options
+
+// Progress is what a worker told of its job.
+type Progress struct {
+	Percent int
+	Desc    string
 }
 
 // Open tells whether the job has a transaction in the core.
--- a/internal/jobs/end.go
+++ b/internal/jobs/end.go
@@ -1,5 +1,7 @@
 package jobs
 
+import "strings"
+
 // Ended tells how the job's transaction ended. after is when the core wants to be asked again, of a refusal;
 // f what was told of a failure, which may be nil.
 func (m *Machine) Ended(now Time, j *Job, end End, after Time, f *Failure) {
@@ -66,7 +68,7 @@
 	if asked = j.cover; asked != nil {
 		j.cover, asked.cover = nil, nil
 	}
-	m.timers.set(&j.wake, 0)
+	m.wakeAt(j, 0)
 	j.Worker = ""
 	return asked, loose
 }
@@ -99,7 +101,7 @@
 		j.State, j.Since = Retrying, now
 		m.retries.add(j)
 		m.armEnd(j)
-		m.timers.set(&j.wake, now+m.backoff(j.Failures-1))
+		m.wakeAt(j, now+m.backoff(int(j.Failures)-1))
 	}
 }
 
@@ -141,15 +143,15 @@
 // finish gives a held job its one final state.
 func (m *Machine) finish(now Time, j *Job, state State, why Reason) {
 	m.held--
-	m.heldBytes -= j.Size
+	m.heldBytes -= int(j.Size)
 	m.queues[j.Queue].held--
 	c := m.clients[j.Client]
-	c.bytes -= j.Size
+	c.bytes -= int(j.Size)
 	if c.jobs--; c.jobs == 0 {
 		delete(m.clients, j.Client)
 	}
-	m.timers.set(&j.over, 0)
-	m.timers.set(&j.wake, 0)
+	m.endAt(j, 0)
+	m.wakeAt(j, 0)
 	if state == Served || state == Refused {
 		m.unguard(j)
 	}
@@ -173,7 +175,9 @@
 		return
 	}
 	j.Payload = ""
-	j.Size = endedSize + len(j.ID) + len(j.Type) + len(j.Result)
+	// The names are parts of the payload, which is not kept for them.
+	j.ID, j.Type, j.Queue = strings.Clone(j.ID), strings.Clone(j.Type), strings.Clone(j.Queue)
+	j.Size = int32(endedSize + len(j.ID) + len(j.Type) + len(j.Result))
 	m.ended.add(j)
 	m.trim(&m.ended, m.set.MaxEnded, m.set.MaxEndedBytes, &m.totals.EndedForgotten)
 }
--- a/internal/jobs/machine.go
+++ b/internal/jobs/machine.go
@@ -84,6 +84,9 @@
 	if old := m.jobs[j.ID]; old != nil {
 		return Verdict{Known: old}
 	}
+	if j.Options == nil {
+		j.Options = &noOptions
+	}
 	if j.UniqueFor > 0 {
 		if l := m.locks[j.Fingerprint]; l != nil && l.t.at > now {
 			m.totals.NotUnique++
@@ -97,7 +100,6 @@
 	}
 	m.totals.Pushed++
 	j.Priority = min(max(j.Priority, LowestPriority), HighestPriority)
-	j.over.job, j.wake.job, j.wake.wakes = j, j, true
 	m.jobs[j.ID] = j
 	m.take(now, j, q)
 	if j.UniqueFor > 0 {
@@ -106,7 +108,7 @@
 	if j.At > now {
 		j.State, j.Since = Scheduled, now
 		m.scheduled.add(j)
-		m.timers.set(&j.wake, j.At)
+		m.wakeAt(j, j.At)
 	} else {
 		m.enqueue(now, j)
 	}
@@ -125,11 +127,11 @@
 		return nil, ShutDown
 	case m.held >= s.MaxHeld:
 		return nil, FullHeld
-	case m.heldBytes+j.Size > s.MaxHeldBytes:
+	case m.heldBytes+int(j.Size) > s.MaxHeldBytes:
 		return nil, FullBytes
 	case c.jobs >= s.MaxClient:
 		return nil, FullClient
-	case c.bytes+j.Size > s.MaxClientBytes:
+	case c.bytes+int(j.Size) > s.MaxClientBytes:
 		return nil, FullClientMB
 	case j.At > now && m.scheduled.count >= s.MaxScheduled:
 		return nil, FullScheduled
@@ -149,7 +151,7 @@
 // take counts a job as held, from its PUSH or its requeue on.
 func (m *Machine) take(now Time, j *Job, q *queue) {
 	m.held++
-	m.heldBytes += j.Size
+	m.heldBytes += int(j.Size)
 	q.held++
 	c := m.clients[j.Client]
 	if c == nil {
@@ -157,7 +159,7 @@
 		m.clients[j.Client] = c
 	}
 	c.jobs++
-	c.bytes += j.Size
+	c.bytes += int(j.Size)
 	if j.deadline = 0; j.Left > 0 {
 		j.deadline = max(now, j.At) + j.Left
 	}
@@ -170,7 +172,7 @@
 	if j.ExpiresAt > 0 && (at == 0 || j.ExpiresAt < at) {
 		at = j.ExpiresAt
 	}
-	m.timers.set(&j.over, at)
+	m.endAt(j, at)
 }
 
 // comeBack is when a client that was turned away may try again: by the pace at which jobs end.
@@ -178,6 +180,24 @@
 	return min(max(Time(16*m.gap), 100*Millisecond), 30*Second)
 }
 
+// endAt arms the end of a job's time, and wakeAt its next step; at 0 they take it out. A job that needs neither has
+// no timers.
+func (m *Machine) endAt(j *Job, at Time) { m.arm(&j.over, j, at, false) }
+
+func (m *Machine) wakeAt(j *Job, at Time) { m.arm(&j.wake, j, at, true) }
+
+func (m *Machine) arm(t **timer, j *Job, at Time, wakes bool) {
+	if *t == nil {
+		if at == 0 {
+			return
+		}
+		*t = &timer{job: j, wakes: wakes}
+	}
+	if m.timers.set(*t, at); at == 0 {
+		*t = nil
+	}
+}
+
 func (m *Machine) enqueue(now Time, j *Job) {
 	q := m.queues[j.Queue]
 	j.State, j.Since = Enqueued, now
@@ -313,7 +333,7 @@
 		m.enqueued--
 		j.leave()
 		m.working.add(j)
-		m.timers.set(&j.over, 0) // the core ends a try when the pusher's time is over
+		m.endAt(j, 0) // the core ends a try when the pusher's time is over
 		if j.UntilStart {
 			m.unguard(j)
 		}
@@ -324,7 +344,7 @@
 	if reserve == 0 {
 		reserve = m.set.Reserve
 	}
-	m.timers.set(&j.wake, now+reserve)
+	m.wakeAt(j, now+reserve)
 	if a != nil {
 		other := a.cover
 		a.waiting, a.cover = false, nil
@@ -341,8 +361,8 @@
 
 // Extend moves the end of a reservation, for a worker that says how long it will still take.
 func (m *Machine) Extend(j *Job, until Time) {
-	if j.State == Working && j.wake.index > 0 {
-		m.timers.set(&j.wake, max(until, j.wake.at))
+	if j.State == Working && j.wake != nil && j.wake.index > 0 {
+		m.wakeAt(j, max(until, j.wake.at))
 	}
 }
 
--- a/internal/jobs/machine_test.go
+++ b/internal/jobs/machine_test.go
@@ -42,7 +42,7 @@
 }
 
 func (h *host) push(id string, change func(*Job)) Verdict {
-	j := &Job{ID: id, Type: "t", Queue: "a", Priority: UsualPriority, Retry: UsualRetry, Size: 100, Client: "c"}
+	j := &Job{ID: id, Type: "t", Queue: "a", Priority: UsualPriority, Retry: UsualRetry, Size: 100, Client: "c", Options: &Options{}}
 	if change != nil {
 		change(j)
 	}
@@ -72,7 +72,7 @@
 func TestPriorityThenOrderOfComing(t *testing.T) {
 	h := newHost(nil)
 	for i, p := range []int{5, 1, 9, 5, 9} {
-		h.push(fmt.Sprint("job-", i), func(j *Job) { j.Priority = p })
+		h.push(fmt.Sprint("job-", i), func(j *Job) { j.Priority = int32(p) })
 	}
 	h.push("other", func(j *Job) { j.Queue = "b" })
 	var got []string
@@ -105,7 +105,7 @@
 		{1, 25, Dead, MayHaveRun}, {1, -1, Failed, Discarded},
 	} {
 		h := newHost(nil)
-		h.push("job", func(j *Job) { j.Class, j.Retry = c.class, c.retry })
+		h.push("job", func(j *Job) { j.Class, j.Retry = int32(c.class), int32(c.retry) })
 		j := h.fetch("a")
 		h.Machine.Ended(h.now, j, EndFailed, 0, &Failure{Type: "E", Message: "m"})
 		assert.Equal(t, []any{c.state, c.why}, []any{j.State, j.Reason})
@@ -126,7 +126,7 @@
 	}
 	j := h.fetch("a")
 	h.Machine.Ended(h.now, j, EndFailed, 0, nil)
-	assert.Equal(t, []any{Dead, Exhausted, 3}, []any{j.State, j.Reason, j.Failures})
+	assert.Equal(t, []any{Dead, Exhausted, int32(3)}, []any{j.State, j.Reason, j.Failures})
 }
 
 func TestARefusedTryKeepsItsPlaceAndIsNotAFailure(t *testing.T) {
@@ -248,7 +248,7 @@
 func TestMutations(t *testing.T) {
 	h := newHost(nil)
 	for i := range 6 {
-		h.push(fmt.Sprint("job-", i), func(j *Job) { j.Class, j.Retry = i%2, 0 })
+		h.push(fmt.Sprint("job-", i), func(j *Job) { j.Class, j.Retry = int32(i%2), 0 })
 		h.Machine.Ended(h.now, h.fetch("a"), EndFailed, 0, nil)
 	}
 	require.Equal(t, 6, h.Figures().Dead)
--- a/internal/jobs/mutate.go
+++ b/internal/jobs/mutate.go
@@ -136,7 +136,7 @@
 		m.take(now, j, q)
 	} else {
 		j.leave()
-		m.timers.set(&j.wake, 0)
+		m.wakeAt(j, 0)
 	}
 	m.enqueue(now, j)
 	return ""
--- a/internal/jobs/property_test.go
+++ b/internal/jobs/property_test.go
@@ -79,7 +79,7 @@
 	for _, j := range m.jobs {
 		if !j.State.Final() {
 			held++
-			bytes += j.Size
+			bytes += int(j.Size)
 		}
 		switch j.State {
 		case Working:
@@ -157,9 +157,9 @@
 		queues := []string{"a", "b", "tables"}
 		t.Repeat(map[string]func(*rapid.T){
 			"push": func(t *rapid.T) {
-				j := &Job{ID: fmt.Sprint("job-", rapid.IntRange(0, 30).Draw(t, "id")), Class: rapid.IntRange(0, 1).Draw(t, "class"),
-					Queue: rapid.SampledFrom(append(queues, "c", "d")).Draw(t, "queue"), Priority: rapid.IntRange(0, 10).Draw(t, "priority"),
-					Retry: rapid.IntRange(-1, 2).Draw(t, "retry"), Size: rapid.IntRange(50, 150).Draw(t, "size"),
+				j := &Job{ID: fmt.Sprint("job-", rapid.IntRange(0, 30).Draw(t, "id")), Options: &Options{}, Class: rapid.Int32Range(0, 1).Draw(t, "class"),
+					Queue: rapid.SampledFrom(append(queues, "c", "d")).Draw(t, "queue"), Priority: rapid.Int32Range(0, 10).Draw(t, "priority"),
+					Retry: rapid.Int32Range(-1, 2).Draw(t, "retry"), Size: rapid.Int32Range(50, 150).Draw(t, "size"),
 					Client: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "client")}
 				if rapid.Bool().Draw(t, "later") {
 					j.At = w.now + Time(rapid.IntRange(1, 20).Draw(t, "at"))*Second
--- a/internal/jobs/timers.go
+++ b/internal/jobs/timers.go
@@ -96,7 +96,7 @@
 func (l *list) joined(j *Job) {
 	j.home = l
 	l.count++
-	l.bytes += j.Size
+	l.bytes += int(j.Size)
 }
 
 // leave takes a job out of the list that it is in.
@@ -119,6 +119,6 @@
 		l.cursor = j.next
 	}
 	l.count--
-	l.bytes -= j.Size
+	l.bytes -= int(j.Size)
 	j.home, j.prev, j.next = nil, nil, nil
 }
--- a/internal/measure/flood.go
+++ b/internal/measure/flood.go
@@ -20,7 +20,8 @@
 func measureFlood(ctx context.Context, w io.Writer, o Faktory) error {
 	const httpRate, times = 200.0, 10
 	fmt.Fprintf(w, "### HTTP jobs, %.0f a second, beside a flood of PUSHes at %d times that rate, on one core\n\n| flood | worth served | p50 ms | p99 ms | PUSHes taken/s | turned away/s |\n| --- | ---: | ---: | ---: | ---: | ---: |\n", httpRate, times)
-	for _, flood := range []bool{false, true, false, true} {
+	for _, workers := range []int{-1, 1, 0, -1, 1, 0} { // of the flood's queue; below 0: no flood
+		flood := workers >= 0
 		var tables []*TableWorker
 		var addresses []string
 		for i := range 4 {
@@ -31,7 +32,7 @@
 			defer t.Close()
 			tables, addresses = append(tables, t), append(addresses, t.Address())
 		}
-		g, err := start(options{binary: o.Binary, core: o.Core, workers: addresses, faktory: map[string]any{"max_held_jobs": 5000}})
+		g, err := start(options{binary: o.Binary, core: o.Core, workers: addresses, faktory: map[string]any{"max_held_jobs": 1000}})
 		if err != nil {
 			return err
 		}
@@ -42,7 +43,7 @@
 		l := &load{address: g.faktory, queue: "flood", rate: httpRate * times, pad: strings.Repeat("x", 150)}
 		ended := make(chan error, 1)
 		if flood {
-			go func() { ended <- l.run(run, pushers, 1) }()
+			go func() { ended <- l.run(run, pushers, workers) }()
 		} else {
 			ended <- nil
 		}
@@ -56,7 +57,7 @@
 		}
 		name := "none"
 		if flood {
-			name = fmt.Sprintf("%.0f/s", l.rate)
+			name = fmt.Sprintf("%.0f/s, %d workers", l.rate, workers)
 		}
 		lat := h.quantiles()
 		fmt.Fprintf(w, "| %s | %.3f | %.1f | %.1f | %.0f | %.0f |\n", name, h.worth/h.asked, lat[0], lat[1],
--- /dev/null
+++ b/internal/measure/http.go
@@ -0,0 +1,437 @@
+package measure
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/net/http2"
+
+	"cobaltflow/internal/platform"
+)
+
+// HTTP says what is measured of the HTTP fronts.
+type HTTP struct {
+	Binary  string
+	Core    int
+	Seconds float64
+	Only    string // parts: fronts, conns, memory, attacks
+}
+
+// RunHTTP measures and writes tables in Markdown.
+func RunHTTP(ctx context.Context, w io.Writer, o HTTP) error {
+	if o.Binary == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		o.Binary = self
+	}
+	keepOff(o.Core)
+	for _, part := range []struct {
+		name string
+		run  func(context.Context, io.Writer, HTTP) error
+	}{{"fronts", measureFronts}, {"conns", measureConns}, {"memory", measureStreams}, {"attacks", measureAttacks}} {
+		if o.Only != "" && !strings.Contains(o.Only, part.name) {
+			continue
+		}
+		if err := part.run(ctx, w, o); err != nil {
+			return fmt.Errorf("%s: %w", part.name, err)
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		fmt.Fprintln(w)
+	}
+	return nil
+}
+
+// site is a gateway with table workers of its own.
+type site struct {
+	*gateway
+	tables []*TableWorker
+}
+
+func newSite(o HTTP, run time.Duration, slots int) (*site, error) {
+	s := &site{}
+	var addresses []string
+	for i := range 4 {
+		t, err := NewTableWorker(fmt.Sprint("table-", i), slots, run, nil)
+		if err != nil {
+			return nil, err
+		}
+		s.tables = append(s.tables, t)
+		addresses = append(addresses, t.Address())
+	}
+	var err error
+	if s.gateway, err = start(options{binary: o.Binary, core: o.Core, workers: addresses}); err != nil {
+		return nil, err
+	}
+	for _, t := range s.tables {
+		t.CallBack(s.http)
+	}
+	return s, nil
+}
+
+func (s *site) close() {
+	s.stop()
+	for _, t := range s.tables {
+		t.Close()
+	}
+}
+
+// asker asks for one job and waits for its answer.
+type asker func() (status int, err error)
+
+// closedLoop runs askers one after the other's answer, and gives jobs a second, the gateway's CPU time a job, and
+// the latencies in µs.
+func closedLoop(ctx context.Context, g *gateway, askers []asker, seconds float64) (rate float64, cpu time.Duration, late *hdrhistogram.Histogram, err error) {
+	run, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var done, bad atomic.Int64
+	var mu sync.Mutex
+	late = hdrhistogram.New(1, 60_000_000, 3)
+	var wg sync.WaitGroup
+	measured := atomic.Bool{}
+	for _, a := range askers {
+		wg.Go(func() {
+			for run.Err() == nil {
+				at := time.Now()
+				status, err := a()
+				if err != nil || status != 200 {
+					bad.Add(1)
+					if err != nil {
+						time.Sleep(time.Millisecond)
+					}
+					continue
+				}
+				done.Add(1)
+				if measured.Load() {
+					mu.Lock()
+					late.RecordValue(max(1, time.Since(at).Microseconds()))
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	sleep(ctx, time.Duration(seconds/4*float64(time.Second)))
+	measured.Store(true)
+	n, used, at := done.Load(), g.cpu(), time.Now()
+	sleep(ctx, time.Duration(seconds*float64(time.Second)))
+	n, used = done.Load()-n, g.cpu()-used
+	rate = float64(n) / time.Since(at).Seconds()
+	cancel()
+	wg.Wait()
+	if n == 0 {
+		return 0, 0, late, fmt.Errorf("no job was served, %d were not", bad.Load())
+	}
+	return rate, used / time.Duration(n), late, nil
+}
+
+// http1Askers make plain HTTP/1.1 connections, one for each asker.
+func http1Askers(address, path string, n int) ([]asker, func()) {
+	var conns []net.Conn
+	var out []asker
+	for range n {
+		nc, err := net.Dial("tcp", address)
+		if err != nil {
+			continue
+		}
+		conns = append(conns, nc)
+		r := bufio.NewReader(nc)
+		out = append(out, func() (int, error) {
+			_, err := fmt.Fprintf(nc, "POST %s HTTP/1.1\r\nHost: x\r\n%s: m-%d\r\n%s: 5000\r\nContent-Length: 4\r\n\r\nbody", path, platform.HeaderID, serial.Add(1), platform.HeaderTimeLeft)
+			if err != nil {
+				return 0, err
+			}
+			p, err := http.ReadResponse(r, nil)
+			if err != nil {
+				return 0, err
+			}
+			io.Copy(io.Discard, p.Body)
+			p.Body.Close()
+			return p.StatusCode, nil
+		})
+	}
+	return out, func() {
+		for _, c := range conns {
+			c.Close()
+		}
+	}
+}
+
+// http2Askers make conns connections with streams askers on each.
+func http2Askers(address, path string, conns, streams int) ([]asker, func()) {
+	var out []asker
+	var open []*http2.Transport
+	for range conns {
+		t := &http2.Transport{AllowHTTP: true, StrictMaxConcurrentStreams: true,
+			DialTLSContext: func(_ context.Context, network, addr string, _ *tls.Config) (net.Conn, error) {
+				return net.Dial(network, addr)
+			}}
+		open = append(open, t)
+		for range streams {
+			out = append(out, func() (int, error) {
+				q, _ := http.NewRequest("POST", "http://"+address+path, strings.NewReader("body"))
+				q.Header.Set(platform.HeaderID, fmt.Sprint("m-", serial.Add(1)))
+				q.Header.Set(platform.HeaderTimeLeft, "5000")
+				p, err := t.RoundTrip(q)
+				if err != nil {
+					return 0, err
+				}
+				io.Copy(io.Discard, p.Body)
+				p.Body.Close()
+				return p.StatusCode, nil
+			})
+		}
+	}
+	return out, func() {
+		for _, t := range open {
+			t.CloseIdleConnections()
+		}
+	}
+}
+
+const jobPath = "/board-view/k"
+
+// measureFronts compares the two fronts at a hundred jobs in flight.
+func measureFronts(ctx context.Context, w io.Writer, o HTTP) error {
+	fmt.Fprint(w, "### A hundred jobs in flight, on one core\n\n| clients | jobs/s | CPU µs/job | p50 ms | p99 ms |\n| --- | ---: | ---: | ---: | ---: |\n")
+	for range 2 {
+		for _, kind := range []string{"100 HTTP/1.1 connections", "1 HTTP/2 connection, 100 streams", "10 HTTP/2 connections, 10 streams"} {
+			s, err := newSite(o, 0, 64)
+			if err != nil {
+				return err
+			}
+			var askers []asker
+			var done func()
+			switch kind[:2] {
+			case "1 ":
+				askers, done = http2Askers(s.http2, jobPath, 1, 100)
+			case "10":
+				if askers, done = http2Askers(s.http2, jobPath, 10, 10); strings.Contains(kind, "/1.1") {
+					done()
+					askers, done = http1Askers(s.http, jobPath, 100)
+				}
+			}
+			rate, cpu, late, err := closedLoop(ctx, s.gateway, askers, o.Seconds)
+			done()
+			s.close()
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(w, "| %s | %.0f | %.1f | %.2f | %.2f |\n", kind, rate, float64(cpu.Nanoseconds())/1000,
+				float64(late.ValueAtQuantile(50))/1000, float64(late.ValueAtQuantile(99))/1000)
+		}
+	}
+	return nil
+}
+
+// measureConns looks at HTTP/1.1 by the number of connections, with a reverse proxy of the standard library beside it.
+func measureConns(ctx context.Context, w io.Writer, o HTTP) error {
+	fmt.Fprint(w, "### HTTP/1.1 by connections, on one core\n\n| connections | jobs/s | CPU µs/job | p99 ms | httputil.ReverseProxy, requests/s |\n| ---: | ---: | ---: | ---: | ---: |\n")
+	back, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	plain := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		io.WriteString(w, "result of this job")
+	})}
+	go plain.Serve(back)
+	defer plain.Close()
+	for _, n := range []int{8, 32, 64, 128, 256} {
+		s, err := newSite(o, 0, 64)
+		if err != nil {
+			return err
+		}
+		askers, done := http1Askers(s.http, jobPath, n)
+		rate, cpu, late, err := closedLoop(ctx, s.gateway, askers, o.Seconds)
+		done()
+		s.close()
+		if err != nil {
+			return err
+		}
+		proxy, err := startProxy(o, back.Addr().String())
+		if err != nil {
+			return err
+		}
+		askers, done = http1Askers(proxy.http, jobPath, n)
+		other, _, _, err := closedLoop(ctx, proxy, askers, o.Seconds)
+		done()
+		proxy.stop()
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(w, "| %d | %.0f | %.1f | %.2f | %.0f |\n", n, rate, float64(cpu.Nanoseconds())/1000, float64(late.ValueAtQuantile(99))/1000, other)
+	}
+	return nil
+}
+
+// startProxy runs ReverseProxy as a process on the core.
+func startProxy(o HTTP, to string) (*gateway, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	address, err := free()
+	if err != nil {
+		return nil, err
+	}
+	g := &gateway{http: address, cmd: exec.Command(self, "measure", "reverse-proxy", address, to)}
+	g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := startOn(g.cmd, o.Core); err != nil {
+		return nil, err
+	}
+	return g, reachable(address)
+}
+
+// ReverseProxy serves httputil.ReverseProxy at an address, for a comparison.
+func ReverseProxy(address, to string) error {
+	p := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: to})
+	p.Transport = &http.Transport{MaxIdleConnsPerHost: 512}
+	return http.ListenAndServe(address, p)
+}
+
+// measureStreams looks at the memory of connections that are idle and of streams that are open.
+func measureStreams(_ context.Context, w io.Writer, o HTTP) error {
+	s, err := newSite(o, time.Hour, 4096)
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	fmt.Fprint(w, "### Memory of HTTP/2 connections and streams\n\n| what | number | resident MB | bytes each |\n| --- | ---: | ---: | ---: |\n")
+	empty := s.memory("VmRSS")
+	var conns []net.Conn
+	var framers []*http2.Framer
+	const idle, streams = 500, 20
+	for range idle {
+		nc, err := net.Dial("tcp", s.http2)
+		if err != nil {
+			return err
+		}
+		defer nc.Close()
+		fr := http2.NewFramer(nc, nc)
+		io.WriteString(nc, http2.ClientPreface)
+		fr.WriteSettings()
+		fr.WriteSettingsAck()
+		conns, framers = append(conns, nc), append(framers, fr)
+		if f, err := fr.ReadFrame(); err != nil {
+			return fmt.Errorf("%v %w", f, err)
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	with := s.memory("VmRSS")
+	fmt.Fprintf(w, "| idle connections | %d | %.1f | %d |\n", idle, float64(with)/(1<<20), (with-empty)/idle)
+	for i, fr := range framers[:100] {
+		for k := range streams {
+			// Literal fields without indexing: the shortest encoder there is.
+			block := []byte{0x83, 0x86}
+			for _, f := range [][2]string{{":path", jobPath}, {"x-correlation-id", fmt.Sprintf("open-%d-%d", i, k)}, {"x-time-left-ms", "60000"}} {
+				block = append(append(append(append(block, 0, byte(len(f[0]))), f[0]...), byte(len(f[1]))), f[1]...)
+			}
+			if err := fr.WriteHeaders(http2.HeadersFrameParam{StreamID: uint32(2*k + 1), BlockFragment: block, EndHeaders: true, EndStream: true}); err != nil {
+				return err
+			}
+		}
+	}
+	time.Sleep(time.Second)
+	open := s.memory("VmRSS")
+	fmt.Fprintf(w, "| open streams, each with its job at a worker | %d | %.1f | %d |\n", 100*streams, float64(open)/(1<<20), (open-with)/(100*streams))
+	return nil
+}
+
+// measureAttacks compares what usual clients earn under each attack with what they earn without.
+func measureAttacks(ctx context.Context, w io.Writer, o HTTP) error {
+	fmt.Fprint(w, "### HTTP/1.1 jobs, 200 a second, while an HTTP/2 client attacks, on one core\n\n| attack | worth served | p50 ms | p99 ms |\n| --- | ---: | ---: | ---: |\n")
+	write := func(kind http2.FrameType, flags http2.Flags, payload ...byte) func(*http2.Framer, uint32) error {
+		return func(fr *http2.Framer, id uint32) error { return fr.WriteRawFrame(kind, flags, 0, payload) }
+	}
+	head := append([]byte{0x83, 0x86, 0, 5}, ":path\x0d/board-view/k"...)
+	for _, a := range []struct {
+		name string
+		do   func(fr *http2.Framer, id uint32) error
+	}{
+		{"none", nil},
+		{"PING flood", write(http2.FramePing, 0, make([]byte, 8)...)},
+		{"SETTINGS flood", write(http2.FrameSettings, 0)},
+		{"window updates", write(http2.FrameWindowUpdate, 0, 0, 0, 0, 1)},
+		{"rapid resets", func(fr *http2.Framer, id uint32) error {
+			fr.WriteRawFrame(http2.FrameHeaders, 4, id, head)
+			return fr.WriteRSTStream(id, http2.ErrCodeCancel)
+		}},
+		{"empty DATA", func(fr *http2.Framer, id uint32) error {
+			if id == 1 {
+				fr.WriteRawFrame(http2.FrameHeaders, 4, 1, head)
+			}
+			return fr.WriteRawFrame(http2.FrameData, 0, 1, nil)
+		}},
+		{"CONTINUATION flood", func(fr *http2.Framer, id uint32) error {
+			if id == 1 {
+				return fr.WriteRawFrame(http2.FrameHeaders, 0, 1, head)
+			}
+			return fr.WriteRawFrame(http2.FrameContinuation, 0, 1, nil)
+		}},
+		{"streams that stay open", func(fr *http2.Framer, id uint32) error { return fr.WriteRawFrame(http2.FrameHeaders, 4, id, head) }},
+		{"none again", nil},
+	} {
+		s, err := newSite(o, 40*time.Millisecond, 4)
+		if err != nil {
+			return err
+		}
+		run, cancel := context.WithTimeout(ctx, time.Duration(o.Seconds*float64(time.Second)))
+		var wg sync.WaitGroup
+		if a.do != nil {
+			for range 4 {
+				wg.Go(func() { attack(run, s.http2, a.do) })
+			}
+		}
+		h := &httpLoad{address: s.http, rate: 200}
+		h.run(run)
+		cancel()
+		wg.Wait()
+		s.close()
+		lat := h.quantiles()
+		fmt.Fprintf(w, "| %s | %.3f | %.1f | %.1f |\n", a.name, h.worth/h.asked, lat[0], lat[1])
+	}
+	return nil
+}
+
+// attack connects again and again, and sends frames as fast as they are taken.
+func attack(ctx context.Context, address string, do func(*http2.Framer, uint32) error) {
+	for ctx.Err() == nil {
+		nc, err := net.DialTimeout("tcp", address, time.Second)
+		if err != nil {
+			if !errors.Is(err, context.Canceled) {
+				sleep(ctx, 10*time.Millisecond)
+			}
+			continue
+		}
+		free := context.AfterFunc(ctx, func() { nc.Close() })
+		go io.Copy(io.Discard, nc)
+		fr := http2.NewFramer(nc, nc)
+		fr.AllowIllegalWrites = true
+		io.WriteString(nc, http2.ClientPreface)
+		fr.WriteSettings()
+		fr.WriteSettingsAck()
+		for id := uint32(1); do(fr, id) == nil && id < 1<<30; id += 2 {
+		}
+		free()
+		nc.Close()
+	}
+}
--- a/internal/measure/process.go
+++ b/internal/measure/process.go
@@ -23,6 +23,7 @@
 type gateway struct {
 	cmd     *exec.Cmd
 	http    string
+	http2   string
 	faktory string
 	dir     string
 }
@@ -57,6 +58,9 @@
 	if g.http, err = free(); err == nil {
 		g.faktory, err = free()
 	}
+	if err == nil {
+		g.http2, err = free()
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -127,7 +131,8 @@
 		}
 		path, err := write("cobaltflow.json", map[string]any{"log": map[string]any{"level": "warn"},
 			"scheduler": map[string]any{"name": "measured", "listen": g.http, "limits": limits, "classes": classes, "workers": workers,
-				"rules": map[string]any{"max_attempts": 4}}, "faktory": f})
+				"rules": map[string]any{"max_attempts": 4}}, "faktory": f,
+			"http2": map[string]any{"listen": g.http2, "max_connections": 1000}})
 		return nil, []string{"serve", "--config", path}, err
 	}
 	for _, c := range classes {
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -4,18 +4,16 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"net"
 	"slices"
-	"strconv"
-	"strings"
 	"sync/atomic"
 
 	"github.com/cloudwego/netpoll"
 
 	"cobaltflow/internal/config"
 	"cobaltflow/internal/core"
+	"cobaltflow/internal/front/admission"
 	"cobaltflow/internal/http1"
 	"cobaltflow/internal/link"
 	"cobaltflow/internal/log"
@@ -31,20 +29,16 @@
 	PathTargets = "/api/targets"
 	PathJobs    = "/jobs/"
 
-	HeaderID          = "X-Correlation-Id"
-	HeaderClass       = "X-Service-Class"
-	HeaderTimeLeft    = "X-Time-Left-Ms"
-	HeaderFacts       = "X-Facts"
+	HeaderID          = admission.HeaderID
+	HeaderClass       = admission.HeaderClass
+	HeaderTimeLeft    = admission.HeaderTimeLeft
+	HeaderFacts       = admission.HeaderFacts
 	HeaderLoad        = "X-Backend-Load"
 	HeaderUnprocessed = "X-Unprocessed"
 )
 
 const (
-	longestID = 128
-	// An answer at a client's deadline is on its way while the client gives up, so ours is due earlier.
-	answerMargin = 10 * core.Millisecond
-	longestLeft  = 24 * 3600 * 1000 // milliseconds
-	sweepEvery   = 50 * core.Millisecond
+	sweepEvery = 50 * core.Millisecond
 	// For so long after SIGTERM requests are taken as ever, and connections kept: clients go on using those
 	// they have, and where all schedulers of a zone are restarted in turn there may be nobody else yet.
 	acceptOn = 1300 * core.Millisecond
@@ -59,6 +53,7 @@
 
 // Front is the HTTP/1.1 front and the carrier to the workers that discovery tells of.
 type Front struct {
+	desk    *admission.Desk
 	loop    *core.Loop
 	core    *core.Core
 	conf    *config.Config
@@ -72,7 +67,6 @@
 	budget   budget
 	accepted atomic.Int64 // connections, also those the loop has not heard of yet
 	most     atomic.Int64 // of them: past it a new one is closed by the poller
-	ended    recent
 
 	pool  pool
 	watch *watch
@@ -99,19 +93,28 @@
 	}
 }
 
-// share leaves room for the listeners, the poller, the watch, the log and the second front.
-func share(sockets int, second *config.Faktory) budget {
+// share leaves room for the listeners, the poller, the watch, the log and the other fronts.
+func share(sockets, others int) budget {
 	spare := max(24, sockets/8)
-	if second.On() {
-		spare += second.MaxSessions
-	}
+	spare += others
 	workers := (sockets - spare) * 2 / 5
 	return budget{agents: sockets - spare - workers, workers: workers}
 }
 
+// others is the number of connections that the other fronts may have.
+func (f *Front) others() (n int) {
+	if f.conf.Faktory.On() {
+		n = f.conf.Faktory.MaxSessions
+	}
+	if f.conf.HTTP2.On() {
+		n += f.conf.HTTP2.MaxConnections
+	}
+	return n
+}
+
 // shareOut sets the budgets by the limits. The loop keeps the agents' one.
 func (f *Front) shareOut() {
-	f.budget = share(f.conf.Limits.Sockets, &f.conf.Faktory)
+	f.budget = share(f.conf.Limits.Sockets, f.others())
 	f.bound()
 }
 
@@ -119,10 +122,7 @@
 // part. A burst, which the loop brings back to the budget as it turns, costs no usual client its place then.
 func (f *Front) bound() {
 	spare := f.conf.Limits.Sockets - f.budget.agents - f.budget.workers
-	second := 0
-	if f.conf.Faktory.On() {
-		second = f.conf.Faktory.MaxSessions
-	}
+	second := f.others()
 	used := f.pool.links.Len() + f.pool.dials
 	f.most.Store(int64(f.conf.Limits.Sockets - second - (spare-second)/2 - used))
 }
@@ -143,8 +143,8 @@
 type linkKey struct{}
 
 // New makes the front; Start opens it.
-func New(c *core.Core, conf *config.Config, logger *slog.Logger) *Front {
-	f := &Front{loop: c.Loop, core: c, conf: conf, log: logger}
+func New(c *core.Core, conf *config.Config, desk *admission.Desk, logger *slog.Logger) *Front {
+	f := &Front{loop: c.Loop, core: c, conf: conf, desk: desk, log: logger}
 	f.pool = newPool(f)
 	f.shareOut()
 	return f
@@ -384,33 +384,12 @@
 	a.Send(f.loop, link.Outgoing{Message: message, Last: true, Linger: true})
 }
 
-// open turns a request into a transaction; what can't be one is link.Answered and reaches no worker.
+// open turns a request into a transaction; what can't be one is answered and reaches no worker.
 func (f *Front) open(a *agentLink, q *http1.Request, path string) bool {
-	segments := strings.Split(path[1:], "/")
-	class := f.conf.Names.Class(segments[0])
-	if class < 0 {
-		f.refuseInput(a, 404, "no such path or class")
-		return false
-	}
-	if string(q.Method) != "POST" {
-		f.refuseInput(a, 405, "POST")
-		return false
-	}
-	t, text := newTransaction(q, segments, class)
-	if text != "" {
-		f.refuseInput(a, 400, text)
-		return false
-	}
-	t.Agent = a
-	// An id is fresh for every request. One that has lately ended is another client's, and workers, which
-	// know whose it was, would turn it away.
-	if f.ended.has(t.ID) {
-		f.refuseInput(a, 400, HeaderID+" was in use")
-		return false
-	}
-	t.Deadline = f.loop.Now() + max(core.Millisecond, t.Deadline-answerMargin)
-	if !f.core.Take(t) {
-		f.refuseInput(a, 400, HeaderID+" is in use")
+	t, fault := f.desk.Admit(&admission.Request{Method: string(q.Method), Target: string(q.Target), Path: path, Body: q.Body,
+		Header: func(name string) ([]byte, int) { return q.Get(name), q.Count(name) }}, a)
+	if fault != nil {
+		f.refuseInput(a, fault.Status, fault.Text)
 		return false
 	}
 	a.in = t
@@ -418,62 +397,19 @@
 	return true
 }
 
-// newTransaction reads the headers; Deadline is still the time left. A text tells what is wrong.
-func newTransaction(q *http1.Request, segments []string, class int) (*core.Transaction, string) {
-	id := q.Get(HeaderID)
-	if len(id) == 0 || len(id) > longestID || q.Count(HeaderID) > 1 || strings.ContainsAny(string(id), " ,\t\"/?#%") {
-		return nil, HeaderID + " is missing or unusable"
-	}
-	left, err := strconv.ParseUint(string(q.Get(HeaderTimeLeft)), 10, 32)
-	if err != nil || left == 0 || left > longestLeft || q.Count(HeaderTimeLeft) > 1 {
-		return nil, HeaderTimeLeft + " is missing or unusable"
-	}
-	if named := q.Get(HeaderClass); q.Count(HeaderClass) > 1 || named != nil && string(named) != segments[0] {
-		return nil, HeaderClass + " is not the class of the path"
-	}
-	t := &core.Transaction{ID: string(id), Deadline: core.Time(left) * core.Millisecond,
-		Work: core.Work{Class: class, Target: string(q.Target), Body: q.Body}}
-	if len(segments) > 1 {
-		t.Work.Key = segments[len(segments)-1]
-	}
-	for fact := range strings.SplitSeq(string(q.Get(HeaderFacts)), ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(fact), "=")
-		v, err := strconv.ParseFloat(value, 64)
-		if err != nil || !(v >= 0 && v < 1e9) {
-			continue // a figure that is not known here or is none
-		}
-		switch name {
-		case "slots":
-			t.Slots = v
-		case "memory":
-			t.Memory = v
-		}
-	}
-	return t, ""
-}
-
 // Answer implements core.UserAgent.
 func (a *agentLink) Answer(t *core.Transaction, answer core.Answer) {
-	f := a.front
-	switch answer.Kind {
-	case core.Served:
-		f.reply(a, 200, answer.Result, a.request.KeepAlive)
-	case core.Unavailable:
-		f.reply(a, 503, nil, a.request.KeepAlive, "Retry-After", seconds(answer.RetryAfter))
-	default:
-		f.reply(a, 500, nil, a.request.KeepAlive)
+	r := admission.ReplyTo(answer)
+	if r.RetryAfter != "" {
+		a.front.reply(a, r.Status, r.Body, a.request.KeepAlive, "Retry-After", r.RetryAfter)
+		return
 	}
-}
-
-// seconds writes a length of time in decimal seconds, to the millisecond above.
-func seconds(t core.Time) string {
-	ms := (t + core.Millisecond - 1) / core.Millisecond
-	return fmt.Sprintf("%d.%03d", ms/1000, ms%1000)
+	a.front.reply(a, r.Status, r.Body, a.request.KeepAlive)
 }
 
 // Released implements core.UserAgent: no pass needs the request's bytes any more.
 func (a *agentLink) Released(t *core.Transaction) {
-	a.front.ended.add(t.ID)
+	a.front.desk.Released(t)
 	a.in = nil
 	a.last = a.front.loop.Now()
 	a.Release()
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -8,6 +8,7 @@
 	"github.com/cloudwego/netpoll"
 
 	"cobaltflow/internal/core"
+	"cobaltflow/internal/front/admission"
 	"cobaltflow/internal/http1"
 	"cobaltflow/internal/link"
 	"cobaltflow/rules"
@@ -129,7 +130,7 @@
 		f.loop.Post(func() { f.core.Ended(ref, rules.NotSent, nil, rules.Load{}) })
 		return
 	}
-	left := min(max(1, t.Left(f.loop.Now())/core.Millisecond), longestLeft)
+	left := min(max(1, t.Left(f.loop.Now())/core.Millisecond), admission.LongestLeft)
 	// The message is a copy: its writer may still be at it when the transaction is over.
 	message := http1.AppendRequest(make([]byte, 0, 320+len(t.Work.Body)), "POST", t.Work.Target, w.address, len(t.Work.Body),
 		HeaderID, t.ID, HeaderClass, f.conf.Names.Classes[t.Work.Class], HeaderTimeLeft, strconv.FormatInt(left, 10))
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -23,6 +23,7 @@
 	"cobaltflow/internal/config"
 	"cobaltflow/internal/core"
 	"cobaltflow/internal/faktory"
+	"cobaltflow/internal/front/http2"
 	"cobaltflow/internal/gateway"
 	"cobaltflow/internal/platform"
 	"cobaltflow/rules"
@@ -40,6 +41,7 @@
 	Core    *core.Core
 	Front   *platform.Front
 	Faktory *faktory.Front
+	HTTP2   *http2.Front
 	Farm    *Discovery
 	Ended   chan struct{}
 
@@ -61,7 +63,7 @@
 				{Aim: 500_000, Deadline: 5_000_000, Worth: 3, Effect: rules.Repeatable, Kind: -1},
 				{Aim: 1_000_000, Deadline: 10_000_000, Worth: 2, Kind: -1},
 				{Aim: 1_200_000, Deadline: 20_000_000, Worth: 10, Kind: -1}}},
-		Faktory: config.DefaultFaktory(),
+		Faktory: config.DefaultFaktory(), HTTP2: config.DefaultHTTP2(),
 	}
 	n.Conf.Known = n.Farm.Tell(true, entries("up", workers)...)
 	if change != nil {
@@ -70,7 +72,7 @@
 	log := slog.New(slog.NewTextHandler(n, nil))
 	n.Gateway = gateway.New(n.Conf, log)
 	require.NoError(t, n.Gateway.Start())
-	n.Loop, n.Core, n.Front, n.Faktory = n.Gateway.Loop, n.Gateway.Core, n.Gateway.Front, n.Gateway.Faktory
+	n.Loop, n.Core, n.Front, n.Faktory, n.HTTP2 = n.Gateway.Loop, n.Gateway.Core, n.Gateway.Front, n.Gateway.Faktory, n.Gateway.HTTP2
 	go func() {
 		n.Gateway.Run()
 		close(n.Ended)
