Bound what short commands and frames cost, and keep the figures of all three fronts

A client that sent INFO without reading its replies could have 43,000 of them wait for the loop: under the race detector that held others up for seconds. TestSlowReader failed under -race before and passes now.

--- a/cmd/cobaltflow/measure.go
+++ b/cmd/cobaltflow/measure.go
@@ -35,6 +35,7 @@
 		},
 	}
 	hc.Flags().StringVar(&h.Binary, "binary", "", "the `program` to measure; this one where absent")
+	hc.Flags().StringVar(&h.Old, "old", "", "an earlier `program`, of before cobaltflow.json, to measure beside it")
 	hc.Flags().IntVar(&h.Core, "core", 0, "the `core` that the gateway gets")
 	hc.Flags().Float64Var(&h.Seconds, "seconds", 3, "`seconds` of each measurement")
 	hc.Flags().StringVar(&h.Only, "only", "", "`parts`: of fronts, conns, memory, attacks")
--- a/internal/faktory/intake.go
+++ b/internal/faktory/intake.go
@@ -21,6 +21,7 @@
 	verb string
 	arg  []byte
 	size int
+	cost int       // towards what a session may have unhandled
 	job  *jobs.Job // of PUSH
 	many []pushed  // of PUSHB
 	bad  error
@@ -38,7 +39,7 @@
 type intake struct {
 	part    []byte       // of a command that is not whole yet
 	seen    int          // bytes of it in which no end was found
-	ahead   atomic.Int64 // bytes of commands that the loop has not handled
+	ahead   atomic.Int64 // cost of the commands that the loop has not handled
 	known   atomic.Bool  // HELLO was accepted: its payloads are worth parsing here
 	mu      sync.Mutex
 	held    int64 // bytes that count towards what all sessions may hold
@@ -49,7 +50,9 @@
 }
 
 const (
-	aheadMost  = 256 << 10 // bytes that a session may have unhandled before it is read on
+	aheadMost  = 256 << 10 // cost of the commands that a session may have unhandled before it is read on
+	leastCost  = 512       // of a command, however short: it takes its part of a turn
+	dearCost   = 8 << 10   // of one that looks at all there is
 	batchMost  = 256       // commands handed to the loop at once
 	bulkAtOnce = 500       // jobs of a PUSHB that are taken in one turn
 )
@@ -80,11 +83,11 @@
 		return err
 	}
 	for !in.stopped {
-		batch, used := s.cut()
+		batch, cost := s.cut()
 		if len(batch) == 0 {
 			break
 		}
-		in.ahead.Add(int64(used))
+		in.ahead.Add(int64(cost))
 		f.loop.Post(func() { f.handle(s, batch) })
 		for in.ahead.Load() > aheadMost {
 			select {
@@ -110,7 +113,7 @@
 
 // cut takes whole commands off what has come. Their bytes are handed over with them; what is left of the
 // buffer is copied, so that a batch can live on.
-func (s *session) cut() (batch []request, used int) {
+func (s *session) cut() (batch []request, cost int) {
 	f, in := s.front, &s.in
 	at := 0
 	for at < len(in.part) && len(batch) < batchMost {
@@ -129,7 +132,11 @@
 		if need > 0 {
 			break
 		}
-		q := request{verb: verbOf(c.Verb), arg: c.Arg, size: c.Size}
+		q := request{verb: verbOf(c.Verb), arg: c.Arg, size: c.Size, cost: max(c.Size, leastCost)}
+		if dear[q.verb] {
+			q.cost = max(c.Size, dearCost)
+		}
+		cost += q.cost
 		if in.known.Load() {
 			s.front.prepare(s, &q)
 		}
@@ -144,9 +151,12 @@
 		}
 	}
 	in.part, in.seen = left, len(left)
-	return batch, at
+	return batch, cost
 }
 
+// dear are the verbs whose work does not go by their length.
+var dear = map[string]bool{"INFO": true, "QUEUE": true, "MUTATE": true, "FLUSH": true}
+
 // verbOf gives the verb as a string without an allocation where it is known.
 func verbOf(b []byte) string {
 	if v, ok := verbs[string(b)]; ok {
@@ -202,8 +212,8 @@
 }
 
 // handled tells the reading side that the loop has done with commands.
-func (s *session) handled(bytes int) {
-	s.in.ahead.Add(-int64(bytes))
+func (s *session) handled(bytes, cost int) {
+	s.in.ahead.Add(-int64(cost))
 	s.account(-int64(bytes))
 	select {
 	case s.in.room <- struct{}{}:
--- a/internal/faktory/session.go
+++ b/internal/faktory/session.go
@@ -51,6 +51,10 @@
 
 func (s *session) flush() {
 	s.marked = false
+	if s.Queued() > unreadMost {
+		s.Close(link.NotReading)
+		return
+	}
 	if out := s.out; len(out) > 0 {
 		s.out = nil
 		s.Send(s.front.loop, link.Outgoing{Message: out, Last: s.Reason != "" && !s.Closed})
@@ -109,7 +113,7 @@
 			}
 			f.command(s, q)
 		}
-		s.handled(q.size)
+		s.handled(q.size, q.cost)
 	}
 	return nil
 }
--- a/internal/front/http2/head.go
+++ b/internal/front/http2/head.go
@@ -27,21 +27,22 @@
 		}
 	}
 	host, hosts := "", 0
-	seen := map[string]bool{}
+	seen := [4]bool{}
+	h.fields = make([]hpack.HeaderField, 0, len(fields))
 	for _, f := range fields {
 		if strings.HasPrefix(f.Name, ":") {
-			to := map[string]*string{":method": &h.method, ":scheme": &h.scheme, ":path": &h.path, ":authority": &h.authority}[f.Name]
+			to, nth := h.pseudoField(f.Name)
 			switch {
 			case to == nil:
 				fail("pseudo-header field %q", f.Name)
-			case seen[f.Name]:
+			case seen[nth]:
 				fail("%s stands twice", f.Name)
 			case len(h.fields) > 0:
 				fail("%s stands behind a regular field", f.Name)
 			default:
 				*to = f.Value
 			}
-			seen[f.Name], h.pseudo = true, true
+			seen[nth], h.pseudo = true, true
 			if !goodValue(f.Value) {
 				fail("%s has a value that can't be one", f.Name)
 			}
@@ -52,16 +53,20 @@
 			fail("field name %q", f.Name)
 		case !goodValue(f.Value):
 			fail("%s has a value that can't be one", f.Name)
-		case connectionFields[f.Name]:
-			fail("%s is of HTTP/1.1 alone", f.Name)
-		case f.Name == "te" && f.Value != "trailers":
-			fail("te: %s", f.Value)
-		case f.Name == "host":
+		}
+		switch f.Name {
+		case "connection", "keep-alive", "proxy-connection", "transfer-encoding", "upgrade":
+			fail("%s is of HTTP/1.1 alone (RFC 9113, section 8.2.2)", f.Name)
+		case "te":
+			if f.Value != "trailers" {
+				fail("te: %s", f.Value)
+			}
+		case "host":
 			if hosts++; hosts > 1 {
 				fail("host stands twice")
 			}
 			host = f.Value
-		case f.Name == "content-length":
+		case "content-length":
 			n, err := strconv.ParseUint(f.Value, 10, 62)
 			if err != nil || h.length >= 0 && h.length != int64(n) {
 				fail("content-length: %s", f.Value)
@@ -76,6 +81,21 @@
 	return h
 }
 
+// pseudoField is where a request's pseudo-header field goes; nil: there is no such one.
+func (h *head) pseudoField(name string) (to *string, nth int) {
+	switch name {
+	case ":method":
+		return &h.method, 0
+	case ":scheme":
+		return &h.scheme, 1
+	case ":path":
+		return &h.path, 2
+	case ":authority":
+		return &h.authority, 3
+	}
+	return nil, 0
+}
+
 // checkRequest tells what a request lacks (RFC 9113, section 8.3.1).
 func (h *head) checkRequest() {
 	if h.bad != "" || h.tooLarge {
@@ -105,9 +125,6 @@
 	return value, count
 }
 
-// connectionFields must not stand in HTTP/2 (RFC 9113, section 8.2.2).
-var connectionFields = map[string]bool{"connection": true, "keep-alive": true, "proxy-connection": true, "transfer-encoding": true, "upgrade": true}
-
 // goodName tells of a field name that is a token in lower case (RFC 9113, section 8.2.1).
 func goodName(s string) bool {
 	if s == "" {
@@ -115,7 +132,7 @@
 	}
 	for i := range len(s) {
 		c := s[i]
-		if c <= ' ' || c >= 0x7f || c >= 'A' && c <= 'Z' || strings.IndexByte(`"(),/:;<=>?@[\]{}`, c) >= 0 {
+		if !(c >= 'a' && c <= 'z' || c >= '0' && c <= '9' || c == '-') && strings.IndexByte("!#$%&'*+.^_`|~", c) < 0 {
 			return false
 		}
 	}
--- a/internal/front/http2/intake.go
+++ b/internal/front/http2/intake.go
@@ -10,6 +10,9 @@
 	"cobaltflow/internal/link"
 )
 
+// leastCost is what a frame counts at least.
+const leastCost = 512
+
 // backlog counts what the loop has not handled of a connection.
 type backlog struct {
 	bytes   atomic.Int64
@@ -48,8 +51,9 @@
 			return err
 		}
 		if len(batch) > 0 {
-			c.backlog.bytes.Add(int64(used))
-			c.front.loop.Post(func() { c.front.handle(c, batch, used) })
+			cost := max(used, leastCost*len(batch)) // a frame takes its part of a turn, however short it is
+			c.backlog.bytes.Add(int64(cost))
+			c.front.loop.Post(func() { c.front.handle(c, batch, cost) })
 			for c.backlog.bytes.Load() > aheadMost {
 				select {
 				case <-c.room:
@@ -86,7 +90,7 @@
 }
 
 // handle has a batch of frames in hand.
-func (f *Front) handle(c *conn, batch []*frame, bytes int) {
+func (f *Front) handle(c *conn, batch []*frame, cost int) {
 	c.used = f.loop.Now()
 	for _, fr := range batch {
 		if c.Ended || c.Reason != "" {
@@ -101,7 +105,7 @@
 			c.fail(bad)
 		}
 	}
-	c.backlog.bytes.Add(-int64(bytes))
+	c.backlog.bytes.Add(-int64(cost))
 	select {
 	case c.room <- struct{}{}:
 	default:
--- a/internal/measure/faktory.go
+++ b/internal/measure/faktory.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -368,31 +370,48 @@
 	return nil
 }
 
-// measureHeld runs the closed loop beside a backlog of the same queue.
+// measureHeld runs the closed loop beside a backlog of the same queue: three rounds in turn, since a machine's speed
+// drifts, of which the middle one by CPU time counts.
 func measureHeld(ctx context.Context, w io.Writer, o Faktory) error {
-	fmt.Fprint(w, "### Cycles beside held jobs of the same queue, on one core\n\n| held | cycles/s | CPU µs/cycle |\n| ---: | ---: | ---: |\n")
-	for _, held := range []int{10, 1000, 100_000} {
-		g, err := start(options{binary: o.Binary, core: o.Core})
-		if err != nil {
-			return err
-		}
-		c, err := open(ctx, g.faktory, "")
-		for n := 0; err == nil && n < held; n += 1000 {
-			var r client.Reply
-			if r, err = c.Do("PUSHB", bulkOf(min(held, 1000), "held")); err == nil && r.Text != "{}" {
-				err = errors.New(r.Text)
+	fmt.Fprint(w, "### Cycles beside held jobs of the same queue, on one core, the middle of three rounds\n\n| held | cycles/s | CPU µs/cycle |\n| ---: | ---: | ---: |\n")
+	type round struct {
+		rate float64
+		cpu  time.Duration
+	}
+	sizes := []int{10, 1000, 100_000}
+	rounds := make([][]round, len(sizes))
+	for range 3 {
+		for i, held := range sizes {
+			r := round{}
+			var err error
+			if r.rate, r.cpu, err = cyclesBeside(ctx, o, held); err != nil {
+				return err
 			}
-		}
-		if err == nil {
-			var n float64
-			var cpu time.Duration
-			n, cpu, err = rate(ctx, g, &load{address: g.faktory, queue: "held"}, o.Seconds)
-			fmt.Fprintf(w, "| %d | %.0f | %.1f |\n", held, n, float64(cpu.Nanoseconds())/1000)
-		}
-		g.stop()
-		if err != nil {
-			return err
+			rounds[i] = append(rounds[i], r)
 		}
 	}
+	for i, held := range sizes {
+		slices.SortFunc(rounds[i], func(a, b round) int { return cmp.Compare(a.cpu, b.cpu) })
+		fmt.Fprintf(w, "| %d | %.0f | %.1f |\n", held, rounds[i][1].rate, float64(rounds[i][1].cpu.Nanoseconds())/1000)
+	}
 	return nil
 }
+
+func cyclesBeside(ctx context.Context, o Faktory, held int) (perSecond float64, cpu time.Duration, err error) {
+	g, err := start(options{binary: o.Binary, core: o.Core})
+	if err != nil {
+		return 0, 0, err
+	}
+	defer g.stop()
+	c, err := open(ctx, g.faktory, "")
+	for n := 0; err == nil && n < held; n += 1000 {
+		var r client.Reply
+		if r, err = c.Do("PUSHB", bulkOf(min(held, 1000), "held")); err == nil && r.Text != "{}" {
+			err = errors.New(r.Text)
+		}
+	}
+	if err != nil {
+		return 0, 0, err
+	}
+	return rate(ctx, g, &load{address: g.faktory, queue: "held"}, o.Seconds)
+}
--- a/internal/measure/http.go
+++ b/internal/measure/http.go
@@ -28,6 +28,7 @@
 // HTTP says what is measured of the HTTP fronts.
 type HTTP struct {
 	Binary  string
+	Old     string // an earlier build, measured beside it; empty: none
 	Core    int
 	Seconds float64
 	Only    string // parts: fronts, conns, memory, attacks
@@ -79,7 +80,7 @@
 		addresses = append(addresses, t.Address())
 	}
 	var err error
-	if s.gateway, err = start(options{binary: o.Binary, core: o.Core, workers: addresses}); err != nil {
+	if s.gateway, err = start(options{binary: o.Binary, old: o.Binary == o.Old, core: o.Core, workers: addresses}); err != nil {
 		return nil, err
 	}
 	for _, t := range s.tables {
@@ -244,7 +245,7 @@
 
 // measureConns looks at HTTP/1.1 by the number of connections, with a reverse proxy of the standard library beside it.
 func measureConns(ctx context.Context, w io.Writer, o HTTP) error {
-	fmt.Fprint(w, "### HTTP/1.1 by connections, on one core\n\n| connections | jobs/s | CPU µs/job | p99 ms | httputil.ReverseProxy, requests/s |\n| ---: | ---: | ---: | ---: | ---: |\n")
+	fmt.Fprint(w, "### HTTP/1.1 by connections, on one core\n\n| connections | jobs/s | CPU µs/job | p99 ms | earlier build, jobs/s | CPU µs/job | httputil.ReverseProxy, requests/s |\n| ---: | ---: | ---: | ---: | ---: | ---: | ---: |\n")
 	back, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -256,33 +257,46 @@
 	go plain.Serve(back)
 	defer plain.Close()
 	for _, n := range []int{8, 32, 64, 128, 256} {
-		s, err := newSite(o, 0, 64)
+		rate, cpu, late, err := connsOf(ctx, o, n)
 		if err != nil {
 			return err
 		}
-		askers, done := http1Askers(s.http, jobPath, n)
-		rate, cpu, late, err := closedLoop(ctx, s.gateway, askers, o.Seconds)
-		done()
-		s.close()
-		if err != nil {
-			return err
+		before, cost := 0.0, time.Duration(0)
+		if o.Old != "" {
+			earlier := o
+			earlier.Binary = o.Old
+			if before, cost, _, err = connsOf(ctx, earlier, n); err != nil {
+				return err
+			}
 		}
 		proxy, err := startProxy(o, back.Addr().String())
 		if err != nil {
 			return err
 		}
-		askers, done = http1Askers(proxy.http, jobPath, n)
+		askers, done := http1Askers(proxy.http, jobPath, n)
 		other, _, _, err := closedLoop(ctx, proxy, askers, o.Seconds)
 		done()
 		proxy.stop()
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(w, "| %d | %.0f | %.1f | %.2f | %.0f |\n", n, rate, float64(cpu.Nanoseconds())/1000, float64(late.ValueAtQuantile(99))/1000, other)
+		fmt.Fprintf(w, "| %d | %.0f | %.1f | %.2f | %.0f | %.1f | %.0f |\n", n, rate, float64(cpu.Nanoseconds())/1000,
+			float64(late.ValueAtQuantile(99))/1000, before, float64(cost.Nanoseconds())/1000, other)
 	}
 	return nil
 }
 
+func connsOf(ctx context.Context, o HTTP, n int) (rate float64, cpu time.Duration, late *hdrhistogram.Histogram, err error) {
+	s, err := newSite(o, 0, 64)
+	if err != nil {
+		return 0, 0, nil, err
+	}
+	defer s.close()
+	askers, done := http1Askers(s.http, jobPath, n)
+	defer done()
+	return closedLoop(ctx, s.gateway, askers, o.Seconds)
+}
+
 // startProxy runs ReverseProxy as a process on the core.
 func startProxy(o HTTP, to string) (*gateway, error) {
 	self, err := os.Executable()
--- a/internal/measure/process.go
+++ b/internal/measure/process.go
@@ -83,7 +83,7 @@
 	if err := startOn(g.cmd, o.core); err != nil {
 		return nil, err
 	}
-	for _, address := range []string{g.http, g.faktory} {
+	for _, address := range []string{g.http, g.faktory} { // the last of its fronts to listen
 		if err := reachable(address); err != nil {
 			text, _ := os.ReadFile(filepath.Join(dir, "log"))
 			g.stop()
@@ -142,8 +142,12 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	known := []map[string]any{}
+	for _, w := range workers {
+		known = append(known, map[string]any{"name": w["name"], "address": w["address"], "zone": "here", "type": "any", "status": "up", "weight": 1})
+	}
 	platform, err := write("platform.json", map[string]any{"name": "measured", "listen": g.http, "discovery": discovery, "limits": limits,
-		"known": map[string]any{"index": 1, "snapshot": true, "endpoints": []any{}},
+		"known": map[string]any{"index": 1, "snapshot": true, "endpoints": known},
 		"settings": map[string]any{"classes": classes, "caps": map[string]any{"cancel": true, "mostTries": 4, "retryAfter": true},
 			"rules": map[string]any{"warmWithinUs": 1, "tipAfterUs": 1, "coldFrom": 1}, "specifics": map[string]any{"tellsStart": true}}})
 	if err != nil {
