--- a/internal/measure/faktory.go
+++ b/internal/measure/faktory.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -43,30 +42,10 @@
 
 // RunFaktory measures and writes tables in Markdown. With a word of Only it does the parts that have it.
 func RunFaktory(ctx context.Context, w io.Writer, o Faktory) error {
-	if o.Binary == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		o.Binary = self
-	}
-	keepOff(o.Core)
-	for _, part := range []struct {
-		name string
-		run  func(context.Context, io.Writer, Faktory) error
-	}{{"cycles", measureCycles}, {"bulk", measureBulk}, {"latency", measureLatency}, {"memory", measureMemory}, {"held", measureHeld}, {"flood", measureFlood}} {
-		if o.Only != "" && !strings.Contains(o.Only, part.name) {
-			continue
-		}
-		if err := part.run(ctx, w, o); err != nil {
-			return fmt.Errorf("%s: %w", part.name, err)
-		}
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		fmt.Fprintln(w)
-	}
-	return nil
+	return runParts(ctx, w, &o.Binary, o.Core, o.Only, []part{
+		{"cycles", func() error { return measureCycles(ctx, w, o) }}, {"bulk", func() error { return measureBulk(ctx, w, o) }},
+		{"latency", func() error { return measureLatency(ctx, w, o) }}, {"memory", func() error { return measureMemory(ctx, w, o) }},
+		{"held", func() error { return measureHeld(ctx, w, o) }}, {"flood", func() error { return measureFlood(ctx, w, o) }}})
 }
 
 // load is a closed loop of pushers and workers, or an open one where rate is above 0.
--- a/internal/measure/http.go
+++ b/internal/measure/http.go
@@ -36,30 +36,9 @@
 
 // RunHTTP measures and writes tables in Markdown.
 func RunHTTP(ctx context.Context, w io.Writer, o HTTP) error {
-	if o.Binary == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		o.Binary = self
-	}
-	keepOff(o.Core)
-	for _, part := range []struct {
-		name string
-		run  func(context.Context, io.Writer, HTTP) error
-	}{{"fronts", measureFronts}, {"conns", measureConns}, {"memory", measureStreams}, {"attacks", measureAttacks}} {
-		if o.Only != "" && !strings.Contains(o.Only, part.name) {
-			continue
-		}
-		if err := part.run(ctx, w, o); err != nil {
-			return fmt.Errorf("%s: %w", part.name, err)
-		}
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		fmt.Fprintln(w)
-	}
-	return nil
+	return runParts(ctx, w, &o.Binary, o.Core, o.Only, []part{
+		{"fronts", func() error { return measureFronts(ctx, w, o) }}, {"conns", func() error { return measureConns(ctx, w, o) }},
+		{"memory", func() error { return measureStreams(ctx, w, o) }}, {"attacks", func() error { return measureAttacks(ctx, w, o) }}})
 }
 
 // site is a gateway with table workers of its own.
--- a/internal/measure/process.go
+++ b/internal/measure/process.go
@@ -4,8 +4,10 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -19,6 +21,37 @@
 	"golang.org/x/sys/unix"
 )
 
+// part is one of the measurements of a command.
+type part struct {
+	name string
+	run  func() error
+}
+
+// runParts runs the parts that only names, or all, of a gateway whose program is binary, or this one.
+func runParts(ctx context.Context, w io.Writer, binary *string, core int, only string, parts []part) error {
+	if *binary == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		*binary = self
+	}
+	keepOff(core)
+	for _, p := range parts {
+		if only != "" && !strings.Contains(only, p.name) {
+			continue
+		}
+		if err := p.run(); err != nil {
+			return fmt.Errorf("%s: %w", p.name, err)
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		fmt.Fprintln(w)
+	}
+	return nil
+}
+
 // gateway is a gateway that runs as a process.
 type gateway struct {
 	cmd     *exec.Cmd
