Share one backlog between batched fronts, and order a queue's wait with all other times

A reading of the whole change found the same bounded hand-over to the loop written twice, a walk over all queues at the end of each turn for a time that belongs into the machine's one ordered structure, a flag that nothing could see (a transaction that was hung up is never answered), and functions without a caller.

link.Backlog serves the Faktory and the HTTP/2 front; a queue that lets nothing in for a while has a timer; what was dead is out. A reload now holds the http2 section to the new limits, as it did the faktory section.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -114,7 +114,7 @@
 }
 
 // Reload reads the files again for a program that runs. What the environment says of discovery is from
-// the start: the new file goes before it. The second front's part is kept as it is.
+// the start: the new file goes before it. The other fronts' parts are kept as they are.
 func (c *Config) Reload(getenv func(string) string) (*Config, error) {
 	file, err := readOwn(c.file, false)
 	if err != nil {
@@ -125,7 +125,10 @@
 		return nil, err
 	}
 	next.Faktory, next.HTTP2 = c.Faktory, c.HTTP2
-	return next, next.checkFaktory()
+	if err := errors.Join(next.checkFaktory(), next.checkHTTP2()); err != nil { // by the new limits
+		return nil, err
+	}
+	return next, nil
 }
 
 // Unchangeable names the keys in which next differs but which a running program keeps.
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -98,7 +98,6 @@
 	if err := validate(text); err != nil {
 		return err
 	}
-	own.Scheduler = nil
 	if err := json.Unmarshal(text, own); err != nil {
 		return fault("config", "%v", err)
 	}
--- a/internal/config/http2.go
+++ b/internal/config/http2.go
@@ -39,6 +39,10 @@
 			return fault("http2", "%v", err)
 		}
 	}
+	return c.checkHTTP2()
+}
+
+func (c *Config) checkHTTP2() error {
 	h := &c.HTTP2
 	if !h.On() {
 		return nil
--- a/internal/conformance/faktory.go
+++ b/internal/conformance/faktory.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"reflect"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -261,19 +260,6 @@
 	k.must(errors.Join(errs...))
 }
 
-func ids(jobs []client.Job) (out []string) {
-	for _, j := range jobs {
-		out = append(out, j.JID)
-	}
-	return out
-}
-
-func sorted(s []string) []string {
-	s = slices.Clone(s)
-	slices.Sort(s)
-	return s
-}
-
 func pushB(jobs ...any) string {
 	text, _ := json.Marshal(jobs)
 	return string(text)
--- a/internal/faktory/front.go
+++ b/internal/faktory/front.go
@@ -147,7 +147,7 @@
 	s := &session{front: f}
 	s.Init(nc, "faktory", nc.RemoteAddr().String(), 0)
 	s.client, _, _ = net.SplitHostPort(s.Peer)
-	s.in.room, s.in.gone = make(chan struct{}, 1), make(chan struct{})
+	s.in.backlog = link.NewBacklog()
 	nc.AddCloseCallback(func(netpoll.Connection) error {
 		f.loop.Post(func() { f.gone(s) })
 		return nil
--- a/internal/faktory/host.go
+++ b/internal/faktory/host.go
@@ -13,7 +13,6 @@
 	job     *jobs.Job
 	t       *core.Transaction
 	failure *jobs.Failure // what was told of it
-	cut     bool          // the machine has ended the job
 }
 
 // host carries out what the jobs' machine asks for.
@@ -58,7 +57,6 @@
 // Withdraw implements jobs.Actions.
 func (h host) Withdraw(j *jobs.Job) {
 	if y := h.f.tries[j]; y != nil {
-		y.cut = true
 		delete(h.f.tries, j)
 		h.f.core.HangUp(y.t)
 	}
@@ -80,12 +78,9 @@
 	h.f.log.Debug("faktory: job ended", "jid", j.ID, "state", j.State.String(), "reason", string(j.Reason), "failures", j.Failures)
 }
 
-// Answer implements core.UserAgent.
+// Answer implements core.UserAgent. It never comes after a Withdraw: what was hung up is not answered.
 func (y *try) Answer(_ *core.Transaction, a core.Answer) {
 	f, now := y.front, y.front.loop.Now()
-	if y.cut {
-		return
-	}
 	delete(f.tries, y.job)
 	switch a.Kind {
 	case core.Served:
--- a/internal/faktory/intake.go
+++ b/internal/faktory/intake.go
@@ -37,24 +37,20 @@
 
 // intake is the reading side of a session. It belongs to netpoll's goroutine, but for what is atomic.
 type intake struct {
-	part    []byte       // of a command that is not whole yet
-	seen    int          // bytes of it in which no end was found
-	ahead   atomic.Int64 // cost of the commands that the loop has not handled
-	known   atomic.Bool  // HELLO was accepted: its payloads are worth parsing here
+	part    []byte      // of a command that is not whole yet
+	seen    int         // bytes of it in which no end was found
+	known   atomic.Bool // HELLO was accepted: its payloads are worth parsing here
 	mu      sync.Mutex
 	held    int64 // bytes that count towards what all sessions may hold
 	closed  bool
-	room    chan struct{}
-	gone    chan struct{}
+	backlog *link.Backlog
 	stopped bool
 }
 
 const (
-	aheadMost  = 256 << 10 // cost of the commands that a session may have unhandled before it is read on
-	leastCost  = 512       // of a command, however short: it takes its part of a turn
-	dearCost   = 8 << 10   // of one that looks at all there is
-	batchMost  = 256       // commands handed to the loop at once
-	bulkAtOnce = 500       // jobs of a PUSHB that are taken in one turn
+	dearCost   = 8 << 10 // towards the backlog, of a command that looks at all there is
+	batchMost  = 256     // commands handed to the loop at once
+	bulkAtOnce = 500     // jobs of a PUSHB that are taken in one turn
 )
 
 // onRequest runs on a goroutine of netpoll's, again and again while input is unread.
@@ -87,15 +83,11 @@
 		if len(batch) == 0 {
 			break
 		}
-		in.ahead.Add(int64(cost))
+		in.backlog.Add(cost)
 		f.loop.Post(func() { f.handle(s, batch) })
-		for in.ahead.Load() > aheadMost {
-			select {
-			case <-in.room:
-			case <-in.gone:
-				in.stopped = true
-				return nil
-			}
+		if !in.backlog.Wait() {
+			in.stopped = true
+			return nil
 		}
 	}
 	if f.input.Load() > f.inputMost && len(in.part) > 0 && !in.stopped {
@@ -132,7 +124,7 @@
 		if need > 0 {
 			break
 		}
-		q := request{verb: verbOf(c.Verb), arg: c.Arg, size: c.Size, cost: max(c.Size, leastCost)}
+		q := request{verb: verbOf(c.Verb), arg: c.Arg, size: c.Size, cost: max(c.Size, link.LeastCost)}
 		if dear[q.verb] {
 			q.cost = max(c.Size, dearCost)
 		}
@@ -207,16 +199,12 @@
 	if !s.in.closed {
 		s.in.closed = true
 		s.front.input.Add(-s.in.held)
-		close(s.in.gone)
+		s.in.backlog.End()
 	}
 }
 
 // handled tells the reading side that the loop has done with commands.
 func (s *session) handled(bytes, cost int) {
-	s.in.ahead.Add(-int64(cost))
 	s.account(-int64(bytes))
-	select {
-	case s.in.room <- struct{}{}:
-	default:
-	}
+	s.in.backlog.Done(cost)
 }
--- a/internal/front/http2/front.go
+++ b/internal/front/http2/front.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"context"
 	"log/slog"
-	"sync"
 
 	"github.com/cloudwego/netpoll"
 	"golang.org/x/net/http2/hpack"
@@ -20,9 +19,8 @@
 
 const (
 	sweepEvery = 50 * core.Millisecond
-	aheadMost  = 256 << 10 // bytes of frames that the loop has not handled, before a connection is read on
-	batchMost  = 128       // frames handed to the loop at once: the work of a turn for a connection
-	unreadMost = 4 << 20   // bytes that a client may leave unread in its socket
+	batchMost  = 128     // frames handed to the loop at once: the work of a turn for a connection
+	unreadMost = 4 << 20 // bytes that a client may leave unread in its socket
 )
 
 // Front is the HTTP/2 front. All of it is the loop's.
@@ -93,7 +91,7 @@
 
 func (f *Front) accept(nc netpoll.Connection) context.Context {
 	c := &conn{front: f, streams: map[uint32]*stream{}, window: usualWindow, peerWindow: usualWindow, peerFrame: usualMaxFrame,
-		received: usualWindow, in: newReader(&f.limits), room: make(chan struct{}, 1), ended: make(chan struct{}), rest: newForgotten()}
+		received: usualWindow, in: newReader(&f.limits), backlog: link.NewBacklog(), rest: newForgotten()}
 	c.encoder = hpack.NewEncoder(&c.encoded)
 	c.Init(nc, "h2-agent", nc.RemoteAddr().String(), 0)
 	nc.AddCloseCallback(func(netpoll.Connection) error {
@@ -131,7 +129,7 @@
 	if c.Reason != "" {
 		f.Figures.Ended[c.Reason]++
 	}
-	c.endOnce.Do(func() { close(c.ended) })
+	c.backlog.End()
 	f.conns.Free(c.ref)
 	for _, s := range c.streams {
 		s.abandon()
@@ -154,7 +152,7 @@
 	f.conns.Each(func(_ core.Ref, c *conn) {
 		switch {
 		case c.Reason != "" || c.Closed:
-		case c.NC.Reader().Len() > aheadMost+mostUnread:
+		case c.NC.Reader().Len() > link.BacklogMost+mostUnread:
 			c.goAway(EnhanceYourCalm, link.Flooding, "more came than a client may send ahead")
 		case c.Queued() > unreadMost:
 			c.Close(link.NotReading)
@@ -197,9 +195,6 @@
 	return done
 }
 
-// Ours tells whether a user agent is a stream of this front.
-func Ours(u core.UserAgent) bool { _, ours := u.(*stream); return ours }
-
 // Close ends all connections.
 func (f *Front) Close() {
 	f.closed = true
@@ -213,10 +208,8 @@
 	ref     core.Ref
 	front   *Front
 	in      *reader // netpoll's
-	room    chan struct{}
-	ended   chan struct{}
-	endOnce sync.Once
-	backlog backlog
+	stopped bool    // nothing is read any more; netpoll's
+	backlog *link.Backlog
 
 	streams    map[uint32]*stream
 	highest    uint32 // the last stream that was taken, or refused
--- a/internal/front/http2/intake.go
+++ b/internal/front/http2/intake.go
@@ -3,22 +3,12 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
 
 	"github.com/cloudwego/netpoll"
 
 	"cobaltflow/internal/link"
 )
 
-// leastCost is what a frame counts at least.
-const leastCost = 512
-
-// backlog counts what the loop has not handled of a connection.
-type backlog struct {
-	bytes   atomic.Int64
-	stopped bool // nothing is read any more; netpoll's
-}
-
 // onRequest runs on a goroutine of netpoll's: it cuts what has come into frames, and hands them over in batches. Where
 // the loop is behind, it waits.
 func onRequest(ctx context.Context, _ netpoll.Connection) error {
@@ -28,7 +18,7 @@
 
 func (c *conn) read() error {
 	r := c.NC.Reader()
-	if c.backlog.stopped {
+	if c.stopped {
 		r.Skip(r.Len())
 		return r.Release()
 	}
@@ -40,7 +30,7 @@
 				reason = link.SlowInput
 			}
 			c.front.loop.Post(func() { c.Close(reason) })
-			c.backlog.stopped = true
+			c.stopped = true
 			r.Skip(r.Len())
 			c.NC.Close()
 			return nil
@@ -51,19 +41,15 @@
 			return err
 		}
 		if len(batch) > 0 {
-			cost := max(used, leastCost*len(batch)) // a frame takes its part of a turn, however short it is
-			c.backlog.bytes.Add(int64(cost))
+			cost := max(used, link.LeastCost*len(batch))
+			c.backlog.Add(cost)
 			c.front.loop.Post(func() { c.front.handle(c, batch, cost) })
-			for c.backlog.bytes.Load() > aheadMost {
-				select {
-				case <-c.room:
-				case <-c.ended:
-					c.backlog.stopped = true
-					return nil
-				}
+			if !c.backlog.Wait() {
+				c.stopped = true
+				return nil
 			}
 		}
-		if more == 0 || c.backlog.stopped {
+		if more == 0 || c.stopped {
 			return nil
 		}
 		need = more
@@ -81,7 +67,7 @@
 		if f != nil {
 			batch = append(batch, f)
 			if f.bad != nil {
-				c.backlog.stopped = true
+				c.stopped = true
 				return batch, len(buf), 0
 			}
 		}
@@ -105,9 +91,5 @@
 			c.fail(bad)
 		}
 	}
-	c.backlog.bytes.Add(-int64(cost))
-	select {
-	case c.room <- struct{}{}:
-	default:
-	}
+	c.backlog.Done(cost)
 }
--- a/internal/jobs/api.go
+++ b/internal/jobs/api.go
@@ -158,12 +158,6 @@
 	Desc    string
 }
 
-// Open tells whether the job has a transaction in the core.
-func (j *Job) Open() bool { return j.open }
-
-// Ran tells whether a try of the job may have run.
-func (j *Job) Ran() bool { return j.ran }
-
 // Deadline is when its pusher stops waiting; 0: never.
 func (j *Job) Deadline() Time { return j.deadline }
 
--- a/internal/jobs/end.go
+++ b/internal/jobs/end.go
@@ -30,6 +30,7 @@
 		m.enqueued++
 		q.addFirst(j)
 		q.later = now + min(max(after, refusedWait), Second)
+		m.timers.set(&q.wake, q.later)
 		if loose {
 			q.window = max(1, q.window/2)
 		}
@@ -211,9 +212,6 @@
 	m.clearing = ShutDown
 }
 
-// Draining tells whether Drain was called.
-func (m *Machine) Draining() bool { return m.draining }
-
 // Clear ends all that is held, with workers too, and forgets what is dead or ended. Whoever still runs a job
 // reports to nobody.
 func (m *Machine) Clear() {
--- a/internal/jobs/machine.go
+++ b/internal/jobs/machine.go
@@ -383,19 +383,14 @@
 		switch j := t.job; {
 		case t.lock != nil:
 			delete(m.locks, t.lock.key)
-		case j == nil:
+		case t.queue != nil:
+			m.letIn(now, t.queue)
 		case t.wakes:
 			m.step(now, j)
 		default:
 			m.giveUp(now, j, Expired)
 		}
 	}
-	for _, q := range m.order {
-		if q.later > 0 && now >= q.later {
-			q.later = 0
-			m.letIn(now, q)
-		}
-	}
 	m.mutate(now, budget)
 	at, ok := m.Next(now)
 	return ok && at <= now
@@ -421,14 +416,9 @@
 		return now, true
 	}
 	if m.timers.Len() > 0 {
-		at, ok = m.timers.items[0].at, true
-	}
-	for _, q := range m.order {
-		if q.later > 0 && (!ok || q.later < at) {
-			at, ok = q.later, true
-		}
+		return m.timers.items[0].at, true
 	}
-	return at, ok
+	return 0, false
 }
 
 // guard takes the job's lock, and unguard gives it back.
--- a/internal/jobs/mutate.go
+++ b/internal/jobs/mutate.go
@@ -141,13 +141,3 @@
 	m.enqueue(now, j)
 	return ""
 }
-
-// Drop ends or forgets nothing but one job that waits, by its id; false: it does not wait.
-func (m *Machine) Drop(now Time, id string) bool {
-	j := m.jobs[id]
-	if j == nil || j.State != Scheduled && j.State != Enqueued && j.State != Retrying {
-		return false
-	}
-	m.giveUp(now, j, ByOperator)
-	return true
-}
--- a/internal/jobs/queue.go
+++ b/internal/jobs/queue.go
@@ -18,7 +18,8 @@
 	table  bool // the table workers run its jobs too
 	window int  // of those that may be with them at once
 	loose  int  // of those that are
-	later  Time // nothing is let in before; 0: no matter
+	later  Time // nothing is let in before
+	wake   timer
 }
 
 func (q *queue) add(j *Job) {
@@ -164,6 +165,7 @@
 		}
 	}
 	q := &queue{name: name, table: m.atTables(name), window: m.set.TableWindow}
+	q.wake.queue = q
 	m.queues[name] = q
 	m.order = append(m.order, q)
 	return q
@@ -171,6 +173,7 @@
 
 func (m *Machine) forgetQueue(q *queue) {
 	q.gone = true
+	m.timers.set(&q.wake, 0)
 	delete(m.queues, q.name)
 	for i, other := range m.order {
 		if other == q {
--- a/internal/jobs/timers.go
+++ b/internal/jobs/timers.go
@@ -3,13 +3,14 @@
 import "container/heap"
 
 // timer is an entry of the machine's one ordered structure of times. Jobs hold two, for the end of their time
-// and for their next step, locks one.
+// and for their next step, locks one, and queues one for the time in which nothing is let in.
 type timer struct {
 	at    Time
 	index int // in the heap, from 1; 0: not in it
 	seq   uint64
 	job   *Job
 	lock  *lock
+	queue *queue
 	wakes bool // the job's next step; else its end
 }
 
--- a/internal/measure/http.go
+++ b/internal/measure/http.go
@@ -123,6 +123,13 @@
 	return rate, used / time.Duration(n), late, nil
 }
 
+// drained reads an answer to its end, so that its connection can be used again.
+func drained(p *http.Response) (status int) {
+	io.Copy(io.Discard, p.Body)
+	p.Body.Close()
+	return p.StatusCode
+}
+
 // http1Askers make plain HTTP/1.1 connections, one for each asker.
 func http1Askers(address, path string, n int) ([]asker, func()) {
 	var conns []net.Conn
@@ -143,9 +150,7 @@
 			if err != nil {
 				return 0, err
 			}
-			io.Copy(io.Discard, p.Body)
-			p.Body.Close()
-			return p.StatusCode, nil
+			return drained(p), nil
 		})
 	}
 	return out, func() {
@@ -174,9 +179,7 @@
 				if err != nil {
 					return 0, err
 				}
-				io.Copy(io.Discard, p.Body)
-				p.Body.Close()
-				return p.StatusCode, nil
+				return drained(p), nil
 			})
 		}
 	}
