Have schedulers tell one another of their jobs, and share cold budgets with those that do

At fault: load() in rules, which knew of the others only by reports; coldAllows(), which gave each of 80 schedulers an eightieth of a cold worker's budget, less than a job in the whole warm-up; housekeeping(), which probed a lost worker on every tick, since Probed() noted the time of an answered probe only.

Changed: rules.Peer and Actions.Tell, records and the book of peers' jobs in rules/peers.go; POST and DATAGRAM on the simulator's wire; peer_listen, peers, peers_all read and checked; a UDP socket with bounded queues in internal/platform. Probes of lost workers are paid for out of what jobs earn.

--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -81,6 +81,8 @@
 		d.TimerDue(now, e.Token)
 	case wire.Probed:
 		d.Probed(now, &e.Probed)
+	case wire.Peer:
+		d.Peer(now, e.From, e.Data)
 	case wire.Streaming:
 		d.Streaming(now, e.Outcome.Request, e.Outcome.Attempt)
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -37,6 +37,7 @@
 	Seed      uint64
 	Limits    Limits
 	Known     json.RawMessage // the last list, in discovery's form
+	Peers     Peers
 	Settings  rules.Settings
 	Names     Names
 	Faktory   Faktory
@@ -47,6 +48,13 @@
 	file string // the project's own
 }
 
+// Peers are the other schedulers, and how to send them messages. Listen is empty where that is off.
+type Peers struct {
+	Listen string
+	All    netip.AddrPort   // reaches all
+	Each   []netip.AddrPort // by rank, our own among them
+}
+
 // Limits of the process.
 type Limits struct {
 	Cores    float64
@@ -77,7 +85,11 @@
 	Seed      string          `json:"seed"`
 	Limits    limitsFile      `json:"limits"`
 	Known     json.RawMessage `json:"known"`
-	Settings  json.RawMessage `json:"settings"`
+
+	PeerListen string          `json:"peer_listen"`
+	Peers      []string        `json:"peers"`
+	PeersAll   string          `json:"peers_all"`
+	Settings   json.RawMessage `json:"settings"`
 }
 
 // Load reads the configuration: the platform's file and the project's own, or its embedded example. The
@@ -226,12 +238,54 @@
 	if err := c.settings(doc.Settings); err != nil {
 		return nil, err
 	}
+	if err := c.peers(&doc); err != nil {
+		return nil, err
+	}
 	if c.Settings.WarmWithin == 0 {
 		c.Notes = append(c.Notes, "settings.rules.warmWithinUs is absent: a new worker counts as cold for 30 s, and its first jobs wait")
 	}
 	return c, nil
 }
 
+// peers reads how to reach the other schedulers. Without addresses nothing is told, and a note says so.
+func (c *Config) peers(doc *document) error {
+	s := &c.Settings
+	if !s.MayTell || s.GroupSize < 2 {
+		s.MayTell = false
+		return nil
+	}
+	if doc.PeerListen == "" || doc.PeersAll == "" || len(doc.Peers) == 0 {
+		s.MayTell = false
+		c.Notes = append(c.Notes, "peer_listen, peers or peers_all is absent: nothing is told to the other schedulers, nor heard of them")
+		return nil
+	}
+	if len(doc.Peers) != s.GroupSize {
+		return fault("peers", "%d addresses, but settings.groupSize is %d", len(doc.Peers), s.GroupSize)
+	}
+	if s.Rank < 0 || s.Rank >= s.GroupSize {
+		return fault("settings.rank", "%d is not from 0 to %d, one under settings.groupSize", s.Rank, s.GroupSize-1)
+	}
+	var err error
+	for i, text := range doc.Peers {
+		a, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return fault(fmt.Sprintf("peers.%d", i), "%q is not address:port", text)
+		}
+		if slices.Contains(c.Peers.Each, a) {
+			return fault(fmt.Sprintf("peers.%d", i), "%s stands twice", text)
+		}
+		c.Peers.Each = append(c.Peers.Each, a)
+	}
+	if c.Peers.All, err = netip.ParseAddrPort(doc.PeersAll); err != nil {
+		return fault("peers_all", "%q is not address:port", doc.PeersAll)
+	}
+	if err := checkAddress(doc.PeerListen); err != nil {
+		return fault("peer_listen", "%v", err)
+	}
+	c.Peers.Listen = doc.PeerListen
+	return nil
+}
+
 func first(values ...string) string {
 	for _, v := range values {
 		if v != "" {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -46,6 +46,35 @@
 	assert.Equal(t, rules.Time(60_000_000), c.Names.ConnIdle)
 }
 
+func TestPeers(t *testing.T) {
+	with := strings.NewReplacer(`"cancel":true`, `"cancel":true,"peers":true`, `"seed"`,
+		`"peer_listen":"127.0.0.1:9","peers":["127.0.0.1:1","127.0.0.1:2"],"peers_all":"127.0.0.1:3","seed"`).Replace(good)
+	c, err := loaded(t, with, nil)
+	require.NoError(t, err)
+	assert.True(t, c.Settings.MayTell)
+	assert.Equal(t, []any{"127.0.0.1:9", 2, "127.0.0.1:3"}, []any{c.Peers.Listen, len(c.Peers.Each), c.Peers.All.String()})
+
+	c, err = loaded(t, strings.Replace(good, `"cancel":true`, `"cancel":true,"peers":true`, 1), nil)
+	require.NoError(t, err)
+	assert.False(t, c.Settings.MayTell, "without addresses nothing is told")
+	assert.NotEmpty(t, c.Notes)
+
+	for _, f := range []struct{ from, to, key string }{
+		{`"groupSize":2`, `"groupSize":3`, "peers"},
+		{`"groupSize":2`, `"groupSize":2,"rank":2`, "settings.rank"},
+		{`"127.0.0.1:2"]`, `"nowhere"]`, "peers.1"},
+		{`"127.0.0.1:2"]`, `"127.0.0.1:1"]`, "peers.1"},
+		{`"127.0.0.1:3"`, `"all"`, "peers_all"},
+		{`"127.0.0.1:9"`, `"here"`, "peer_listen"},
+	} {
+		_, err := loaded(t, strings.Replace(with, f.from, f.to, 1), nil)
+		var fault *Error
+		if assert.ErrorAs(t, err, &fault, f.to) {
+			assert.Equal(t, f.key, fault.Key, f.to)
+		}
+	}
+}
+
 func TestReloadTakesDiscoveryFromTheFile(t *testing.T) {
 	env := map[string]string{EnvName: "n4", EnvDiscovery: "127.0.0.1:9"}
 	old, err := loaded(t, good, env)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -113,11 +113,14 @@
 	Log  *slog.Logger
 	// Listed, where it is set, is called after each news of the main pool's workers.
 	Listed func()
+	// Tell, where it is set, sends a message to all other schedulers; it may be lost.
+	Tell func(data []byte)
 
 	settings rules.Settings
 	main     *Pool
 	pools    []*Pool // the main one first
 	queue    []func()
+	telling  []byte // what is told at the end of this turn
 
 	transactions Table[*Transaction]
 	byID         map[string]*Transaction
@@ -313,6 +316,12 @@
 		Worker: rules.WorkerID(p.Worker), Started: started, Done: share})
 }
 
+// MostTold is how many bytes a message between schedulers has at most.
+const MostTold = 256
+
+// Peer takes a message of another scheduler, by its rank. Data is valid during the call.
+func (c *Core) Peer(from int, data []byte) { c.main.dispatcher.Peer(c.Loop.now, from, data) }
+
 // Probed reports the end of a probe, to all pools that the worker is in.
 func (c *Core) Probed(worker string, status rules.Status, took Time, load rules.Load) {
 	for _, p := range c.pools {
@@ -374,6 +383,10 @@
 	}
 	clear(c.queue)
 	c.queue = c.queue[:0]
+	if len(c.telling) > 0 {
+		c.Tell(c.telling)
+		c.telling = c.telling[:0]
+	}
 }
 
 // actions takes what the decisions ask for. Nothing is carried out within their call.
@@ -486,6 +499,19 @@
 	})
 }
 
+// Tell implements rules.Actions. What is told in one turn goes out together.
+func (a actions) Tell(data []byte) {
+	c := a.pool.core
+	if c.Tell == nil || a.pool != c.main {
+		return
+	}
+	if len(c.telling)+len(data) > MostTold {
+		c.Tell(c.telling)
+		c.telling = c.telling[:0]
+	}
+	c.telling = append(c.telling, data...)
+}
+
 // Watch implements rules.Actions. Discovery is watched from the start and for good.
 func (a actions) Watch(bool) {}
 
--- a/internal/core/farm.go
+++ b/internal/core/farm.go
@@ -52,6 +52,7 @@
 // NewPool makes a pool without workers. It stands until Close.
 func (c *Core) NewPool(name string, settings rules.Settings, seed uint64) *Pool {
 	p := &Pool{Name: name, core: c, farm: newFarm()}
+	settings.MayTell = settings.MayTell && c.main == nil // the peers share the main pool's workers only
 	p.dispatcher = rules.New(settings, seed, c.Loop.now, actions{p})
 	c.pools = append(c.pools, p)
 	return p
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -70,6 +70,7 @@
 
 	pool  pool
 	watch *watch
+	peers *peers // nil: there are none to talk to
 
 	stopping core.Time // SIGTERM came then; 0: it has not
 	stopped  func()
@@ -175,6 +176,9 @@
 	if err != nil {
 		return err
 	}
+	if err := f.listenToPeers(); err != nil {
+		return err
+	}
 	go f.server.Serve(bounded{ln, f})
 	f.loop.Post(func() {
 		f.ready = true
@@ -515,6 +519,9 @@
 		f.agents.Each(func(_ core.Ref, a *agentLink) { a.Close(link.ShutDown) })
 		f.pool.close()
 		f.watch.stop()
+		if f.peers != nil {
+			f.peers.close()
+		}
 		f.loop.At(f.loop.Now()+20*core.Millisecond, f.stopped)
 		return
 	}
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"io"
@@ -29,6 +30,7 @@
 	TimerDue
 	Probed
 	Streaming
+	Peer
 )
 
 // Event is one line of a batch, with the instance it is for. Only the field of its type is set.
@@ -44,6 +46,8 @@
 	Probed   rules.Probed
 	Hangup   rules.RequestID
 	Token    uint64
+	From     int    // of Peer
+	Data     []byte // of Peer
 }
 
 // Batch is what one CLOCK ... COMMIT holds.
@@ -356,6 +360,14 @@
 		p.Status = r.status()
 		p.Latency = r.integer()
 		p.Load = r.load()
+	case "DATAGRAM":
+		e.Type = Peer
+		e.From = r.index()
+		data, err := base64.StdEncoding.DecodeString(strings.TrimPrefix(r.text(), "-"))
+		if err != nil {
+			return fmt.Errorf("value %d: %w", r.at, err)
+		}
+		e.Data = data
 	default:
 		return nil // an event not known yet, or one that nothing here needs
 	}
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/base64"
 	"io"
 	"strconv"
 	"strings"
@@ -106,6 +107,14 @@
 	e.end()
 }
 
+// Tell implements rules.Actions.
+func (e *Encoder) Tell(data []byte) {
+	e.begin("POST")
+	e.text("*")
+	e.text(base64.StdEncoding.EncodeToString(data))
+	e.end()
+}
+
 // Watch implements rules.Actions.
 func (e *Encoder) Watch(on bool) {
 	if e.begin("TAIL"); on {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -100,18 +100,34 @@
 }
 
 func TestUnknownEventsAreSkipped(t *testing.T) {
-	b, err := decode(lines("CLOCK\t1", "SELECT\ts/1", "NOVELTY\t1\t2", "DATAGRAM\t2\taGk=", "HEARTBEAT\tr\t0\tw\t9\t1", "HANGUP\tr", "COMMIT"))
+	b, err := decode(lines("CLOCK\t1", "SELECT\ts/1", "NOVELTY\t1\t2", "HEARTBEAT\tr\t0\tw\t9\t1", "HANGUP\tr", "COMMIT"))
 	if err != nil || len(b.Events) != 1 || b.Events[0].Type != Hangup {
 		t.Errorf("%v, %+v", err, b.Events)
 	}
 }
 
+func TestMessagesOfPeers(t *testing.T) {
+	b, err := decode(lines("CLOCK\t1", "SELECT\ts/1", "DATAGRAM\t2\taGk=", "COMMIT"))
+	if err != nil || len(b.Events) != 1 || b.Events[0].Type != Peer || b.Events[0].From != 2 || string(b.Events[0].Data) != "hi" {
+		t.Errorf("%v, %+v", err, b.Events)
+	}
+	var out strings.Builder
+	e := NewEncoder(&out)
+	e.Select("s/1")
+	e.Tell([]byte("hi"))
+	e.Finish()
+	if out.String() != "CONTEXT\ts/1\nPOST\t*\taGk=\nFINISHED\n" {
+		t.Errorf("%q", out.String())
+	}
+}
+
 func TestMalformedLines(t *testing.T) {
 	for _, c := range []struct{ name, line, fault string }{
 		{"missing field", "ORDER\trq_a\t0", "missing"},
 		{"bad number", "ORDER\trq_a\tx\t0\t1\t5\t-\t1\t-\t0\t0\t0", "line 3"},
 		{"bad key", "ORDER\trq_a\t0\t0\tkey\t5\t-\t1\t-\t0\t0\t0", "no key"},
 		{"negative index", "ORDER\trq_a\t-3\t0\t1\t5\t-\t1\t-\t0\t0\t0", "no index"},
+		{"bad message", "DATAGRAM\t2\t?", "illegal base64"},
 		{"bad flag", "RESPONSE\trq_a\t0\tw\tdone\t1\tyes\t-\t-", "neither 0 nor 1"},
 		{"bad report", "RESPONSE\trq_a\t0\tw\tdone\t1\t1\t-\twaiting", "load figure"},
 		{"not a number", "STATUS_BACK\tw\tdone\t1\tx0:NaN", "load figure"},
--- a/rules/api.go
+++ b/rules/api.go
@@ -73,6 +73,7 @@
 	AskWithin      Time // an unsubscribed dispatcher must ask this often; 0: 10 s
 	MayProbe       bool
 	MayCancel      bool
+	MayTell        bool // dispatchers may send one another messages
 	MaySecondCopy  bool // two attempts of a request may be out at once
 	MaxAttempts    int  // 0: 3
 	RetryAfter     bool // a refusal may tell the client how long to stay away
@@ -92,6 +93,7 @@
 	TipAfter       Time    // ... for this long pushes a cold worker over; 0: 1 s
 
 	ProbePrice     float64 // price of one probe a request, as a part of the service's worth
+	PeerPrice      float64 // the same for a full message to one peer, of 256 bytes
 	CrossZonePrice float64 // the same for crossing zones
 	OriginPrice    float64 // the same for a fetch from the key store
 	OverShareWorth float64 // the worth of traffic beyond a tenant's share
@@ -216,7 +218,8 @@
 	Fail(r RequestID)                    // final: promises nothing
 	Timer(delay Time, token uint64)
 	Probe(w WorkerID)
-	Watch(on bool) // subscribe to the list
-	Fetch()        // the whole list, once
+	Tell(data []byte) // to all peers, late or not at all; what of them comes back through Peer
+	Watch(on bool)    // subscribe to the list
+	Fetch()           // the whole list, once
 	Log(text string)
 }
--- a/rules/example_test.go
+++ b/rules/example_test.go
@@ -18,6 +18,7 @@
 func (h *host) Fail(r rules.RequestID)                 { fmt.Println("fail", r) }
 func (h *host) Timer(delay rules.Time, token uint64)   {} // bring back with TimerDue
 func (h *host) Probe(w rules.WorkerID)                 {}
+func (h *host) Tell([]byte)                            {}
 func (h *host) Watch(on bool)                          {}
 func (h *host) Fetch()                                 {}
 func (h *host) Log(text string)                        {}
--- a/rules/hostile_test.go
+++ b/rules/hostile_test.go
@@ -123,6 +123,7 @@
 
 func (c *checker) Refuse(r RequestID, _ Time) { c.answer(r, true) }
 func (c *checker) Fail(r RequestID)           { c.answer(r, false) }
+func (c *checker) Tell(data []byte)           {}
 func (c *checker) Probe(w WorkerID) {
 	if !c.s.MayProbe {
 		c.t.Fatal("probed where that is not allowed")
--- /dev/null
+++ b/rules/peers.go
@@ -0,0 +1,195 @@
+package rules
+
+import "slices"
+
+// What dispatchers tell one another of their jobs: the records, and the book in which a dispatcher keeps what
+// its peers have out at a worker. Nothing here decides anything.
+
+const (
+	recordSize  = 3
+	peerMessage = 256  // bytes of a full message, which has the price
+	mostPeers   = 4096 // peers beyond are not listened to, and count as silent
+	mostTold    = 512  // jobs of peers kept for a worker; past it the oldest is let go
+)
+
+// what a record tells of a job; three bits
+type what uint8
+
+const (
+	toldAlive  what = iota // of none: the peer is there
+	toldSent               // it is on its way
+	toldServed             // it has ended, in one of these ways
+	toldFull
+	toldFailed
+	toldEnded // any other way, which says nothing of the worker
+)
+
+// record is one thing told: three bits of what, two of the slots' power of two, three of the class, then 16 bits
+// of the worker's hash. Two workers of one tag both get what is told of either.
+type record struct {
+	what  what
+	size  uint8 // slots, as a power of two; 3: 8 or more
+	class uint8 // 7: that or a later one
+	tag   uint16
+}
+
+func newRecord(what what, w *worker, r *request) record {
+	rec := record{what: what, class: uint8(min(r.Class, 7)), tag: tagOf(w)}
+	for rec.size < 3 && float64(int(1)<<rec.size) < r.Slots {
+		rec.size++
+	}
+	return rec
+}
+
+// endTold puts an attempt's end into a record's words.
+func endTold(s Status) what {
+	switch s {
+	case OK:
+		return toldServed
+	case Refused:
+		return toldFull
+	case Error, Unreachable, Reset:
+		return toldFailed
+	}
+	return toldEnded
+}
+
+func (r record) slots() float64 { return float64(int(1) << r.size) }
+
+func (r record) append(to []byte) []byte {
+	return append(to, byte(r.what)<<5|r.size<<3|r.class, byte(r.tag>>8), byte(r.tag))
+}
+
+// readRecord reads the first record of data, which holds one at least.
+func readRecord(data []byte) record {
+	return record{what(data[0] >> 5), data[0] >> 3 & 3, data[0] & 7, uint16(data[1])<<8 | uint16(data[2])}
+}
+
+func tagOf(w *worker) uint16 { return uint16(w.hash >> 48) }
+
+func tagged(workers []*worker) map[uint16][]*worker {
+	tags := make(map[uint16][]*worker, len(workers))
+	for _, w := range workers {
+		if w.state != Gone {
+			tags[tagOf(w)] = append(tags[tagOf(w)], w)
+		}
+	}
+	return tags
+}
+
+const (
+	leastMessage = 16         // bytes that a message costs at least, as was measured
+	tellEvery    = 4 * second // a dispatcher that had nothing to tell for so long says that it is there
+	tellWait     = 3 * tick   // an end waits so long for a job that goes out
+	peerQuiet    = 10 * second
+)
+
+// talk is the conversation with the peers. Its zero value neither tells nor hears.
+type talk struct {
+	heard  []Time // by rank: when the peer told anything last; 0: never
+	toldAt Time
+	untold []byte // records that wait
+	since  Time   // the first of them does
+
+	slotTime, toldTime mean // of a job of ours, and what of it the peers are told
+}
+
+// worth tells whether a job's slot-time is so many times what is usual, and counts it.
+func (t *talk) worth(cost, times float64) bool {
+	t.slotTime.add(cost, gain/8)
+	tells := t.heard != nil && cost >= times*t.slotTime.v
+	if !tells {
+		cost = 0
+	}
+	t.toldTime.add(cost, gain/8)
+	return tells
+}
+
+// part of our slot-time that is told. The peers' jobs are of the same kinds, and so is what they tell.
+func (t *talk) part() float64 {
+	if t.slotTime.n == 0 {
+		return 1
+	}
+	return t.toldTime.v / max(1, t.slotTime.v)
+}
+
+// tell puts a record into the next message. A message of one record costs as much as one of five: ends wait for a
+// job that goes out, which is told at once.
+func (t *talk) tell(now Time, rec record, act Actions) {
+	if t.heard == nil {
+		return
+	}
+	if len(t.untold) == 0 {
+		t.since = now
+	}
+	t.untold = rec.append(t.untold)
+	if rec.what == toldSent || rec.what == toldAlive || len(t.untold) > peerMessage-recordSize {
+		act.Tell(t.untold)
+		t.untold, t.toldAt = nil, now
+	}
+}
+
+// keepUp tells what has waited long enough, or that the dispatcher is there, and counts the peers that do.
+func (t *talk) keepUp(now Time, act Actions) (tellers float64) {
+	if len(t.untold) > 0 && now-t.since > tellWait || now-t.toldAt > tellEvery {
+		t.tell(now, record{what: toldAlive}, act)
+	}
+	for _, at := range t.heard {
+		if at > 0 && now-at < peerQuiet {
+			tellers++
+		}
+	}
+	return tellers
+}
+
+// heardFrom takes a message of a peer down and tells whether it can be read.
+func (t *talk) heardFrom(now Time, from int, data []byte) bool {
+	if from < 0 || from >= len(t.heard) || len(data)%recordSize != 0 {
+		return false
+	}
+	t.heard[from] = now
+	return true
+}
+
+// peerJob is a job that a peer has out.
+type peerJob struct {
+	from   int
+	record record
+	sent   Time
+	atOnce bool // it found a free slot, as far as is known here
+}
+
+func (w *worker) peerSent(j peerJob) {
+	if len(w.peers) >= mostTold {
+		w.peerLetGo(0)
+	}
+	w.peers = append(w.peers, j)
+	w.told += j.record.slots()
+}
+
+// peerEnded takes the peer's oldest job of that class and size off the book. A message may be lost: there may be none.
+func (w *worker) peerEnded(from int, rec record) (j peerJob, known bool) {
+	for i := range w.peers {
+		if j = w.peers[i]; j.from == from && j.record.class == rec.class && j.record.size == rec.size {
+			w.peerLetGo(i)
+			return j, true
+		}
+	}
+	return peerJob{}, false
+}
+
+func (w *worker) peerLetGo(i int) {
+	w.told -= w.peers[i].record.slots()
+	if w.peers = slices.Delete(w.peers, i, i+1); len(w.peers) == 0 {
+		w.told = 0
+	}
+}
+
+// peersExpire lets go of jobs older than their clients' patience: the word of their end was lost, or the peer was.
+func (w *worker) peersExpire(now Time, classes []classStat) {
+	for i := len(w.peers) - 1; i >= 0; i-- {
+		if now-w.peers[i].sent > classes[min(int(w.peers[i].record.class), len(classes)-1)].Deadline {
+			w.peerLetGo(i)
+		}
+	}
+}
--- /dev/null
+++ b/rules/peers_test.go
@@ -0,0 +1,185 @@
+package rules
+
+import (
+	"fmt"
+	"testing"
+)
+
+// group is several dispatchers that hear one another.
+func group(n int, s Settings, workers ...ListEntry) []*bed {
+	s.GroupSize, s.MayTell, s.PeerPrice = n, true, 0.0001
+	var beds []*bed
+	for i := range n {
+		s.Rank = i
+		b := newBed(s, workers...)
+		b.pass(ms)
+		beds = append(beds, b)
+	}
+	hearAll(beds)
+	for _, b := range beds {
+		b.pass(tick) // housekeeping counts who tells
+	}
+	hearAll(beds)
+	return beds
+}
+
+// hearAll brings all that was told to all others.
+func hearAll(beds []*bed) {
+	for i, from := range beds {
+		for _, data := range from.a.told {
+			for _, b := range beds {
+				b.Peer(b.now, i, data)
+			}
+		}
+		from.a.told = nil
+	}
+}
+
+// With a few jobs of its own on any worker, a dispatcher knows the load from what its peers tell.
+func TestPeersKnowOneAnothersLoad(t *testing.T) {
+	beds := group(8, oneClass(Once), fleet(6)...)
+	var ids []RequestID
+	sum := func(b *bed) (n float64) {
+		for _, w := range b.workers {
+			n += b.load(b.now, w)
+		}
+		return n
+	}
+	for k := range 12 {
+		ids = append(ids, beds[k%4].ask(uint64(k)))
+		hearAll(beds)
+	}
+	for i, b := range beds {
+		b.pass(tick)
+		hearAll(beds)
+		if n := sum(b); n < 11.9 || n > 12.1 {
+			t.Errorf("dispatcher %d believes in %.2f slots taken, 12 are", i, n)
+		}
+	}
+	for k, id := range ids {
+		b := beds[k%4]
+		b.end(id, 0, b.requests[id].attempts[0].w.id, OK)
+	}
+	for _, b := range beds {
+		b.pass(tellWait + 2*tick)
+	}
+	hearAll(beds)
+	for i, b := range beds {
+		if n := sum(b); n > 0.1 {
+			t.Errorf("dispatcher %d believes in %.2f slots taken, none are", i, n)
+		}
+	}
+}
+
+// All dispatchers together keep to a cold worker's budget, and use it: where all tell, each may use what the others
+// leave, and where none does, its own part only.
+func TestPeersShareAColdWorkersBudget(t *testing.T) {
+	s := oneClass(Once)
+	s.ColdFrom, s.WarmWithin, s.OverloadFactor, s.TipAfter = 0.3, 9_000_000, 3, 1_000_000
+	s.Classes[0].Aim, s.Classes[0].Deadline = 500*ms, 60_000*ms
+	count := func(heard bool) (sent int) {
+		cold := ListEntry{Worker: "cold", Weight: 1, StartedAt: 1_000_000_000}
+		beds := group(20, s, cold)
+		if !heard {
+			for _, b := range beds {
+				clear(b.talk.heard)
+				b.a.told = nil
+				b.pass(tick)
+			}
+		}
+		for range 30 {
+			for _, b := range beds {
+				b.ask(1)
+				if heard {
+					hearAll(beds)
+				}
+			}
+			for _, b := range beds {
+				b.pass(100 * ms)
+			}
+			if heard {
+				hearAll(beds)
+			}
+		}
+		for _, b := range beds {
+			sent += len(b.a.sends)
+		}
+		return sent
+	}
+	// A job counts for 1.5 aims until one was seen to run: 0.75 s. The worker is taken to have one slot, and
+	// gets half of three times a third of it for three seconds: one or two jobs, and one for the start.
+	together, alone := count(true), count(false)
+	if together < 2 || together > 6 {
+		t.Errorf("%d jobs sent by dispatchers that hear one another", together)
+	}
+	if alone > 12 {
+		t.Errorf("%d jobs sent by dispatchers that hear nothing", alone)
+	}
+}
+
+// An end waits for the next job that goes out, for a bounded time: a message costs as much as what it could hold.
+func TestEndsAreToldWithTheNextJob(t *testing.T) {
+	beds := group(2, oneClass(Once), fleet(4)...)
+	b := beds[0]
+	r := b.ask(1)
+	b.a.told = nil
+	b.end(r, 0, b.a.last().w, OK)
+	if len(b.a.told) != 0 {
+		t.Errorf("an end was told alone: %v", b.a.told)
+	}
+	b.ask(2)
+	if len(b.a.told) != 1 || len(b.a.told[0]) != 2*recordSize {
+		t.Errorf("told %v", b.a.told)
+	}
+	b.a.told = nil
+	b.end(RequestID(fmt.Sprint("r", b.n)), 0, b.a.last().w, OK)
+	if b.pass(tellWait + 2*tick); len(b.a.told) == 0 {
+		t.Error("an end was never told")
+	}
+}
+
+// What can't be read, comes from nobody or from oneself changes nothing; a lost word of an end is let go of when
+// the client's patience is over; the book of a worker has a bound.
+func TestBadAndLostMessages(t *testing.T) {
+	beds := group(3, oneClass(Once), fleet(2)...)
+	b := beds[0]
+	w := b.workers[0]
+	sent := newRecord(toldSent, w, &request{Request: Request{Slots: 2}}).append(nil)
+	b.Peer(b.now, 1, sent[:2])
+	b.Peer(b.now, 0, sent)
+	b.Peer(b.now, 3, sent)
+	b.Peer(b.now, -1, sent)
+	b.Peer(b.now, 1, newRecord(toldServed, w, &request{Request: Request{Slots: 2}}).append(nil))
+	b.Peer(b.now, 1, []byte{0xff, sent[1], sent[2]})
+	if w.told != 0 {
+		t.Fatalf("%g slots from messages that say nothing", w.told)
+	}
+	for range 2 * mostTold {
+		b.Peer(b.now, 1, sent)
+	}
+	if len(w.peers) != mostTold || w.told != 2*mostTold {
+		t.Errorf("%d jobs of %g slots kept", len(w.peers), w.told)
+	}
+	b.pass(b.set.Classes[0].Deadline + 2*tick)
+	if len(w.peers) != 0 || w.told != 0 {
+		t.Errorf("%d jobs of %g slots kept past their time", len(w.peers), w.told)
+	}
+}
+
+// Where telling all peers would cost more than it is worth, nothing is told, and reports tell of the load.
+func TestTellingHasAPrice(t *testing.T) {
+	s := oneClass(Once)
+	s.GroupSize, s.MayTell, s.PeerPrice = 1000, true, 0.0096
+	b := newBed(s, fleet(4)...)
+	for k := range 50 {
+		b.ask(uint64(k))
+	}
+	if b.silent() != 1 {
+		t.Errorf("silent %g", b.silent())
+	}
+	for _, data := range b.a.told {
+		if rec := readRecord(data); rec.what != toldAlive {
+			t.Errorf("told of a job: %v", rec)
+		}
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -49,6 +49,9 @@
 	coldMargin = 0.5   // part of its share of the cold budget that a dispatcher uses
 	holdPart   = 25    // a request waits for probes for this part of its aim at most
 	probePay   = 0.006 // service worth spending on probes
+	probeLeast = 0.1   // part of them that is still asked where all peers tell of their jobs
+	tellPart   = 0.3   // part of the slot-time that has to be told to be of use
+	tellLeast  = 14.0  // a job is told the peers if its part of the slot-time is this multiple of the price
 	probeMost  = 3.0   // probes for a request in a round
 
 	retryRuns = 0.5  // running times after which a client that is refused may return
@@ -93,6 +96,10 @@
 	price float64 // density, against the mean, under which jobs are shed when none is available
 	asks  float64 // requests within shares, as the classes count them
 
+	talk    talk    // with the peers
+	tellers float64 // peers that tell
+	tags    map[uint16][]*worker
+
 	heap     wakes
 	wakeAt   Time
 	watching bool
@@ -129,6 +136,9 @@
 		rate := t.QuotaPerS / float64(s.GroupSize)
 		d.tenants = append(d.tenants, bucket{rate: rate, left: shareDepth(rate), at: now})
 	}
+	if s.MayTell {
+		d.talk.heard = make([]Time, min(s.GroupSize, mostPeers))
+	}
 	// Calls to the list service are spread: all dispatchers may start at once.
 	d.askAt = now + Time(d.rng.Float64()*float64(s.AskWithin)/4)
 	d.wakeUp(now, now+tick, nil)
@@ -171,6 +181,7 @@
 			d.ready++
 		}
 	}
+	d.tags = tagged(d.workers)
 	// All rings index this copy: housekeeping drops workers from the list while rings stand.
 	d.ringOf = append(d.ringOf[:0], d.workers...)
 	clear(d.rings)
@@ -287,9 +298,8 @@
 	if w == nil {
 		return
 	}
-	w.probing = 0
+	w.probing, w.probedAt = 0, now
 	if p.Status == OK {
-		w.probedAt = now
 		w.errors *= 1 - loadGain
 		d.report(now, w, &p.Load)
 	} else {
@@ -305,54 +315,55 @@
 	}
 }
 
-// ---- Workers: the list, slots, capacity, the load that others put on a worker, health.
+// Peer takes what a peer tells of its jobs. With a few jobs of our own on a worker this is nearly all that
+// we know of it, and it is milliseconds old where reports are a second [D9].
+func (d *Dispatcher) Peer(now Time, from int, data []byte) {
+	if from == d.set.Rank || !d.talk.heardFrom(now, from, data) {
+		return
+	}
+	for ; len(data) > 0; data = data[recordSize:] {
+		rec := readRecord(data)
+		class := min(int(rec.class), len(d.classes)-1)
+		for _, w := range d.tags[rec.tag] {
+			if rec.what == toldSent {
+				w.peerSent(peerJob{from, rec, now, w.own+w.told < d.slots(w)})
+				if d.cold(now, w) {
+					w.tokens -= d.runOf(class) * rec.slots()
+				}
+				continue
+			}
+			j, known := w.peerEnded(from, rec)
+			switch {
+			case rec.what == toldServed:
+				w.errors *= 1 - loadGain
+				if known && j.atOnce {
+					d.ran(now, class, w, float64(now-j.sent))
+				}
+			case rec.what == toldFull:
+				w.fullUntil = max(w.fullUntil, now+Time(d.meanRun.v*d.rng.Float64()))
+			case rec.what == toldFailed && w.benchUntil < now:
+				d.failed(now, w, loadGain)
+			}
+		}
+	}
+}
 
-type worker struct {
-	ListEntry
-	id    WorkerID
-	state WorkerState
-	hash  uint64
-
-	own     float64 // slots of our attempts that are out
-	out     int     // attempts out
-	unseen  int     // of these, without a sign of life
-	running []keyCount
-	ownMean float64 // own, smoothed: what a report that is some time old saw of it
-	ownAt   Time
-
-	cap        mean    // learned slots
-	others     mean    // load of the other dispatchers, in slots
-	othersLast float64 // as last seen
-	triedAt    Time
-	othersAt   Time
-	freeMem    float64
-	memAt      Time
-	last       Load
-	fullUntil  Time // it turned a job away
-
-	slowSum, slowN float64 // running time over its class's mean
-	slowAt         Time
-	late           float64 // running time over its class's mean of the job of ours that has run longest there
-	quietSince     Time    // first send after the last sign of life; 0: none
-	errors         float64
-	faults         keyCount // jobs that failed there of late
-	benchUntil     Time
-	benchFor       Time
-	probing        Time // a probe is out since; 0: none
-	probedAt       Time
-	waiters        []*request
-
-	tokens   float64 // cold budget, in slot-microseconds
-	tokensAt Time
+// worthTelling weighs what the peers would learn against the price of a message to each: with many peers only
+// the jobs that hold most of the slot-time are told, and stand for the others too [D9].
+func (d *Dispatcher) worthTelling(r *request) bool {
+	price := d.set.PeerPrice * leastMessage / peerMessage * float64(d.set.GroupSize-1)
+	return d.talk.worth(d.jobCost(r), tellLeast*price)
 }
 
+// ---- Workers: the list, slots, capacity, the load that others put on a worker, health.
+
 func (d *Dispatcher) listed(now Time, e *ListEntry) {
 	w := d.byID[e.Worker]
 	if w == nil {
 		if e.State == Gone {
 			return
 		}
-		w = &worker{id: e.Worker, hash: hashID(e.Worker), tokens: -1}
+		w = &worker{id: e.Worker, hash: hashID(e.Worker)}
 		d.byID[e.Worker] = w
 		d.workers = append(d.workers, w)
 	}
@@ -360,7 +371,8 @@
 		// A fresh start: what was learned of its load and health is void, and it is cold.
 		w.errors, w.quietSince, w.benchUntil, w.benchFor, w.slowN, w.slowSum, w.faults.n = 0, 0, 0, 0, 0, 0, 0
 		w.others, w.othersLast, w.running = mean{}, 0, w.running[:0]
-		w.tokens, w.tokensAt = -1, now
+		w.peers, w.told = w.peers[:0], 0
+		w.tokens, w.tokensAt = 0, 0
 	}
 	w.ListEntry = *e
 	w.state = e.State
@@ -382,6 +394,7 @@
 			}
 		}
 	}
+	d.tellers = d.talk.keepUp(now, d.act)
 	bad := 0
 	kept := d.workers[:0]
 	for _, w := range d.workers {
@@ -390,10 +403,13 @@
 			continue
 		}
 		kept = append(kept, w)
+		w.peersExpire(now, d.classes)
 		if w.state == Ready && d.suspect(now, w) {
 			bad++
-			// A silent worker is asked, where that is allowed, so that it can come back.
-			if d.set.MayProbe && w.probing == 0 && now-w.probedAt > 5*tick {
+			// A silent worker is asked, where that is allowed, so that it can come back. What our own jobs
+			// are worth pays for it: if each asked as it liked, a lost zone would bring a storm of probes.
+			if d.set.MayProbe && d.probeSpare >= 1 && w.probing == 0 && now-w.probedAt > 5*tick {
+				d.probeSpare--
 				w.probing = now
 				d.act.Probe(w.id)
 			}
@@ -450,15 +466,24 @@
 // taken to bear what others were lately seen to bear: at nothing it would win by being unseen. All of it
 // fades, or a jam once seen would have everything shed and nothing sent that could tell of its end [D3].
 func (d *Dispatcher) load(now Time, w *worker) float64 {
-	run := max(1, d.meanRun.v)
+	run, silent := max(1, d.meanRun.v), d.silent()
+	told := w.told / max(tellPart, d.talk.part())
 	fade := math.Exp(-float64(now-d.crowdAt) / (crowdRuns * run))
 	crowd := d.crowd.v * d.slots(w) * fade
 	if w.others.n == 0 {
-		return w.own + crowd
+		return w.own + told + silent*crowd
 	}
 	age := float64(now-w.othersAt) / run
 	fresh, known := math.Exp(-age), math.Exp(-age/usualRuns)*w.others.n/(w.others.n+2)
-	return w.own + fresh*w.othersLast + (1-fresh)*(known*w.others.v*fade+(1-known)*crowd)
+	return w.own + told + silent*(fresh*w.othersLast+(1-fresh)*(known*w.others.v*fade+(1-known)*crowd))
+}
+
+// silent is the part of the peers that tell us nothing: of their load there are only reports.
+func (d *Dispatcher) silent() float64 {
+	if d.talk.part() < tellPart {
+		return 1
+	}
+	return 1 - d.tellers/max(1, float64(d.set.GroupSize-1))
 }
 
 // report learns capacity and the others' load from a worker's figures.
@@ -469,7 +494,7 @@
 		return
 	}
 	w.last = *l
-	d.smoothOwn(now, w)
+	w.smoothOwn(now, d.meanRun.v)
 	inFlight, queued := l.Has&HasInFlight != 0, l.Has&HasQueue != 0
 	if l.Has&HasFreeSlots != 0 {
 		k := d.kind(w.Kind)
@@ -515,12 +540,6 @@
 	w.othersLast, w.othersAt = v, now
 }
 
-func (d *Dispatcher) smoothOwn(now Time, w *worker) {
-	keep := math.Exp(-float64(now-w.ownAt) / max(1, d.meanRun.v))
-	w.ownMean = w.ownMean*keep + w.own*(1-keep)
-	w.ownAt = now
-}
-
 // startDelay learns from a start note, which is fresher than any report: a job that started at
 // once found a free slot, one that waited found none and a queue that took so long [D3].
 func (d *Dispatcher) startDelay(now Time, r *request, a *attempt) {
@@ -835,9 +854,11 @@
 	if w.cap.n > 0 || d.kind(w.Kind).cap.n > 0 || d.capAll.n > 0 {
 		slots = d.slots(w)
 	}
-	rate := coldMargin * d.set.OverloadFactor * slots * d.warmth(now, w) / float64(d.set.GroupSize)
-	if w.tokens < 0 {
-		w.tokens = d.rng.Float64() * cost
+	// What peers that tell have sent is taken off the same bucket: their parts are shared with them.
+	share := (1 + d.tellers) / float64(d.set.GroupSize)
+	rate := coldMargin * d.set.OverloadFactor * slots * d.warmth(now, w) * share
+	if w.tokensAt == 0 {
+		w.tokens += d.rng.Float64() * cost
 		w.tokensAt = now
 	}
 	deep := max(cost, rate*float64(d.set.TipAfter)/2)
@@ -848,29 +869,6 @@
 
 // ---- Attempts: the one place that knows what may have run.
 
-type request struct {
-	Request
-	arrived   Time
-	attempts  []attempt
-	first     [1]attempt
-	out       int
-	probes    int // answers of probes waited for
-	over      bool
-	held      bool
-	closed    bool
-	streaming bool
-}
-
-// bound gives the first attempt that may have run or is still out.
-func (r *request) bound() *attempt {
-	for i := range r.attempts {
-		if !r.attempts[i].never {
-			return &r.attempts[i]
-		}
-	}
-	return nil
-}
-
 // may is the gate of every send: drains, kinds, attempts, effects, groups, windows, cold budget.
 func (d *Dispatcher) may(now Time, r *request, w *worker) bool {
 	c := &d.classes[r.Class]
@@ -914,7 +912,7 @@
 	if r.attempts == nil {
 		r.attempts = r.first[:0]
 	}
-	d.smoothOwn(now, w)
+	w.smoothOwn(now, d.meanRun.v)
 	r.attempts = append(r.attempts, attempt{w: w, sent: now})
 	r.out++
 	w.own += r.Slots
@@ -928,6 +926,10 @@
 		w.tokens -= d.jobCost(r)
 	}
 	d.act.Send(r.ID, 0, w.id)
+	if d.worthTelling(r) {
+		r.attempts[len(r.attempts)-1].told = true
+		d.talk.tell(now, newRecord(toldSent, w, r), d.act)
+	}
 	if d.classes[r.Class].Effect != Once {
 		d.wakeUp(now, now+d.patience(r), r)
 	}
@@ -936,11 +938,14 @@
 // ended takes an attempt off the books and learns from how it ended.
 func (d *Dispatcher) ended(now Time, r *request, a *attempt, s Status) {
 	w := a.w
-	d.smoothOwn(now, w)
+	w.smoothOwn(now, d.meanRun.v)
 	a.over, a.never = true, s.NeverRan()
 	r.out--
 	w.own = max(0, w.own-r.Slots)
 	w.out--
+	if a.told || endTold(s) == toldFailed {
+		d.talk.tell(now, newRecord(endTold(s), w, r), d.act)
+	}
 	switch s {
 	case OK, Error, Refused:
 		d.heard(now, a)
@@ -960,7 +965,7 @@
 		} else if d.set.ProgressEvery > 0 && !d.set.TellsStart {
 			run = min(run, d.set.ProgressEvery) // no note of progress: the rest was waiting
 		}
-		d.ran(now, r, w, float64(run))
+		d.ran(now, r.Class, w, float64(run))
 	case Error:
 		w.faults.count(now, faultFade)
 		d.failed(now, w, loadGain)
@@ -979,8 +984,8 @@
 	}
 }
 
-func (d *Dispatcher) ran(now Time, r *request, w *worker, run float64) {
-	c := &d.classes[r.Class]
+func (d *Dispatcher) ran(now Time, class int, w *worker, run float64) {
+	c := &d.classes[class]
 	c.run.add(run, gain/4)
 	d.meanRun.add(run, gain/4)
 	ratio := run / max(1, c.run.v)
@@ -1122,14 +1127,7 @@
 	if tenant < 0 || tenant >= len(d.tenants) || d.tenants[tenant].rate == 0 {
 		return false
 	}
-	b := &d.tenants[tenant]
-	b.left = min(b.left+b.rate*float64(now-b.at)/second, shareDepth(b.rate))
-	b.at = now
-	if b.left < 1 {
-		return true
-	}
-	b.left--
-	return false
+	return !d.tenants[tenant].take(now, shareDepth(d.tenants[tenant].rate))
 }
 
 func (d *Dispatcher) refuse(now Time, r *request) {
@@ -1232,14 +1230,15 @@
 // askLoads probes the request's likely workers where what is known of them is old, and tells
 // whether the request waits for the answers.
 func (d *Dispatcher) askLoads(now Time, r *request) bool {
-	if !d.set.MayProbe || !d.set.LoadInProbes || d.set.LoadInAnswers {
-		return false
-	}
 	per := probeMost
 	if d.set.ProbePrice > 0 {
 		per = min(per, probePay/d.set.ProbePrice)
 	}
+	per *= max(probeLeast, d.silent())
 	d.probeSpare = min(d.probeSpare+per, 16*per)
+	if !d.set.MayProbe || !d.set.LoadInProbes || d.set.LoadInAnswers {
+		return false
+	}
 	d.sample(r, sampleSize)
 	asked := 0
 	ask := func(w *worker) {
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -17,6 +17,7 @@
 	failed     map[RequestID]int
 	probes     []WorkerID
 	watches    int
+	told       [][]byte
 	timers     []Time
 	now        Time
 	check      func(sendAction)
@@ -44,6 +45,7 @@
 func (a *recorder) Fail(r RequestID)            { a.failed[r]++ }
 func (a *recorder) Timer(delay Time, _ uint64)  { a.timers = append(a.timers, a.now+delay) }
 func (a *recorder) Probe(w WorkerID)            { a.probes = append(a.probes, w) }
+func (a *recorder) Tell(data []byte)            { a.told = append(a.told, data) }
 func (a *recorder) Watch(bool)                  { a.watches++ }
 func (a *recorder) Fetch()                      {}
 func (a *recorder) Log(string)                  {}
@@ -747,6 +749,33 @@
 	}
 }
 
+// Asking workers that are lost is paid for by the jobs that come: eighty dispatchers that each asked thirty
+// lost workers as often as they liked were most of all the fleet's probes.
+func TestProbesOfLostWorkersFollowFromTheJobs(t *testing.T) {
+	s := oneClass(Repeatable)
+	s.MayProbe, s.LoadInProbes, s.ProbePrice, s.MaxAttempts = true, true, 0.0018, 4
+	b := newBed(s, fleet(30)...)
+	answered, jobs := 0, 0
+	for range 100 {
+		for range 3 {
+			jobs++
+			b.ask(uint64(jobs))
+		}
+		for range 10 {
+			b.pass(10 * ms)
+			for ; answered < len(b.a.probes); answered++ {
+				b.Probed(b.now, &Probed{Worker: b.a.probes[answered], Status: Unreachable})
+			}
+			for _, w := range b.workers {
+				b.failed(b.now, w, 0.5)
+			}
+		}
+	}
+	if n := len(b.a.probes); n == 0 || float64(n) > probeMost*float64(jobs) {
+		t.Errorf("%d probes for %d jobs", n, jobs)
+	}
+}
+
 // A worker that errs quickly keeps low counts and must not draw the fallbacks.
 func TestFastErrorsDoNotDrawTraffic(t *testing.T) {
 	b := newBed(oneClass(Once), fleet(6)...)
--- a/rules/structs.go
+++ b/rules/structs.go
@@ -1,6 +1,6 @@
 package rules
 
-// Plain data structures of rules.go: means, counts that fade, buckets, the heap of wake-ups, the
+// Plain data structures of rules.go: workers, requests, means, counts that fade, buckets, the heap of wake-ups, the
 // order of use of table entries, hashes. Nothing here decides anything.
 
 import (
@@ -32,6 +32,80 @@
 	newer, older *entry
 }
 
+// worker is all that a dispatcher knows of one.
+type worker struct {
+	ListEntry
+	id    WorkerID
+	state WorkerState
+	hash  uint64
+
+	own     float64 // slots of our attempts that are out
+	out     int     // attempts out
+	unseen  int     // of these, without a sign of life
+	running []keyCount
+	ownMean float64 // own, smoothed: what a report that is some time old saw of it
+	ownAt   Time
+
+	cap        mean    // learned slots
+	others     mean    // load of the other dispatchers, in slots
+	othersLast float64 // as last seen
+	triedAt    Time
+	othersAt   Time
+	freeMem    float64
+	memAt      Time
+	last       Load
+	fullUntil  Time // it turned a job away
+
+	slowSum, slowN float64 // running time over its class's mean
+	slowAt         Time
+	late           float64 // running time over its class's mean of the job of ours that has run longest there
+	quietSince     Time    // first send after the last sign of life; 0: none
+	errors         float64
+	faults         keyCount // jobs that failed there of late
+	benchUntil     Time
+	benchFor       Time
+	probing        Time // a probe is out since; 0: none
+	probedAt       Time
+	waiters        []*request
+
+	peers []peerJob // what the peers that tell have out there, the oldest first
+	told  float64   // its slots
+
+	tokens   float64 // cold budget, in slot-microseconds
+	tokensAt Time
+}
+
+// request is a job that is open, or has attempts out.
+type request struct {
+	Request
+	arrived   Time
+	attempts  []attempt
+	first     [1]attempt
+	out       int
+	probes    int // answers of probes waited for
+	over      bool
+	held      bool
+	closed    bool
+	streaming bool
+}
+
+// bound gives the first attempt that may have run or is still out.
+func (r *request) bound() *attempt {
+	for i := range r.attempts {
+		if !r.attempts[i].never {
+			return &r.attempts[i]
+		}
+	}
+	return nil
+}
+
+// smoothOwn brings ownMean up to now; own is about to change.
+func (w *worker) smoothOwn(now Time, run float64) {
+	keep := math.Exp(-float64(now-w.ownAt) / max(1, run))
+	w.ownMean = w.ownMean*keep + w.own*(1-keep)
+	w.ownAt = now
+}
+
 type attempt struct {
 	w       *worker
 	sent    Time
@@ -39,6 +113,7 @@
 	seen    bool // a sign of life came
 	over    bool
 	never   bool // proved not to have run
+	told    bool // to the peers
 }
 
 // verdict of Algorithm 2
@@ -55,6 +130,17 @@
 	at         Time
 }
 
+// take fills the bucket, up to most, and takes one out if there is one.
+func (b *bucket) take(now Time, most float64) bool {
+	b.left = min(b.left+b.rate*float64(now-b.at)/second, most)
+	b.at = now
+	if b.left < 1 {
+		return false
+	}
+	b.left--
+	return true
+}
+
 type keyCount struct {
 	key uint64
 	n   float64
