Let a scan go on through the fleet where its sample has long queues and peers tell of loads

A scan looks at the first 4 workers of 60 on the key's ring, and where none takes the job it joins the least loaded queue of those 4: choose() in rules.

Changed: where the best that was seen has twice its slots taken, four times as many workers are looked at, and so on, as far as peers tell of their load (by reports alone all would pile onto what seems empty).

--- a/rules/peers_test.go
+++ b/rules/peers_test.go
@@ -183,3 +183,28 @@
 		}
 	}
 }
+
+// Where the peers tell of their load, a job whose sample is taken finds the worker that is free: it does not queue
+// behind the few that stand next on the ring. By reports alone, all would pile onto what seems empty.
+func TestAScanGoesOnWhileItsSampleIsTaken(t *testing.T) {
+	for _, telling := range []bool{true, false} {
+		beds := group(2, oneClass(Once), fleet(20)...)
+		b := beds[0]
+		if !telling {
+			clear(b.talk.heard)
+		}
+		b.pass(tick)
+		const key = 7
+		b.sample(&request{Request: Request{Key: key}}, sampleSize)
+		taken := map[WorkerID]bool{}
+		for _, w := range b.buf {
+			taken[w.id] = true
+			if w.own = 2 * paperFull; !telling {
+				w.own, w.others, w.othersLast, w.othersAt = 0, mean{2 * paperFull, 9}, 2*paperFull, b.now
+			}
+		}
+		if b.ask(key); telling == taken[b.a.last().w] {
+			t.Errorf("telling %v: sent to %s, taken are %v", telling, b.a.last().w, taken)
+		}
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -50,6 +50,7 @@
 	holdPart   = 25    // a request waits for probes for this part of its aim at most
 	probePay   = 0.006 // service worth spending on probes
 	probeLeast = 0.1   // part of them that is still asked where all peers tell of their jobs
+	queueLeast = 2.0   // a scan goes on where the best of its sample has so many times its slots taken
 	tellPart   = 0.3   // part of the slot-time that has to be told to be of use
 	tellLeast  = 14.0  // a job is told the peers if its part of the slot-time is this multiple of the price
 	probeMost  = 3.0   // probes for a request in a round
@@ -695,7 +696,8 @@
 		}
 		return c < 1e6
 	}
-	d.sample(r, d.spread(now, r))
+	size := d.spread(now, r)
+	d.sample(r, size)
 	if r.HasKey {
 		e = d.table.use(r.Key, max(256, tableScale*len(d.workers)))
 		e.asked.count(now, d.meanRun.v)
@@ -727,13 +729,22 @@
 			return best, false
 		}
 	}
-	for _, w := range d.buf {
-		if !d.may(now, r, w) || !consider(w) || d.available(now, w, r) != accepts {
-			continue
+	for most := float64(d.ready) * (1 - d.silent()); ; size *= 4 {
+		for _, w := range d.buf {
+			if !d.may(now, r, w) || !consider(w) || d.available(now, w, r) != accepts {
+				continue
+			}
+			if c := d.cost(now, w, r); best == nil || c < bestCost {
+				best, bestCost = w, c
+			}
 		}
-		if c := d.cost(now, w, r); best == nil || c < bestCost {
-			best, bestCost = w, c
+		// All of the sample is taken: further ones are looked at, as far as the peers tell of their load. By
+		// reports alone all dispatchers would pile onto the few that seem empty [D2].
+		if best != nil || float64(size) >= most ||
+			spare != nil && d.load(now, spare)+r.Slots <= queueLeast*d.slots(spare)*d.warmth(now, spare) {
+			break
 		}
+		d.sample(r, 4*size)
 	}
 	if best != nil {
 		if e != nil && len(e.set) < setLimit && !slices.Contains(e.set, best) {
@@ -797,33 +808,6 @@
 	}
 }
 
-const ringIndex = 1<<20 - 1 // a ring point is a hash whose low bits are the worker's index
-
-func (d *Dispatcher) buildRing(k int) {
-	total, n := 0.0, 0.0
-	for _, w := range d.ringOf {
-		if w.state == Ready && (k == 0 || w.Kind == k-1) {
-			total += w.Weight
-			n++
-		}
-	}
-	ring := make([]uint64, 0, int(n+1)*ringPoints)
-	for i, w := range d.ringOf {
-		if w.state != Ready || k > 0 && w.Kind != k-1 {
-			continue
-		}
-		points := ringPoints
-		if d.set.WeightsAreSize && total > 0 {
-			points = max(1, int(math.Round(ringPoints*w.Weight*n/total)))
-		}
-		for p := range min(points, 4*ringPoints) {
-			ring = append(ring, mix(w.hash+uint64(p))&^ringIndex|uint64(i)&ringIndex)
-		}
-	}
-	slices.Sort(ring)
-	d.rings[k] = ring
-}
-
 // ---- The cold budget. All dispatchers together must not send a worker that has just started more
 // than a multiple of what it can do; each keeps within its own part, in slot-time.
 
