Shed what peers show to be hopeless, and tell running times with the ends of jobs

The beliefs were right, yet jobs that were hopeless by them were sent.

Checked in a trace of what each send reckoned with: the price and the slack would have shed them; trial() then sent them, since it takes a worker that no report told of for 90 running times as unseen, and where peers tell hardly any is probed. The mean running time was 1.7 to 2.1 s where 0.8 is true, and slots 1.8 to 6.9 where 4 to 5 are.

At fault: trial() (triedAt knew our own trials only), Peer() (a running time taken as the time between two messages, and put into the mean of all jobs, though only long ones are told), report() (a worker with many jobs sets how many slots it has by a guess at their sizes), hopeless() (not before eight runs of a class, which takes eighty thin schedulers 12 s). Now a peer's send counts as a trial, ends carry the running time as its sender measured it in a fourth byte, which costs nothing under the least charge, own jobs alone make the mean, reports of workers with more than two jobs leave a known size alone, and a class not yet seen is reckoned with its aim.

--- a/internal/platform/peers_test.go
+++ b/internal/platform/peers_test.go
@@ -52,7 +52,7 @@
 	}
 	var jam []byte
 	for range 30 {
-		jam = append(jam, told[:3]...)
+		jam = append(jam, told[:4]...)
 	}
 	say(stranger, jam)
 	say(peer, make([]byte, 300))
--- a/rules/peers.go
+++ b/rules/peers.go
@@ -1,12 +1,15 @@
 package rules
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // What dispatchers tell one another of their jobs: the records, and the book in which a dispatcher keeps what
 // its peers have out at a worker. Nothing here decides anything.
 
 const (
-	recordSize  = 3
+	recordSize  = 4
 	peerMessage = 256  // bytes of a full message, which has the price
 	mostPeers   = 4096 // peers beyond are not listened to, and count as silent
 	mostTold    = 512  // jobs of peers kept for a worker; past it the oldest is let go
@@ -25,12 +28,25 @@
 )
 
 // record is one thing told: three bits of what, two of the slots' power of two, three of the class, then 16 bits
-// of the worker's hash. Two workers of one tag both get what is told of either.
+// of the worker's hash, then how long the job ran. Two workers of one tag both get what is told of either.
 type record struct {
 	what  what
 	size  uint8 // slots, as a power of two; 3: 8 or more
 	class uint8 // 7: that or a later one
 	tag   uint16
+	run   uint8 // of an end: eighths of the binary logarithm of the milliseconds it ran, and one more; 0: not known
+}
+
+func (r *record) setRan(run Time) {
+	r.run = uint8(min(255, 1+math.Round(8*math.Log2(max(1, float64(run)/1000)))))
+}
+
+// ran gives the running time in microseconds, within a tenth; 0: not known.
+func (r record) ran() float64 {
+	if r.run == 0 {
+		return 0
+	}
+	return 1000 * math.Exp2(float64(r.run-1)/8)
 }
 
 func newRecord(what what, w *worker, r *request) record {
@@ -57,12 +73,12 @@
 func (r record) slots() float64 { return float64(int(1) << r.size) }
 
 func (r record) append(to []byte) []byte {
-	return append(to, byte(r.what)<<5|r.size<<3|r.class, byte(r.tag>>8), byte(r.tag))
+	return append(to, byte(r.what)<<5|r.size<<3|r.class, byte(r.tag>>8), byte(r.tag), r.run)
 }
 
 // readRecord reads the first record of data, which holds one at least.
 func readRecord(data []byte) record {
-	return record{what(data[0] >> 5), data[0] >> 3 & 3, data[0] & 7, uint16(data[1])<<8 | uint16(data[2])}
+	return record{what(data[0] >> 5), data[0] >> 3 & 3, data[0] & 7, uint16(data[1])<<8 | uint16(data[2]), data[3]}
 }
 
 func tagOf(w *worker) uint16 { return uint16(w.hash >> 48) }
@@ -113,7 +129,7 @@
 	return t.toldTime.v / max(1, t.slotTime.v)
 }
 
-// tell puts a record into the next message. A message of one record costs as much as one of five: ends wait for a
+// tell puts a record into the next message. A message of one record costs as much as one of four: ends wait for a
 // job that goes out, which is told at once.
 func (t *talk) tell(now Time, rec record, act Actions) {
 	if t.heard == nil {
@@ -156,7 +172,6 @@
 	from   int
 	record record
 	sent   Time
-	atOnce bool // it found a free slot, as far as is known here
 }
 
 func (w *worker) peerSent(j peerJob) {
@@ -168,14 +183,13 @@
 }
 
 // peerEnded takes the peer's oldest job of that class and size off the book. A message may be lost: there may be none.
-func (w *worker) peerEnded(from int, rec record) (j peerJob, known bool) {
+func (w *worker) peerEnded(from int, rec record) {
 	for i := range w.peers {
-		if j = w.peers[i]; j.from == from && j.record.class == rec.class && j.record.size == rec.size {
+		if j := w.peers[i]; j.from == from && j.record.class == rec.class && j.record.size == rec.size {
 			w.peerLetGo(i)
-			return j, true
+			return
 		}
 	}
-	return peerJob{}, false
 }
 
 func (w *worker) peerLetGo(i int) {
--- a/rules/peers_test.go
+++ b/rules/peers_test.go
@@ -150,7 +150,7 @@
 	b.Peer(b.now, 3, sent)
 	b.Peer(b.now, -1, sent)
 	b.Peer(b.now, 1, newRecord(toldServed, w, &request{Request: Request{Slots: 2}}).append(nil))
-	b.Peer(b.now, 1, []byte{0xff, sent[1], sent[2]})
+	b.Peer(b.now, 1, []byte{0xff, sent[1], sent[2], 0})
 	if w.told != 0 {
 		t.Fatalf("%g slots from messages that say nothing", w.told)
 	}
@@ -208,3 +208,62 @@
 		}
 	}
 }
+
+// A worker that peers try is seen: what would be shed is not sent there as a trial. By reports alone no worker of a
+// large fleet is seen for long, and all that was hopeless was sent.
+func TestAWorkerThatPeersTryNeedsNoTrial(t *testing.T) {
+	for _, tried := range []bool{true, false} {
+		beds := group(2, oneClass(Repeatable), fleet(1)...)
+		b := beds[0]
+		for k := range uint64(10) {
+			b.serve(k, 400*ms)
+		}
+		w := b.workers[0]
+		for range 60 {
+			b.Peer(b.now, 1, newRecord(toldSent, w, &request{Request: Request{Slots: 1}}).append(nil))
+		}
+		w.othersAt = 0
+		if !tried {
+			w.triedAt = 0
+		}
+		sent, refused := len(b.a.sends), len(b.a.refused)
+		b.ask(1)
+		if got := len(b.a.sends) - sent; got != map[bool]int{true: 0, false: 1}[tried] || len(b.a.refused)-refused != 1-got {
+			t.Errorf("tried by peers %v: %d sent, %d refused", tried, got, len(b.a.refused)-refused)
+		}
+	}
+}
+
+// The running time comes with the word of the end, as its sender measured it: the time between the two words would
+// hold the job's wait, and that of the word. A peer's jobs leave our own mean alone, since only long ones are told.
+func TestRunningTimesAreTold(t *testing.T) {
+	s := oneClass(Once)
+	s.TellsStart = true
+	beds := group(2, s, fleet(1)...)
+	from, to := beds[0], beds[1]
+	mean := to.meanRun
+	r := from.ask(1)
+	from.pass(3000 * ms)
+	from.Note(from.now, &Note{Request: r, Worker: "w0", Started: true})
+	from.pass(400 * ms)
+	from.end(r, 0, "w0", OK)
+	from.pass(tellWait + 2*tick)
+	hearAll(beds)
+	if run := to.classes[0].run; run.n != 1 || run.v < 360_000 || run.v > 440_000 {
+		t.Errorf("heard of %g runs of %g us, one of 400,000 was told", run.n, run.v)
+	}
+	if to.meanRun != mean {
+		t.Errorf("the mean of our own jobs moved from %v to %v", mean, to.meanRun)
+	}
+}
+
+// With a few jobs running, a report tells what the worker can run; with many, how many slots these hold is a guess.
+func TestCapacityIsLearnedFromIdleWorkers(t *testing.T) {
+	b := newBed(oneClass(Once), fleet(1)...)
+	has := HasInFlight | HasQueue | HasFreeSlots
+	b.Probed(b.now, &Probed{Worker: "w0", Load: Load{Has: has, FreeSlots: 4}})
+	b.Probed(b.now, &Probed{Worker: "w0", Load: Load{Has: has, InFlight: 9, Queue: 1}})
+	if n := b.slots(b.workers[0]); n != 4 {
+		t.Errorf("%g slots", n)
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -327,18 +327,19 @@
 		class := min(int(rec.class), len(d.classes)-1)
 		for _, w := range d.tags[rec.tag] {
 			if rec.what == toldSent {
-				w.peerSent(peerJob{from, rec, now, w.own+w.told < d.slots(w)})
+				w.peerSent(peerJob{from, rec, now})
+				w.triedAt = now // by a peer
 				if d.cold(now, w) {
 					w.tokens -= d.runOf(class) * rec.slots()
 				}
 				continue
 			}
-			j, known := w.peerEnded(from, rec)
+			w.peerEnded(from, rec)
 			switch {
 			case rec.what == toldServed:
 				w.errors *= 1 - loadGain
-				if known && j.atOnce {
-					d.ran(now, class, w, float64(now-j.sent))
+				if run := rec.ran(); run > 0 {
+					d.ran(now, class, w, run)
 				}
 			case rec.what == toldFull:
 				w.fullUntil = max(w.fullUntil, now+Time(d.meanRun.v*d.rng.Float64()))
@@ -502,6 +503,8 @@
 		switch seen := l.FreeSlots + (l.InFlight-l.Queue)*max(1, d.perJob.v); {
 		case k.cap.n > 8 && seen > liesPast*k.cap.v:
 			return // no worker of its kind is near that: it would draw all there is
+		case inFlight && k.cap.n > 0 && l.InFlight-l.Queue > 2:
+			// Jobs have several slots, and how many is told nowhere: a worker that runs a few shows little.
 		case inFlight && seen >= 0.5 && (queued || l.FreeSlots >= 0.5):
 			w.cap.add(seen, gain)
 			k.cap.add(seen, gain/4)
@@ -928,7 +931,11 @@
 	w.own = max(0, w.own-r.Slots)
 	w.out--
 	if a.told || endTold(s) == toldFailed {
-		d.talk.tell(now, newRecord(endTold(s), w, r), d.act)
+		rec := newRecord(endTold(s), w, r)
+		if a.started > 0 {
+			rec.setRan(now - a.started)
+		}
+		d.talk.tell(now, rec, d.act)
 	}
 	switch s {
 	case OK, Error, Refused:
@@ -949,6 +956,7 @@
 		} else if d.set.ProgressEvery > 0 && !d.set.TellsStart {
 			run = min(run, d.set.ProgressEvery) // no note of progress: the rest was waiting
 		}
+		d.meanRun.add(float64(run), gain/4) // of our own only: the peers tell of the long ones
 		d.ran(now, r.Class, w, float64(run))
 	case Error:
 		w.faults.count(now, faultFade)
@@ -971,7 +979,6 @@
 func (d *Dispatcher) ran(now Time, class int, w *worker, run float64) {
 	c := &d.classes[class]
 	c.run.add(run, gain/4)
-	d.meanRun.add(run, gain/4)
 	ratio := run / max(1, c.run.v)
 	d.kind(w.Kind).slow.add(ratio, gain/8)
 	fade := math.Exp(-float64(now-w.slowAt) / (20 * max(1, d.meanRun.v)))
@@ -1057,13 +1064,13 @@
 // its share, are shed at shorter waits, so that a fleet that can't do all does what counts [D6].
 func (d *Dispatcher) hopeless(now Time, r *request, w *worker) bool {
 	c := &d.classes[r.Class]
-	if c.run.n < 8 || d.meanRun.n < 8 {
+	if d.meanRun.n < 8 {
 		return false
 	}
 	slots := max(0.1, d.slots(w)*d.warmth(now, w))
 	slow := d.slowness(now, w)
 	wait := max(0, d.load(now, w)+r.Slots-slots) / slots * d.meanRun.v * slow
-	slack := float64(c.Aim-(now-r.arrived)) + c.Stretch*c.run.v - c.run.v*slow
+	slack := float64(c.Aim-(now-r.arrived)) + (c.Stretch-slow)*d.runOf(r.Class)
 	// The price rises when a job that is worth it finds no time, and falls with each that does: in
 	// lasting overload cheap jobs leave the slots to dear ones instead of sharing the refusals [D6].
 	rel := d.relWorth(r)
