--- a/rules/peers_test.go
+++ b/rules/peers_test.go
@@ -267,3 +267,79 @@
 		t.Errorf("%g slots", n)
 	}
 }
+
+// What goes to a cold worker is told whatever it costs: peers that share its budget take it off theirs.
+func TestJobsToAColdWorkerAreAlwaysTold(t *testing.T) {
+	s := oneClass(Once)
+	s.GroupSize, s.MayTell, s.PeerPrice = 1000, true, 0.0096
+	s.ColdFrom, s.WarmWithin, s.OverloadFactor = 0.3, 9_000_000, 1000
+	for _, cold := range []bool{true, false} {
+		w := ListEntry{Worker: "w", Weight: 1}
+		if cold {
+			w.StartedAt = 1_000_000_000 - 8_000_000
+		}
+		b := newBed(s, w)
+		b.pass(tick + ms)
+		b.a.told = nil
+		b.ask(1)
+		b.pass(500 * ms)
+		if len(b.a.sends) != 1 {
+			t.Fatalf("%d sends", len(b.a.sends))
+		}
+		if told := len(b.a.told) > 0; told != cold {
+			t.Errorf("cold %v, told %v", cold, told)
+		}
+	}
+}
+
+// Whatever peers say, the books stay within their bounds and no job is ended or sent twice by it.
+func FuzzPeer(f *testing.F) {
+	f.Add([]byte{0x20, 1, 2, 0, 0x40, 1, 2, 90}, 1)
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff}, 2)
+	f.Fuzz(func(t *testing.T, data []byte, from int) {
+		beds := group(3, oneClass(Once), fleet(3)...)
+		b := beds[0]
+		r := b.ask(1)
+		for _, w := range b.workers { // the tags that the message holds are those of workers
+			for i := 0; i+recordSize <= len(data); i += recordSize {
+				data[i+1], data[i+2] = byte(tagOf(w)>>8), byte(tagOf(w))
+			}
+			b.Peer(b.now, from, data)
+		}
+		b.pass(500 * ms)
+		if b.requests[r] == nil || len(b.a.sends) != 1 {
+			t.Errorf("request %v, %d sends", b.requests[r], len(b.a.sends))
+		}
+		for _, w := range b.workers {
+			if w.told < 0 || len(w.peers) > mostTold || w.told > 8*mostTold {
+				t.Errorf("%s: %g slots in %d jobs", w.id, w.told, len(w.peers))
+			}
+		}
+	})
+}
+
+// The cost of a decision: a job taken, sent and ended, with what is told of it by eighty schedulers' peers.
+func BenchmarkDecision(b *testing.B) {
+	for _, workers := range []int{10, 60, 1000} {
+		b.Run(fmt.Sprint(workers, " workers"), func(b *testing.B) {
+			s := oneClass(Once)
+			s.GroupSize, s.MayTell = 80, true
+			d := newBed(s, fleet(workers)...)
+			for i := range 80 {
+				d.Peer(d.now, i, record{what: toldAlive}.append(nil))
+			}
+			d.pass(tick)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for k := range b.N {
+				r := d.ask(uint64(k % 500))
+				x := d.a.last()
+				d.Peer(d.now, 1+k%79, newRecord(toldSent, d.byID[x.w], d.requests[r]).append(nil))
+				d.now += 100
+				d.end(r, 0, x.w, OK)
+				d.Peer(d.now, 1+k%79, newRecord(toldServed, d.byID[x.w], &request{Request: Request{Slots: 1}}).append(nil))
+				d.a.sends, d.a.timers, d.a.told = d.a.sends[:0], d.a.timers[:0], d.a.told[:0]
+			}
+		})
+	}
+}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -913,7 +913,7 @@
 		w.tokens -= d.jobCost(r)
 	}
 	d.act.Send(r.ID, 0, w.id)
-	if d.worthTelling(r) {
+	if d.worthTelling(r) || d.cold(now, w) { // or the peers' shared budget would not know of it
 		r.attempts[len(r.attempts)-1].told = true
 		d.talk.tell(now, newRecord(toldSent, w, r), d.act)
 	}
