Take no class as hopeless by a guess at its running time

Where the aim does not stretch with the running time the guess is over the aim, every such job is refused, and so none is ever seen to run. Now only what was seen to run counts: a class not yet seen has its whole aim to wait in. The new test fails without this.

--- a/rules/rules.go
+++ b/rules/rules.go
@@ -1070,7 +1070,7 @@
 	slots := max(0.1, d.slots(w)*d.warmth(now, w))
 	slow := d.slowness(now, w)
 	wait := max(0, d.load(now, w)+r.Slots-slots) / slots * d.meanRun.v * slow
-	slack := float64(c.Aim-(now-r.arrived)) + (c.Stretch-slow)*d.runOf(r.Class)
+	slack := float64(c.Aim-(now-r.arrived)) + (c.Stretch-slow)*c.run.v
 	// The price rises when a job that is worth it finds no time, and falls with each that does: in
 	// lasting overload cheap jobs leave the slots to dear ones instead of sharing the refusals [D6].
 	rel := d.relWorth(r)
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -1034,3 +1034,19 @@
 		t.Fatalf("%d wake-ups for no open request", len(b.heap))
 	}
 }
+
+// A class that no job of has run yet is not taken as hopeless by a guess at its running time: refused until it was
+// seen to run, it would never be.
+func TestAClassNotYetSeenIsNotShed(t *testing.T) {
+	s := oneClass(Repeatable)
+	s.Classes = append(s.Classes, s.Classes[0])
+	b := newBed(s, fleet(1)...)
+	for k := range uint64(20) {
+		b.serve(k, ms)
+	}
+	b.workers[0].own, b.workers[0].triedAt = paperFull+1, b.now
+	before := len(b.a.sends)
+	if b.askAs(Request{Class: 1, Key: 1, HasKey: true}); len(b.a.sends) != before+1 {
+		t.Errorf("refused: %v", b.a.refused)
+	}
+}
