Tell nobody in the turn in which the socket to the peers is closed

Seen when the whole change was read: carryOut() called Core.Tell for what had been told in the turn, and a front that ended in that turn had set it to nil: a panic while the program ends. Tests of core and rules pass.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -383,10 +383,15 @@
 	}
 	clear(c.queue)
 	c.queue = c.queue[:0]
-	if len(c.telling) > 0 {
+	c.flushTold()
+}
+
+// flushTold sends what was told. The front may have closed its socket since, in the same turn: then nobody can be told.
+func (c *Core) flushTold() {
+	if len(c.telling) > 0 && c.Tell != nil {
 		c.Tell(c.telling)
-		c.telling = c.telling[:0]
 	}
+	c.telling = c.telling[:0]
 }
 
 // actions takes what the decisions ask for. Nothing is carried out within their call.
@@ -506,8 +511,7 @@
 		return
 	}
 	if len(c.telling)+len(data) > MostTold {
-		c.Tell(c.telling)
-		c.telling = c.telling[:0]
+		c.flushTold()
 	}
 	c.telling = append(c.telling, data...)
 }
