--- a/rules/structs.go
+++ b/rules/structs.go
@@ -1,7 +1,7 @@
 package rules
 
 // Plain data structures of rules.go: workers, requests, means, counts that fade, buckets, the heap of wake-ups, the
-// order of use of table entries, hashes. Nothing here decides anything.
+// order of use of table entries, the ring, hashes. Nothing here decides anything.
 
 import (
 	"cmp"
