Listen with SO_REUSEPORT, so that a new version can start beside the old one

The listener was made by netpoll.CreateListener (internal/platform/front.go), which sets no SO_REUSEPORT, and the peers' UDP socket by net.ListenUDP (peers.go).

Design: internal/link.Listen and ListenUDP open sockets with SO_REUSEADDR and SO_REUSEPORT, and hand the TCP one to netpoll by ConvertListener; the kernel spreads new connections over old and new process until the old closes its socket.

--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -162,7 +162,7 @@
 	f.core.Farm(f, rules.ListCached, list.Workers)
 	f.watch = newWatch(f, f.conf.Discovery, list.Version)
 
-	ln, err := netpoll.CreateListener("tcp", f.conf.Listen)
+	ln, err := link.Listen(f.conf.Listen)
 	if err != nil {
 		return &config.Error{Key: "listen", Text: err.Error()}
 	}
--- a/internal/platform/peers.go
+++ b/internal/platform/peers.go
@@ -7,6 +7,7 @@
 
 	"cobaltflow/internal/config"
 	"cobaltflow/internal/core"
+	"cobaltflow/internal/link"
 )
 
 const (
@@ -39,11 +40,7 @@
 	if conf.Listen == "" {
 		return nil
 	}
-	at, err := net.ResolveUDPAddr("udp4", conf.Listen)
-	if err != nil {
-		return &config.Error{Key: "peer_listen", Text: err.Error()}
-	}
-	socket, err := net.ListenUDP("udp4", at)
+	socket, err := link.ListenUDP(conf.Listen)
 	if err != nil {
 		return &config.Error{Key: "peer_listen", Text: err.Error()}
 	}
