Answer operators at their own address: readiness, figures, drains, workers out by hand

Design: internal/front/admin listens at admin (or RELAY_ADMIN), with SO_REUSEPORT, one call a connection on netpoll, parsed by our http1 on the read buffer and answered on the loop at once, then closed. At most 32 connections (over it the oldest without a whole call goes, over-budget); a call has 900 ms to come whole, by a deadline of the loop, else 408. GET /-/ready, GET /-/metrics (statsd, prefix edge_relay), POST /-/drain and /-/resume, POST /-/table-workers/ID/disable and /enable. The decision stays in rules: Dispatcher.Hold keeps a worker draining whatever the list says, until it is let back; Avoided counts held and benched workers for out_of_rotation. A drain makes the clients' readiness say no, closes each client connection once it holds nothing, and answers held jobs with Connection: close; call-backs go on. Counters are kept where events happen: answers by class in core, whole writes in the pool.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -27,6 +27,7 @@
 	EnvListen    = "RELAY_LISTEN"
 	EnvDiscovery = "RELAY_DISCOVERY"
 	EnvConfig    = "RELAY_CONFIG"
+	EnvAdmin     = "RELAY_ADMIN"
 )
 
 // Config is all that a scheduler is told.
@@ -34,6 +35,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Admin     string // the operators' address; empty: there is none
 	Seed      uint64
 	Limits    Limits
 	Known     json.RawMessage // the last list, in discovery's form
@@ -82,6 +84,7 @@
 	Name      string          `json:"name"`
 	Listen    string          `json:"listen"`
 	Discovery string          `json:"discovery"`
+	Admin     string          `json:"admin"`
 	Seed      string          `json:"seed"`
 	Limits    limitsFile      `json:"limits"`
 	Known     json.RawMessage `json:"known"`
@@ -151,6 +154,7 @@
 	}{
 		{"name", c.Name != next.Name},
 		{"listen", c.Listen != next.Listen},
+		{"admin", c.Admin != next.Admin},
 		{"settings", !reflect.DeepEqual(c.Settings, next.Settings) || !reflect.DeepEqual(c.Names, next.Names)},
 	} {
 		if k.differs {
@@ -169,7 +173,8 @@
 	}
 	if section != nil {
 		prefix = "scheduler."
-		doc = document{Name: section.Name, Listen: section.Listen, Discovery: section.Discovery, Seed: section.Seed, Limits: section.Limits}
+		doc = document{Name: section.Name, Listen: section.Listen, Discovery: section.Discovery, Admin: section.Admin, Seed: section.Seed,
+			Limits: section.Limits}
 	}
 	if path := getenv(EnvConfig); path != "" {
 		text, err := os.ReadFile(path)
@@ -188,6 +193,7 @@
 		Name:      first(getenv(EnvName), doc.Name),
 		Listen:    first(getenv(EnvListen), doc.Listen),
 		Discovery: first(getenv(EnvDiscovery), doc.Discovery),
+		Admin:     first(getenv(EnvAdmin), doc.Admin),
 		Limits:    Limits{Cores: 1, MemoryMB: 192, Sockets: 1024},
 		Known:     doc.Known,
 	}
@@ -210,6 +216,14 @@
 			return nil, fault(prefix+a.key, "%v", err)
 		}
 	}
+	if c.Admin != "" {
+		if err := checkAddress(c.Admin); err != nil {
+			return nil, fault(prefix+"admin", "%v", err)
+		}
+		if c.Admin == c.Listen {
+			return nil, fault(prefix+"admin", "%s is the clients' address too; the operators' must be another", c.Admin)
+		}
+	}
 	if doc.Seed != "" {
 		n, err := strconv.ParseUint(doc.Seed, 16, 64)
 		if err != nil {
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -28,6 +28,7 @@
 	Name      string        `json:"name"`
 	Listen    string        `json:"listen"`
 	Discovery string        `json:"discovery"`
+	Admin     string        `json:"admin"`
 	Seed      string        `json:"seed"`
 	Limits    limitsFile    `json:"limits"`
 	Zones     []string      `json:"zones"`
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -127,8 +127,12 @@
 	open         int // transactions that still need an answer
 	passes       Table[*ProxyPass]
 	Counts       Counts
+	ByClass      []Ends // by the class of the work, counted as each final answer is given; grows to the classes seen
 }
 
+// Ends are the final answers of one class since the start.
+type Ends struct{ Served, Refused, Failed uint64 }
+
 // Counts are totals since the start.
 type Counts struct {
 	Taken, Served, Refused, Failed, HungUp, Passes, Probes uint64
@@ -350,13 +354,20 @@
 		return
 	}
 	c.close(t)
+	for len(c.ByClass) <= t.Work.Class {
+		c.ByClass = append(c.ByClass, Ends{})
+	}
+	e := &c.ByClass[t.Work.Class]
 	switch a.Kind {
 	case Served:
 		c.Counts.Served++
+		e.Served++
 	case Unavailable:
 		c.Counts.Refused++
+		e.Refused++
 	default:
 		c.Counts.Failed++
+		e.Failed++
 	}
 	t.Agent.Answer(t, a)
 }
--- a/internal/core/farm.go
+++ b/internal/core/farm.go
@@ -111,6 +111,15 @@
 	p.dispatcher.List(c.Loop.now, &rules.List{Form: form, Entries: entries})
 }
 
+// Hold takes a worker of the main pool out by an operator's hand (out), or lets it back in; the decisions keep
+// it from new work until then, whatever the list says. It tells whether the worker is listed.
+func (c *Core) Hold(worker string, out bool) bool {
+	return c.main.dispatcher.Hold(c.Loop.now, rules.WorkerID(worker), out)
+}
+
+// Avoided is the number of listed workers of the main pool that get nothing new now, by hand or by choice.
+func (c *Core) Avoided() int { return c.main.dispatcher.Avoided(c.Loop.now) }
+
 // FarmSize is the number of workers known.
 func (c *Core) FarmSize() int { return len(c.main.farm.workers) }
 
--- /dev/null
+++ b/internal/front/admin/admin.go
@@ -0,0 +1,259 @@
+// Package admin is the operators' address: readiness, figures, table workers taken out and back by hand,
+// drains. It hands the decisions events and reads figures where they are kept; it decides nothing itself.
+package admin
+
+import (
+	"context"
+	"log/slog"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"cobaltflow/internal/config"
+	"cobaltflow/internal/core"
+	"cobaltflow/internal/http1"
+	"cobaltflow/internal/link"
+)
+
+// Bounds of the operators' address.
+const (
+	// MostCalls is how many connections may be open at once; over it the oldest that has brought no whole
+	// call is closed (over-budget), so callers who connect and say nothing take no place from one who asks.
+	MostCalls = 32
+	// CallTime is how long a connection has to bring its whole call; then it gets 408 and is closed.
+	CallTime = 900 * core.Millisecond
+	readTime = time.Second // netpoll's own bound on a read that has begun, behind CallTime
+)
+
+// Clients is what the admin address drives of the clients' front.
+type Clients interface {
+	Ready() bool
+	Drain()
+	Resume()
+	Relayed() uint64
+}
+
+// Front serves the operators' calls, one a connection, on the loop.
+type Front struct {
+	loop    *core.Loop
+	core    *core.Core
+	conf    *config.Config
+	clients Clients
+	log     *slog.Logger
+	held    *Held
+
+	listener netpoll.Listener
+	server   netpoll.EventLoop
+	calls    core.Table[*call]
+}
+
+// call is one connection of an operator's.
+type call struct {
+	link.Link
+	ref      core.Ref
+	request  http1.Request
+	answered bool
+	limit    *core.Deadline
+}
+
+type callKey struct{}
+
+// New makes the front; Start opens it. held keeps the workers taken out across a restart; nil: nowhere.
+func New(c *core.Core, conf *config.Config, clients Clients, held *Held, log *slog.Logger) *Front {
+	return &Front{loop: c.Loop, core: c, conf: conf, clients: clients, held: held, log: log}
+}
+
+// Start hands the decisions the workers that were taken out before a restart, and listens. It is called
+// before the loop runs, after the clients' front has told the core its first list.
+func (f *Front) Start() error {
+	for _, name := range f.held.Names() {
+		listed := f.core.Hold(name, true)
+		f.log.Info("admin: a table worker stays out, as before the restart", "worker", name, "listed", listed)
+	}
+	ln, err := link.Listen(f.conf.Admin)
+	if err != nil {
+		return &config.Error{Key: "admin", Text: err.Error()}
+	}
+	f.listener = ln
+	f.server, err = netpoll.NewEventLoop(f.onRequest, netpoll.WithOnPrepare(f.prepare))
+	if err != nil {
+		return err
+	}
+	go f.server.Serve(ln)
+	return nil
+}
+
+// Address is where the front listens.
+func (f *Front) Address() string { return f.listener.Addr().String() }
+
+// Close ends the listener and every call.
+func (f *Front) Close() {
+	f.listener.Close()
+	f.calls.Each(func(_ core.Ref, k *call) { k.Close(link.ShutDown) })
+}
+
+// prepare runs on the poller, before anything of the connection can be read.
+func (f *Front) prepare(nc netpoll.Connection) context.Context {
+	k := &call{}
+	k.Init(nc, "operator", nc.RemoteAddr().String(), 0)
+	nc.SetReadTimeout(readTime)
+	nc.AddCloseCallback(func(netpoll.Connection) error {
+		f.loop.Post(func() { f.gone(k) })
+		return nil
+	})
+	f.loop.Post(func() {
+		if k.Ended {
+			return
+		}
+		k.Opened = f.loop.Now()
+		k.ref = f.calls.Add(k)
+		k.limit = f.loop.At(k.Opened+CallTime, func() {
+			if !k.answered && !k.Closed {
+				f.answer(k, link.SlowInput, 408, "no whole call came within 900 ms\n")
+			}
+		})
+		if f.calls.Len() > MostCalls {
+			f.shed(k)
+		}
+	})
+	return context.WithValue(context.Background(), callKey{}, k)
+}
+
+// shed closes the oldest connection that has no whole call; where all have one, the newest.
+func (f *Front) shed(newest *call) {
+	victim := newest
+	f.calls.Each(func(_ core.Ref, k *call) {
+		if !k.Closed && !k.answered && k.Count == 0 && (victim == newest || k.Opened < victim.Opened) {
+			victim = k
+		}
+	})
+	victim.Close(link.OverBudget)
+}
+
+// onRequest runs on a goroutine of netpoll's; package link says who holds the buffer.
+func (f *Front) onRequest(ctx context.Context, _ netpoll.Connection) error {
+	k := ctx.Value(callKey{}).(*call)
+	var fault *http1.Error
+	return k.Read(f.loop, func(buf []byte) (int, int, bool) {
+		var need int
+		need, fault = http1.ParseRequest(buf, &k.request)
+		return k.request.Size, need, fault != nil
+	}, func() { f.take(k, fault) })
+}
+
+// take has a whole call in hand, or a fault in it. The answer is put together at once, on the loop.
+func (f *Front) take(k *call, fault *http1.Error) {
+	defer k.Release()
+	k.Count++
+	if k.Ended || k.Closed || k.answered {
+		return
+	}
+	if fault != nil {
+		f.answer(k, link.BadInput, fault.Status, fault.Text+"\n")
+		return
+	}
+	method, path := string(k.request.Method), string(k.request.Path)
+	status, body := f.serve(method, path)
+	reason, extra := link.Answered, []string(nil)
+	if status >= 400 {
+		reason = link.BadInput
+	}
+	if status == 405 {
+		extra = []string{"Allow", wanted(path)}
+	}
+	if method == "HEAD" {
+		body = ""
+	}
+	f.answer(k, reason, status, body, extra...)
+}
+
+// answer writes the one answer of a connection, which is closed after it. The reason stands in its log line.
+func (f *Front) answer(k *call, reason string, status int, body string, extra ...string) {
+	k.answered = true
+	f.loop.Drop(k.limit)
+	k.Reason = reason
+	message := http1.AppendResponse(nil, status, false, []byte(body), append(extra, "Content-Type", "text/plain")...)
+	k.Send(f.loop, link.Outgoing{Message: message, Last: true, Linger: status >= 400})
+}
+
+func (f *Front) gone(k *call) {
+	if !k.Farewell(f.log, f.loop.Now()) {
+		return
+	}
+	f.loop.Drop(k.limit)
+	f.calls.Free(k.ref)
+	k.Release()
+}
+
+// Paths of the calls.
+const (
+	PathReady   = "/-/ready"
+	PathMetrics = "/-/metrics"
+	PathDrain   = "/-/drain"
+	PathResume  = "/-/resume"
+	PathWorkers = "/-/table-workers/"
+)
+
+// serve carries a call out and gives its status and body. 2xx is yes; 4xx names what was wrong.
+func (f *Front) serve(method, path string) (int, string) {
+	want := wanted(path)
+	known := path == PathReady || path == PathMetrics || path == PathDrain || path == PathResume ||
+		strings.HasPrefix(path, PathWorkers)
+	switch {
+	case !known:
+		return 404, "no such call: " + path + "; the calls are GET /-/ready, GET /-/metrics, POST /-/drain, " +
+			"POST /-/resume, POST /-/table-workers/ID/disable and /enable\n"
+	case method != want && !(method == "HEAD" && want == "GET"):
+		return 405, method + " " + path + ": only " + want + " is answered here\n"
+	}
+	switch path {
+	case PathReady:
+		if f.clients.Ready() {
+			return 200, "ready\n"
+		}
+		return 503, "not ready: starting, draining or ending\n"
+	case PathMetrics:
+		return 200, string(Figures(f.core, f.clients, f.conf.Names.Classes))
+	case PathDrain:
+		f.clients.Drain()
+		return 200, "draining: the clients are sent away\n"
+	case PathResume:
+		f.clients.Resume()
+		return 200, "serving\n"
+	}
+	return f.worker(strings.TrimPrefix(path, PathWorkers))
+}
+
+// wanted is the method of a call.
+func wanted(path string) string {
+	if path == PathReady || path == PathMetrics {
+		return "GET"
+	}
+	return "POST"
+}
+
+// worker takes a table worker out (disable) or lets it back in (enable). Out twice is out once; one enable
+// undoes both. A worker that is not listed is owed a no, and is not held.
+func (f *Front) worker(rest string) (int, string) {
+	id, verb, ok := strings.Cut(rest, "/")
+	if !ok || id == "" || verb != "disable" && verb != "enable" {
+		return 404, "no such call: /-/table-workers/" + rest + "; want /-/table-workers/ID/disable or /enable\n"
+	}
+	out := verb == "disable"
+	if out && f.held.Full() && !f.held.names[id] {
+		return 409, "no more than " + strconv.Itoa(MostHeld) + " table workers may be out by hand at once\n"
+	}
+	if !f.core.Hold(id, out) {
+		f.core.Hold(id, false)
+		f.held.Set(id, false)
+		return 404, "no table worker " + id + " is listed\n"
+	}
+	f.held.Set(id, out)
+	f.log.Info("admin: table worker "+verb+"d", "worker", id, "out_of_rotation", f.core.Avoided())
+	if out {
+		return 200, "out of rotation: " + id + "\n"
+	}
+	return 200, "in rotation: " + id + "\n"
+}
--- /dev/null
+++ b/internal/front/admin/figures.go
@@ -0,0 +1,38 @@
+package admin
+
+import (
+	"strconv"
+
+	"cobaltflow/internal/core"
+)
+
+// Prefix stands before every figure's name.
+const Prefix = "edge_relay."
+
+// Figures writes what the scheduler reports, in statsd's form, a figure a line: for each class the jobs
+// served (fulfilled), refused (throttled) and failed (faulted) since the start, the attempts written whole to
+// the workers (relayed), as counters; the jobs taken and not ended (open_requests), the workers listed
+// (registry_entries) and those of them that get nothing new now, by hand or by choice (out_of_rotation), as
+// gauges. Each is read where it is kept, on the loop, at the moment of the call.
+func Figures(c *core.Core, clients Clients, classes []string) []byte {
+	b := make([]byte, 0, 96*len(classes)+160)
+	for i, name := range classes {
+		var e core.Ends
+		if i < len(c.ByClass) {
+			e = c.ByClass[i]
+		}
+		b = figure(b, "fulfilled."+name, e.Served, 'c')
+		b = figure(b, "throttled."+name, e.Refused, 'c')
+		b = figure(b, "faulted."+name, e.Failed, 'c')
+	}
+	b = figure(b, "relayed", clients.Relayed(), 'c')
+	b = figure(b, "open_requests", uint64(c.Open()), 'g')
+	b = figure(b, "registry_entries", uint64(c.FarmSize()), 'g')
+	return figure(b, "out_of_rotation", uint64(c.Avoided()), 'g')
+}
+
+func figure(b []byte, name string, v uint64, kind byte) []byte {
+	b = append(append(b, Prefix...), name...)
+	b = strconv.AppendUint(append(b, ':'), v, 10)
+	return append(append(b, '|', kind), '\n')
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"cobaltflow/internal/config"
 	"cobaltflow/internal/core"
 	"cobaltflow/internal/faktory"
+	"cobaltflow/internal/front/admin"
 	"cobaltflow/internal/front/admission"
 	"cobaltflow/internal/front/http2"
 	"cobaltflow/internal/platform"
@@ -26,6 +27,7 @@
 	Front   *platform.Front
 	Faktory *faktory.Front // nil: off
 	HTTP2   *http2.Front   // nil: off
+	Admin   *admin.Front   // nil: there is no operators' address
 	log     *slog.Logger
 	ending  int
 }
@@ -58,6 +60,17 @@
 		return err
 	}
 	g.log.Info("serves", "name", g.Conf.Name, "address", g.Front.Address(), "workers", g.Core.FarmSize())
+	if g.Conf.Admin != "" {
+		held, err := admin.OpenHeld(admin.HeldFile(g.Conf.Name, g.Conf.Listen))
+		if err != nil {
+			g.log.Warn("admin: the workers held before can't be read; none is", "error", err)
+		}
+		g.Admin = admin.New(g.Core, g.Conf, g.Front, held, g.log)
+		if err := g.Admin.Start(); err != nil {
+			return err
+		}
+		g.log.Info("admin: serves", "address", g.Admin.Address())
+	}
 	if g.HTTP2 != nil {
 		if err := g.HTTP2.Start(); err != nil {
 			return err
@@ -120,6 +133,9 @@
 	if g.HTTP2 != nil {
 		g.HTTP2.Close()
 	}
+	if g.Admin != nil {
+		g.Admin.Close()
+	}
 	g.Loop.At(g.Loop.Now()+20*core.Millisecond, g.Loop.Stop)
 }
 
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -13,6 +13,7 @@
 
 	"cobaltflow/internal/config"
 	"cobaltflow/internal/core"
+	"cobaltflow/internal/front/admin"
 	"cobaltflow/internal/front/admission"
 	"cobaltflow/internal/http1"
 	"cobaltflow/internal/link"
@@ -74,6 +75,8 @@
 
 	stopping core.Time // SIGTERM came then; 0: it has not
 	stopped  func()
+	drained  core.Time // an operator asked for a drain then; 0: none is on
+	relayed  uint64    // requests written whole to the workers
 }
 
 // budget shares out the descriptors that the process may hold, by party.
@@ -110,6 +113,9 @@
 	if f.conf.HTTP2.On() {
 		n += f.conf.HTTP2.MaxConnections
 	}
+	if f.conf.Admin != "" {
+		n += admin.MostCalls
+	}
 	return n
 }
 
@@ -358,7 +364,7 @@
 }
 
 func (f *Front) health(a *agentLink, q *http1.Request) {
-	if f.ready {
+	if f.Ready() {
 		f.reply(a, 200, nil, q.KeepAlive)
 	} else {
 		f.reply(a, 503, nil, q.KeepAlive, "Retry-After", "1")
@@ -425,7 +431,8 @@
 	if a.Ended {
 		return
 	}
-	keepAlive = keepAlive && (f.stopping == 0 || f.loop.Now() < f.stopping+acceptOn || a.callsBack) && a.Reason == ""
+	keepAlive = keepAlive && (f.stopping == 0 || f.loop.Now() < f.stopping+acceptOn || a.callsBack) && a.Reason == "" &&
+		(f.drained == 0 || a.callsBack)
 	if string(a.request.Method) == "HEAD" {
 		body = nil
 	}
@@ -480,6 +487,9 @@
 	if all > f.conf.Limits.MemoryMB<<20/8 {
 		largest.Close(link.Flooding)
 	}
+	if f.drained > 0 {
+		f.letGo(now)
+	}
 	f.pool.retire()
 	f.watch.check()
 	f.bound()
@@ -500,6 +510,44 @@
 	}
 }
 
+// Ready tells whether the front takes new clients: it has started, and neither a drain nor SIGTERM is on.
+func (f *Front) Ready() bool { return f.ready && f.drained == 0 && f.stopping == 0 }
+
+// Drain has the clients go elsewhere: the readiness check at their address says no from now on, each
+// connection is closed as soon as it holds no job, and the job it holds is answered with Connection: close.
+// The workers' call-backs go on. Twice is once.
+func (f *Front) Drain() {
+	if f.drained == 0 {
+		f.drained = f.loop.Now()
+		f.log.Info("drain: clients are sent away", "open", f.core.Open(), "connections", f.agents.Len())
+		f.letGo(f.drained)
+	}
+}
+
+// Resume takes clients again after a drain.
+func (f *Front) Resume() {
+	if f.drained > 0 {
+		f.drained = 0
+		f.log.Info("drain: over, clients are taken again")
+	}
+}
+
+// Relayed is the number of requests written whole to the workers since the start.
+func (f *Front) Relayed() uint64 { return f.relayed }
+
+// letGo closes, while a drain is on, each client's connection that holds nothing: no job, nothing unread,
+// nothing to write. A new one is given the moment in which its first request comes with it.
+func (f *Front) letGo(now core.Time) {
+	f.agents.Each(func(_ core.Ref, a *agentLink) {
+		if a.callsBack || a.Closed || a.in != nil || a.NC.Reader().Len() > 0 || !a.IdleWriter() {
+			return
+		}
+		if a.Count > 0 || now-a.Opened > firstUse {
+			a.Close(link.ShutDown)
+		}
+	})
+}
+
 func (f *Front) drain() {
 	agents, open := 0, f.core.Open()
 	f.agents.Each(func(_ core.Ref, a *agentLink) {
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -137,6 +137,9 @@
 	k := &call{message: append(message, t.Work.Body...)}
 	k.begin = func(l *workerLink) { c.state, c.link = writing, l }
 	k.wrote = func(err error) {
+		if err == nil {
+			f.relayed++
+		}
 		if err == nil && c.state == writing {
 			c.state = sent
 		}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -72,16 +72,15 @@
 	act Actions
 	rng *rand.Rand
 
-	byID     map[WorkerID]*worker
-	workers  []*worker // in order of first listing
-	ready    int
-	rings    [][]uint64 // by kind, 0 for any; nil until asked for
-	ringOf   []*worker  // the workers that ring points name
-	kinds    []kindStat
-	capAll   mean
-	crowdAt  Time
-	crowd    mean // others' load on a slot, as lately seen anywhere
-	trusting bool // too many workers look bad: health is disregarded
+	byID          map[WorkerID]*worker
+	workers       []*worker // in order of first listing
+	ready         int
+	rings         [][]uint64 // by kind, 0 for any; nil until asked for
+	ringOf        []*worker  // the workers that ring points name
+	kinds         []kindStat
+	crowdAt       Time
+	capAll, crowd mean // crowd: others' load on a slot, as lately seen anywhere
+	trusting      bool // too many workers look bad: health is disregarded
 
 	table      entries
 	classes    []classStat
@@ -101,12 +100,12 @@
 	tellers float64 // peers that tell
 	tags    map[uint16][]*worker
 
-	heap     wakes
-	wakeAt   Time
-	watching bool
-	askAt    Time
-	askFails int
-	buf      []*worker
+	heap          wakes
+	wakeAt, askAt Time
+	watching      bool
+	askFails      int
+	buf           []*worker
+	byHand        map[WorkerID]WorkerState // Draining: taken out by an operator, whatever the list says
 }
 
 // New makes a dispatcher. It emits through act, also from within New.
@@ -123,7 +122,7 @@
 	}
 	d := &Dispatcher{
 		set: s, act: act, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
-		byID: map[WorkerID]*worker{}, requests: map[RequestID]*request{},
+		byID: map[WorkerID]*worker{}, requests: map[RequestID]*request{}, byHand: map[WorkerID]WorkerState{},
 		table: entries{byKey: map[uint64]*entry{}},
 		rings: make([][]uint64, s.Kinds+1), kinds: make([]kindStat, s.Kinds+1), wakeAt: math.MaxInt64,
 	}
@@ -281,8 +280,7 @@
 		d.wakeAt = math.MaxInt64
 	}
 	for len(d.heap) > 0 && d.heap[0].at <= now {
-		k := d.heap.pop()
-		if k.r == nil {
+		if k := d.heap.pop(); k.r == nil {
 			d.housekeeping(now)
 			d.wakeUp(now, now+tick, nil)
 		} else if !k.r.closed {
@@ -377,7 +375,20 @@
 		w.tokens, w.tokensAt = 0, 0
 	}
 	w.ListEntry = *e
-	w.state = e.State
+	w.state = max(e.State, d.byHand[w.id])
+}
+
+// Hold takes a worker out by hand, draining whatever the list says, or back in; false: it is not listed.
+func (d *Dispatcher) Hold(now Time, id WorkerID, out bool) bool {
+	if delete(d.byHand, id); out {
+		d.byHand[id] = Draining // out twice is out once
+	}
+	if w := d.byID[id]; w != nil && w.state != Gone {
+		d.listed(now, &w.ListEntry)
+		d.List(now, &List{})
+		return true
+	}
+	return false
 }
 
 // housekeeping looks after the list, worn-out workers and the health of the whole.
@@ -549,8 +560,7 @@
 func (d *Dispatcher) startDelay(now Time, r *request, a *attempt) {
 	w, run := a.w, max(1, d.meanRun.v)
 	slots, others := d.slots(w), d.load(now, w)-w.own
-	waited := float64(a.started - a.sent)
-	if waited > run/8 {
+	if waited := float64(a.started - a.sent); waited > run/8 {
 		// It bears on the time of the sending: a bound from below, and no more than one job a slot
 		// beyond Full, or a wait behind one long job would be read as a jam and shed all that comes.
 		others = max(others, slots*(1+min(1, waited/run/d.slowness(now, w)))-w.own)
@@ -1233,10 +1243,8 @@
 	d.sample(r, sampleSize)
 	asked := 0
 	ask := func(w *worker) {
-		if d.probeSpare < 1 || asked >= int(probeMost) || w.state != Ready || slices.Contains(w.waiters, r) {
-			return
-		}
-		if now-w.probedAt < Time(d.meanRun.v/4) {
+		if d.probeSpare < 1 || asked >= int(probeMost) || w.state != Ready || slices.Contains(w.waiters, r) ||
+			now-w.probedAt < Time(d.meanRun.v/4) {
 			return
 		}
 		if w.probing == 0 {
