--- a/internal/front/admin/admin.go
+++ b/internal/front/admin/admin.go
@@ -257,3 +257,6 @@
 	}
 	return 200, "in rotation: " + id + "\n"
 }
+
+// Held is the set of workers out by hand, as kept for a restart.
+func (f *Front) Held() *Held { return f.held }
--- /dev/null
+++ b/internal/front/admin/admin_test.go
@@ -0,0 +1,175 @@
+package admin_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cobaltflow/internal/config"
+	"cobaltflow/internal/front/admin"
+	"cobaltflow/internal/standin"
+)
+
+// start runs a node with an operators' address, keeping its held workers in a folder of the test's own.
+func start(t *testing.T, tmp string, workers ...*standin.Worker) *standin.Node {
+	t.Setenv("TMPDIR", tmp)
+	return standin.Start(t, func(c *config.Config) { c.Admin = "127.0.0.1:0" }, workers...)
+}
+
+// call sends raw text to the operators' address and gives status and body; the connection must be closed after.
+func call(t *testing.T, n *standin.Node, text string) (int, string) {
+	t.Helper()
+	c, err := net.Dial("tcp", n.Gateway.Admin.Address())
+	require.NoError(t, err)
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(standin.Patience))
+	_, err = io.WriteString(c, text)
+	require.NoError(t, err)
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(r.Body)
+	require.NoError(t, err, "the answer must be whole and the connection closed after it")
+	return r.StatusCode, string(body)
+}
+
+func ask(t *testing.T, n *standin.Node, method, path string) (int, string) {
+	return call(t, n, method+" "+path+" HTTP/1.1\r\nHost: ops\r\n\r\n")
+}
+
+func TestCallsAndTheirFaults(t *testing.T) {
+	n := start(t, t.TempDir(), standin.NewWorker(t, "s-1", nil))
+	status, _ := ask(t, n, "GET", "/-/ready")
+	assert.Equal(t, 200, status)
+	status, body := ask(t, n, "GET", "/-/nothing")
+	assert.Equal(t, 404, status)
+	assert.Contains(t, body, "/-/nothing")
+	status, body = ask(t, n, "GET", "/-/drain")
+	assert.Equal(t, 405, status)
+	assert.Contains(t, body, "only POST")
+	status, body = ask(t, n, "POST", "/-/table-workers/s-9/disable")
+	assert.Equal(t, 404, status)
+	assert.Contains(t, body, "s-9")
+	status, _ = ask(t, n, "POST", "/-/table-workers/s-1/halt")
+	assert.Equal(t, 404, status)
+	status, _ = call(t, n, "GET /-/ready HTTP/1.1\r\nContent-Length: x\r\n\r\n")
+	assert.Equal(t, 400, status)
+	status, _ = call(t, n, "GET /-/ready HTTP/1.1\r\nHost: ops\r\nX: "+strings.Repeat("y", 70<<10)+"\r\n\r\n")
+	assert.GreaterOrEqual(t, status, 400)
+	assert.Less(t, status, 500)
+}
+
+// A worker out by hand gets no job, twice out is undone by one enable, and the figures tell of it.
+func TestWorkersOutByHand(t *testing.T) {
+	a, b := standin.NewWorker(t, "s-1", nil), standin.NewWorker(t, "s-2", nil)
+	n := start(t, t.TempDir(), a, b)
+	for range 2 {
+		status, _ := ask(t, n, "POST", "/-/table-workers/s-1/disable")
+		require.Equal(t, 200, status)
+	}
+	_, figures := ask(t, n, "GET", "/-/metrics")
+	assert.Contains(t, figures, "edge_relay.out_of_rotation:1|g\n")
+	assert.Contains(t, figures, "edge_relay.registry_entries:2|g\n")
+	for i := range 20 {
+		id := fmt.Sprint("id-", i)
+		require.Equal(t, 200, n.Ask("board-view", fmt.Sprint("k", i), id, 5000, "").Status)
+	}
+	assert.Empty(t, a.Jobs(), "the worker out by hand got jobs")
+	assert.Len(t, b.Jobs(), 20)
+	status, _ := ask(t, n, "POST", "/-/table-workers/s-1/enable")
+	require.Equal(t, 200, status)
+	_, figures = ask(t, n, "GET", "/-/metrics")
+	assert.Contains(t, figures, "edge_relay.out_of_rotation:0|g\n")
+	assert.Contains(t, figures, "edge_relay.fulfilled.board-view:20|c\n")
+	assert.Contains(t, figures, "edge_relay.relayed:20|c\n")
+	assert.Contains(t, figures, "edge_relay.open_requests:0|g\n")
+}
+
+// The set of workers out is kept in TMPDIR: a new version started with the same name and address keeps them out.
+func TestWorkersStayOutAcrossARestart(t *testing.T) {
+	tmp := t.TempDir()
+	a, b := standin.NewWorker(t, "s-1", nil), standin.NewWorker(t, "s-2", nil)
+	first := start(t, tmp, a, b)
+	written := first.Gateway.Admin.Held().Written()
+	status, _ := ask(t, first, "POST", "/-/table-workers/s-2/disable")
+	require.Equal(t, 200, status)
+	<-written
+	second := start(t, tmp, a, b)
+	_, figures := ask(t, second, "GET", "/-/metrics")
+	assert.Contains(t, figures, "edge_relay.out_of_rotation:1|g\n")
+	for i := range 10 {
+		require.Equal(t, 200, second.Ask("board-view", fmt.Sprint("k", i), fmt.Sprint("id-", i), 5000, "").Status)
+	}
+	assert.Empty(t, b.Jobs())
+}
+
+// After a drain the clients' readiness says no and a connection that holds nothing is closed; resume undoes it.
+func TestDrainAndResume(t *testing.T) {
+	n := start(t, t.TempDir(), standin.NewWorker(t, "s-1", nil))
+	idle, err := net.Dial("tcp", n.Front.Address())
+	require.NoError(t, err)
+	defer idle.Close()
+	_, err = io.WriteString(idle, "GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+	require.NoError(t, err)
+	r := bufio.NewReader(idle)
+	first, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	require.Equal(t, 200, first.StatusCode)
+	io.ReadAll(io.LimitReader(first.Body, 1<<10))
+
+	status, _ := ask(t, n, "POST", "/-/drain")
+	require.Equal(t, 200, status)
+	resp, err := http.Get(n.URL("/-/ready"))
+	require.NoError(t, err)
+	resp.Body.Close()
+	assert.Equal(t, 503, resp.StatusCode)
+	status, _ = ask(t, n, "GET", "/-/ready")
+	assert.Equal(t, 503, status)
+	idle.SetReadDeadline(time.Now().Add(standin.Patience))
+	_, err = r.ReadByte()
+	assert.ErrorIs(t, err, io.EOF, "an idle client's connection must be closed in a drain")
+
+	status, _ = ask(t, n, "POST", "/-/resume")
+	require.Equal(t, 200, status)
+	resp, err = http.Get(n.URL("/-/ready"))
+	require.NoError(t, err)
+	resp.Body.Close()
+	assert.Equal(t, 200, resp.StatusCode)
+}
+
+// Callers who connect and say nothing, or half of a call, hold up nobody: a usual call is answered at once, the
+// silent are closed by their deadline or for the budget.
+func TestSilentCallersHoldUpNobody(t *testing.T) {
+	n := start(t, t.TempDir(), standin.NewWorker(t, "s-1", nil))
+	var mute []net.Conn
+	for i := range admin.MostCalls + 8 {
+		c, err := net.Dial("tcp", n.Gateway.Admin.Address())
+		require.NoError(t, err)
+		if i%2 == 0 {
+			io.WriteString(c, "GET /-/met")
+		}
+		mute = append(mute, c)
+	}
+	defer func() {
+		for _, c := range mute {
+			c.Close()
+		}
+	}()
+	status, _ := ask(t, n, "GET", "/-/ready")
+	assert.Equal(t, 200, status)
+	for _, c := range mute {
+		c.SetReadDeadline(time.Now().Add(standin.Patience))
+		_, err := io.ReadAll(c)
+		require.NoError(t, err, "a silent caller's connection must be ended by us")
+	}
+	assert.True(t, n.Logged("party=operator"))
+	assert.True(t, n.Logged("reason=over-budget"))
+	assert.True(t, n.Logged("reason=slow-input"))
+}
