Send a call-back of an id never seen here to try again on a new connection

The workers' call-backs come to the clients' address, which the new process shares by SO_REUSEPORT; events.go answered 204 to an id it did not know and dropped it, so a call-back that the kernel gave the other process was lost for good. Ruled out: the drain promise (no send to a draining worker was logged) and the held workers (the same losses stand in the first 5 s, before any disable).

Change: an id that is neither open nor lately ended here gets 503 and Connection: close (Desk.Seen); the worker tries again, on a new connection that may reach the other process, up to ten times. One lately ended still gets 204. Not taken: a file in TMPDIR by which each process learns of the other and hands it the event, since that is I/O on the loop and a second path between processes.

--- a/internal/front/admission/admission.go
+++ b/internal/front/admission/admission.go
@@ -81,6 +81,9 @@
 	return t, nil
 }
 
+// Seen tells whether an id is open here or has lately ended here.
+func (d *Desk) Seen(id string) bool { return d.core.Known(id) || d.ended.has(id) }
+
 // Released notes the id of a transaction that no pass needs any more.
 func (d *Desk) Released(t *core.Transaction) { d.ended.add(t.ID) }
 
--- a/internal/platform/events.go
+++ b/internal/platform/events.go
@@ -20,8 +20,10 @@
 	Load   json.RawMessage `json:"load"`
 }
 
-// event takes a call-back. One that is no longer, or was never, of use gets its 204 like any other,
-// or the worker would try it again.
+// event takes a call-back. One of a job that is no longer of use gets its 204 like any other, or the
+// worker would try it again. One of an id never seen here gets 503 and the connection is closed: at an
+// upgrade another process of ours listens at this address too, and the worker's next try, on a new
+// connection, may reach it. Where there is none, the worker's tries end after ten.
 func (f *Front) event(a *agentLink, q *http1.Request) {
 	a.callsBack = true
 	var e JobEvent
@@ -29,10 +31,15 @@
 		f.refuseInput(a, 400, "not a job event")
 		return
 	}
-	f.reply(a, 204, nil, q.KeepAlive)
 	p, out := f.core.Find(e.ID, e.From)
+	if !out && !f.desk.Seen(e.ID) {
+		f.foreign++
+		f.reply(a, 503, nil, false)
+		return
+	}
+	f.reply(a, 204, nil, q.KeepAlive)
 	if !out {
-		return // ended, withdrawn, or from before a restart
+		return // ended or withdrawn
 	}
 	c, _ := p.Carried.(*carried)
 	if c == nil || c.state < writing {
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -77,6 +77,7 @@
 	stopped  func()
 	drained  core.Time // an operator asked for a drain then; 0: none is on
 	relayed  uint64    // requests written whole to the workers
+	foreign  uint64    // call-backs of ids never seen here, sent to try again elsewhere
 }
 
 // budget shares out the descriptors that the process may hold, by party.
@@ -563,6 +564,7 @@
 		}
 	})
 	if open == 0 && agents == 0 && f.pool.writing() == 0 {
+		f.log.Info("stopped taking", "foreign_call_backs", f.foreign)
 		f.listener.Close()
 		f.agents.Each(func(_ core.Ref, a *agentLink) { a.Close(link.ShutDown) })
 		f.pool.close()
