With a successor, refuse jobs that come 2 s after SIGTERM and close the listener at 3.55 s

The drain waited for a moment with no client connection at all (front.go, drain), which under that stream hardly comes, and took every job until then, though one taken late can't end before the give-up at 3.55 s. Ruled out: SIGKILL (every old process logged its end 3.6 s after SIGTERM, before the kill), and the call-backs (3 to 16 sent on a process).

Change: with a successor (HandOver), a job that comes later than takeLast (2 s) after SIGTERM is refused at once with 503 and Retry-After: 0, so the client tries again, likely at the successor; at answerBy the listener is closed whatever is open, and connections that brought nothing are closed then too (a request that crosses the close is the client's to send again, now to the successor). Without a successor nothing changes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -116,7 +116,7 @@
 	g.Loop.Post(func() {
 		if handOver {
 			g.log.Info("a successor serves at the same address: the clients are sent over")
-			g.Front.Drain()
+			g.Front.HandOver()
 		}
 		if g.Faktory != nil {
 			g.Faktory.Quiet()
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -50,6 +50,9 @@
 	// Within messageTime a message has to come to its end, and a connection to its first job: those that say
 	// nothing, or half of something, take no place from others for longer.
 	messageTime = 2 * core.Second
+	// With a successor beside us, jobs that come later than this after SIGTERM are refused, and the listener
+	// is closed at answerBy: the kernel would go on giving us half of all new connections until the kill.
+	takeLast = 2 * core.Second
 )
 
 // Front is the HTTP/1.1 front and the carrier to the workers that discovery tells of.
@@ -76,6 +79,8 @@
 	stopping core.Time // SIGTERM came then; 0: it has not
 	stopped  func()
 	drained  core.Time // an operator asked for a drain then; 0: none is on
+	handing  bool      // a successor serves at our address: SIGTERM ends us as soon as may be
+	shut     bool      // the listener is closed
 	relayed  uint64    // requests written whole to the workers
 	foreign  uint64    // call-backs of ids never seen here, sent to try again elsewhere
 }
@@ -331,6 +336,14 @@
 	}
 	path := string(q.Path)
 	r, fixed := routes[path]
+	if !fixed && f.handing && f.loop.Now() > f.stopping+takeLast {
+		// Its job could not end before we do: the client tries again, and its new connection may reach
+		// the successor. Refused at once, as the rule on given-up requests wants.
+		a.Reason = link.ShutDown
+		f.reply(a, 503, []byte("this process ends; try again\n"), false, "Retry-After", "0")
+		a.Release()
+		return
+	}
 	if !fixed {
 		if f.open(a, q, path) {
 			return // the transaction holds the buffer
@@ -511,6 +524,13 @@
 	}
 }
 
+// HandOver has SIGTERM end the front as soon as may be: a successor serves at the same address. Clients are
+// drained at once, jobs that come after takeLast are refused, and the listener closes at answerBy.
+func (f *Front) HandOver() {
+	f.handing = true
+	f.Drain()
+}
+
 // Ready tells whether the front takes new clients: it has started, and neither a drain nor SIGTERM is on.
 func (f *Front) Ready() bool { return f.ready && f.drained == 0 && f.stopping == 0 }
 
@@ -551,11 +571,18 @@
 
 func (f *Front) drain() {
 	agents, open := 0, f.core.Open()
+	// With a successor, the listener closes at answerBy whatever is open: what comes later could not end in
+	// time. A connection that is closed under a request unread is the client's to send again, to the successor.
+	late := f.handing && f.loop.Now() >= f.stopping+answerBy
+	if late && !f.shut {
+		f.shut = true
+		f.listener.Close()
+	}
 	f.agents.Each(func(_ core.Ref, a *agentLink) {
 		if a.callsBack {
 			return
 		}
-		if a.Count == 0 && f.loop.Now()-a.Opened < firstUse {
+		if a.Count == 0 && f.loop.Now()-a.Opened < firstUse && !late {
 			agents++
 			return // its first request may be on its way
 		}
@@ -565,7 +592,9 @@
 	})
 	if open == 0 && agents == 0 && f.pool.writing() == 0 {
 		f.log.Info("stopped taking", "foreign_call_backs", f.foreign)
-		f.listener.Close()
+		if !f.shut {
+			f.listener.Close()
+		}
 		f.agents.Each(func(_ core.Ref, a *agentLink) { a.Close(link.ShutDown) })
 		f.pool.close()
 		f.watch.stop()
