Test the hand-over: a late job is refused with Retry-After, the listener ends at 3.55 s

platform.TestHandOverRefusesLateJobsAndEndsTheListener stops a front as though SIGTERM came 2.5 s ago (Front.StopSince, which Stop now calls with the present) beside a successor: a new job gets 503 with Retry-After: 0 and reaches no worker, the job held is given up at 3.55 s, and the listener is closed then.

--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -513,9 +513,12 @@
 // Stop begins the end after SIGTERM. New connections are taken for as long as the platform's front
 // may still send some; then idle ones are closed, all that was taken is answered, and the listener,
 // to which the workers call back, stays open until then. done is called when nothing is left.
-func (f *Front) Stop(done func()) {
+func (f *Front) Stop(done func()) { f.StopSince(f.loop.Now(), done) }
+
+// StopSince is Stop for a SIGTERM that came at since, not later than now; what is due by then is done at once.
+func (f *Front) StopSince(since core.Time, done func()) {
 	if f.stopping == 0 {
-		f.stopping, f.stopped = f.loop.Now(), done
+		f.stopping, f.stopped = min(since, f.loop.Now()), done
 		f.log.Info("stopping", "open", f.core.Open())
 		f.loop.At(f.stopping+acceptOn, f.drain)
 		f.loop.At(f.stopping+answerBy, func() {
--- /dev/null
+++ b/internal/platform/handover_test.go
@@ -0,0 +1,36 @@
+package platform_test
+
+import (
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"cobaltflow/internal/core"
+	"cobaltflow/internal/standin"
+)
+
+// With a successor beside it, a process that had SIGTERM more than 2 s ago refuses a new job at once, with
+// Retry-After, gives up what it holds at 3.55 s and closes its listener then.
+func TestHandOverRefusesLateJobsAndEndsTheListener(t *testing.T) {
+	w := standin.NewWorker(t, "s-1", silent)
+	n := standin.Start(t, nil, w)
+	held := make(chan standin.Answer)
+	go func() { held <- n.Ask("board-view", "k", "id-0", 9000, "") }() // open until the give-up
+	n.Eventually(func() bool { return len(w.Jobs()) == 1 })
+	n.On(func() {
+		n.Front.HandOver()
+		n.Front.StopSince(n.Loop.Now()-2500*core.Millisecond, func() {})
+	})
+	got := n.Ask("board-view", "k", "id-1", 5000, "")
+	assert.Equal(t, standin.Answer{Status: 503, Body: "this process ends; try again\n", RetryAfter: "0"}, got)
+	assert.Len(t, w.Jobs(), 1, "the late job reached a worker")
+	assert.Equal(t, 503, (<-held).Status, "given up at 3.55 s")
+	n.Eventually(func() bool {
+		c, err := net.Dial("tcp", n.Front.Address())
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+}
