Test that operators' calls are answered while clients crowd a small budget

admin.TestCallsAnsweredWhileClientsCrowd: with limits.sockets 128 and 300 idle or half-written connections at the clients' address, readiness and figures are still answered, each on a new connection.

--- a/internal/front/admin/admin_test.go
+++ b/internal/front/admin/admin_test.go
@@ -173,3 +173,35 @@
 	assert.True(t, n.Logged("reason=over-budget"))
 	assert.True(t, n.Logged("reason=slow-input"))
 }
+
+// With a small budget of descriptors and the clients' address crowded by idle and half-written connections,
+// the operators' calls are still answered: their connections are budgeted apart.
+func TestCallsAnsweredWhileClientsCrowd(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	n := standin.Start(t, func(c *config.Config) {
+		c.Admin = "127.0.0.1:0"
+		c.Limits.Sockets = 128
+	}, standin.NewWorker(t, "s-1", nil))
+	var crowd []net.Conn
+	defer func() {
+		for _, c := range crowd {
+			c.Close()
+		}
+	}()
+	for i := range 300 {
+		c, err := net.Dial("tcp", n.Front.Address())
+		if err != nil {
+			break // turned away by the poller: the budget holds
+		}
+		if i%3 == 0 {
+			io.WriteString(c, "POST /move/k HTTP/1.1\r\nX-Corr")
+		}
+		crowd = append(crowd, c)
+	}
+	for range 5 {
+		status, _ := ask(t, n, "GET", "/-/ready")
+		assert.Equal(t, 200, status)
+	}
+	_, figures := ask(t, n, "GET", "/-/metrics")
+	assert.Contains(t, figures, "edge_relay.open_requests:0|g\n")
+}
