Name both files in TMPDIR by one function

admin.HeldFile and gateway.upFile cleaned the scheduler's name and address by the same lines, written twice. gateway.stateFile(kind, name, listen) now names both (cobaltflow-held-..., cobaltflow-up-..., as before), and the gateway hands the held file's path to admin.OpenHeld. The names of the files do not change; the tests of the held set across a restart and of the successor pass as before.

--- a/internal/front/admin/held.go
+++ b/internal/front/admin/held.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -25,18 +24,6 @@
 	written chan struct{} // closed and made anew after each write; for tests
 }
 
-// HeldFile names the file of a scheduler: by its name and the clients' address, which an old and a new
-// version share, in $TMPDIR (os.TempDir).
-func HeldFile(name, listen string) string {
-	clean := strings.Map(func(r rune) rune {
-		if r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '-' || r == '.' {
-			return r
-		}
-		return '_'
-	}, name+"-"+listen)
-	return filepath.Join(os.TempDir(), "cobaltflow-held-"+clean)
-}
-
 // OpenHeld reads the set kept at path, if any; a file that can't be read counts as empty, and its error is
 // given for the log. path empty: nothing is kept.
 func OpenHeld(path string) (*Held, error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,7 +61,7 @@
 	}
 	g.log.Info("serves", "name", g.Conf.Name, "address", g.Front.Address(), "workers", g.Core.FarmSize())
 	if g.Conf.Admin != "" {
-		held, err := admin.OpenHeld(admin.HeldFile(g.Conf.Name, g.Conf.Listen))
+		held, err := admin.OpenHeld(stateFile("held", g.Conf.Name, g.Conf.Listen))
 		if err != nil {
 			g.log.Warn("admin: the workers held before can't be read; none is", "error", err)
 		}
--- a/internal/gateway/succession.go
+++ b/internal/gateway/succession.go
@@ -14,17 +14,22 @@
 // successor, so that it sends its clients over at once rather than keep them for a front that has nobody
 // else. Nothing else passes between the two.
 
-// upFile names the file of a scheduler, by its name and the clients' address.
-func upFile(name, listen string) string {
+// stateFile names a file of a scheduler in $TMPDIR (os.TempDir), by what it holds and by the scheduler's name
+// and clients' address, which an old and a new version share: cobaltflow-KIND-NAME-ADDRESS, with any other
+// character than a letter, digit, '-' or '.' written '_'.
+func stateFile(kind, name, listen string) string {
 	clean := strings.Map(func(r rune) rune {
 		if r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '-' || r == '.' {
 			return r
 		}
 		return '_'
 	}, name+"-"+listen)
-	return filepath.Join(os.TempDir(), "cobaltflow-up-"+clean)
+	return filepath.Join(os.TempDir(), "cobaltflow-"+kind+"-"+clean)
 }
 
+// upFile names the file in which a process that listens writes its id.
+func upFile(name, listen string) string { return stateFile("up", name, listen) }
+
 // markUp writes this process's id into the file; it is called once the process listens. The error is for
 // the log: without the file a successor is not known, and the old process ends as after any SIGTERM.
 func markUp(name, listen string) error {
