Say once what a client connection that may be closed is, for the drain and the stop

The operators' drain (letGo) and the stop (drain) each wrote out the test of a connection whose first request may still come (Count 0, younger than firstUse) and of one that holds nothing (no job, nothing unread, nothing to write). agentLink.fresh and holdsNothing now say it for both. The one difference is at the instant of firstUse itself, a microsecond, where letGo closed one microsecond later. A refused disable no longer calls Hold a second time to take back what an enable never set.

--- a/internal/front/admin/admin.go
+++ b/internal/front/admin/admin.go
@@ -246,7 +246,9 @@
 		return 409, "no more than " + strconv.Itoa(MostHeld) + " table workers may be out by hand at once\n"
 	}
 	if !f.core.Hold(id, out) {
-		f.core.Hold(id, false)
+		if out { // the decisions keep a hold of a worker not yet listed, for a restart: a refused one is taken back
+			f.core.Hold(id, false)
+		}
 		f.held.Set(id, false)
 		return 404, "no table worker " + id + " is listed\n"
 	}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -563,15 +563,20 @@
 // nothing to write. A new one is given the moment in which its first request comes with it.
 func (f *Front) letGo(now core.Time) {
 	f.agents.Each(func(_ core.Ref, a *agentLink) {
-		if a.callsBack || a.Closed || a.in != nil || a.NC.Reader().Len() > 0 || !a.IdleWriter() {
-			return
-		}
-		if a.Count > 0 || now-a.Opened > firstUse {
+		if !a.callsBack && !a.Closed && !a.fresh(now) && a.holdsNothing() {
 			a.Close(link.ShutDown)
 		}
 	})
 }
 
+// fresh tells of a connection whose first request may still be on its way.
+func (a *agentLink) fresh(now core.Time) bool { return a.Count == 0 && now-a.Opened < firstUse }
+
+// holdsNothing tells of a connection that may be closed between requests: no job, nothing unread or to write.
+func (a *agentLink) holdsNothing() bool {
+	return a.in == nil && a.NC.Reader().Len() == 0 && a.IdleWriter()
+}
+
 func (f *Front) drain() {
 	agents, open := 0, f.core.Open()
 	// With a successor, the listener closes at answerBy whatever is open: what comes later could not end in
@@ -585,11 +590,11 @@
 		if a.callsBack {
 			return
 		}
-		if a.Count == 0 && f.loop.Now()-a.Opened < firstUse && !late {
+		if a.fresh(f.loop.Now()) && !late {
 			agents++
 			return // its first request may be on its way
 		}
-		if agents++; a.in == nil && a.NC.Reader().Len() == 0 && a.IdleWriter() {
+		if agents++; a.holdsNothing() {
 			a.Close(link.ShutDown)
 		}
 	})
