--- a/cmd/cobaltflow/main.go
+++ b/cmd/cobaltflow/main.go
@@ -48,7 +48,7 @@
 	}
 	serve := serveCommand(load)
 	root.RunE = serve.RunE
-	root.AddCommand(serve, checkCommand(load), describeCommand(), conformanceCommand(), demoCommand(), measureCommand(), &cobra.Command{
+	root.AddCommand(serve, checkCommand(load), describeCommand(), conformanceCommand(), demoCommand(), measureCommand(), fleetCommand(), &cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			_, err := fmt.Fprintln(c.OutOrStdout(), "cobaltflow", version)
--- /dev/null
+++ b/internal/fleet/client.go
@@ -0,0 +1,230 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"cobaltflow/internal/fleet/record"
+	"cobaltflow/internal/fleet/relay"
+	"cobaltflow/internal/fleet/scenario"
+)
+
+// Request is a job that a client wants done, drawn before the run: every build is asked the same.
+type Request struct {
+	DueUS int64
+	Class int
+	Site  int
+	Key   int
+	RunUS int64
+	Draw  [8]float64 // from 0 to under 1: where each try goes and how long is waited
+}
+
+// Requests draws what the clients of a scenario ask for.
+func Requests(s *scenario.Scenario, seed uint64) (all []Request) {
+	rng := rand.New(rand.NewPCG(seed, 0x636c69656e74))
+	keys := cumulated(s.Clients.Keys, func(i int) float64 { return math.Pow(float64(i+1), -s.Clients.Skew) })
+	classes := cumulated(len(s.Classes), func(i int) float64 { return s.Classes[i].Share })
+	sites := cumulated(len(s.Sites), func(i int) float64 { return s.Sites[i].Share })
+	rate := s.RatePerS()
+	for at := 0.0; ; {
+		times := 1.0
+		for _, step := range s.Clients.Rate {
+			if at >= step.AtS {
+				times = step.Times
+			}
+		}
+		if times <= 0 {
+			at += 0.1
+		} else {
+			at += rng.ExpFloat64() / rate / times
+		}
+		if at >= s.Seconds {
+			return all
+		}
+		if times <= 0 {
+			continue
+		}
+		q := Request{DueUS: int64(at * 1e6), Class: pick(classes, rng.Float64()), Site: pick(sites, rng.Float64()), Key: pick(keys, rng.Float64())}
+		run := s.Classes[q.Class].RunMS * 1000
+		if s.Classes[q.Class].Spread != "fixed" {
+			run *= rng.ExpFloat64()
+		}
+		q.RunUS = max(1000, int64(run))
+		for i := range q.Draw {
+			q.Draw[i] = rng.Float64()
+		}
+		all = append(all, q)
+	}
+}
+
+func cumulated(n int, weight func(int) float64) []float64 {
+	out, sum := make([]float64, n), 0.0
+	for i := range out {
+		sum += weight(i)
+		out[i] = sum
+	}
+	for i := range out {
+		out[i] /= sum
+	}
+	return out
+}
+
+func pick(cumulated []float64, draw float64) int {
+	low, high := 0, len(cumulated)-1
+	for low < high {
+		if mid := (low + high) / 2; cumulated[mid] > draw {
+			high = mid
+		} else {
+			low = mid + 1
+		}
+	}
+	return low
+}
+
+// clients ask the schedulers.
+type clients struct {
+	rig  *rig
+	http []*http.Client // by the client's site and the scheduler's
+	open sync.WaitGroup
+}
+
+func newClients(r *rig) *clients {
+	c := &clients{rig: r}
+	for from := range r.set.Sites {
+		for to := range r.set.Sites {
+			path := relay.Path{Kind: relay.Client, From: from, To: to}
+			c.http = append(c.http, &http.Client{Transport: &http.Transport{
+				MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute, DisableCompression: true,
+				DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return r.net.Dial(ctx, path, address) }}})
+		}
+	}
+	return c
+}
+
+// play has all requests come when they are due, and waits for their ends.
+func (c *clients) play(ctx context.Context, all []Request) {
+	for i := range all {
+		wait := time.Until(c.rig.book.At(all[i].DueUS))
+		if wait > 0 {
+			select {
+			case <-time.After(wait):
+			case <-ctx.Done():
+			}
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		c.open.Add(1)
+		go func() {
+			defer c.open.Done()
+			c.request(ctx, i, &all[i])
+		}()
+	}
+	c.open.Wait()
+}
+
+// request sees one job through: tries, and repeats as the settings say.
+func (c *clients) request(ctx context.Context, number int, q *Request) {
+	set := c.rig.set
+	class := &set.Classes[q.Class]
+	until := c.rig.book.At(q.DueUS).Add(time.Duration(class.DeadlineS * float64(time.Second)))
+	for n := 0; ; n++ {
+		t := c.try(ctx, number, n, q, until)
+		if t.Status == 200 || n >= set.Clients.Retries || ctx.Err() != nil || !again(class, &t, set.Clients.Repeats) {
+			return
+		}
+		draw := q.Draw[(2*n+1)%len(q.Draw)]
+		wait := time.Duration((set.Clients.BackoffMS.Least + draw*(set.Clients.BackoffMS.Most-set.Clients.BackoffMS.Least)) * float64(int(1)<<n) * float64(time.Millisecond))
+		if t.AfterMS > 0 && q.Draw[7] < set.Clients.Honour {
+			wait = max(wait, time.Duration(t.AfterMS)*time.Millisecond)
+		}
+		if time.Until(until) <= wait {
+			return
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// again tells whether a client asks again after such an end.
+func again(class *scenario.Class, t *record.Try, repeats bool) bool {
+	switch {
+	case t.End == record.EndLeft:
+		return false
+	case t.End == record.EndUnreachable:
+		return repeats
+	case t.Status == 429 || t.Status == 503:
+		return true
+	}
+	return class.Effect == "repeatable" && repeats
+}
+
+func (c *clients) try(ctx context.Context, number, n int, q *Request, until time.Time) record.Try {
+	r := c.rig
+	t := record.Try{Request: int32(number), Number: int32(n), ID: fmt.Sprintf("%08x%08x", number, uint32(n)<<24|uint32(r.seed)&0xffffff), Class: int32(q.Class),
+		Site: int32(q.Site), Scheduler: int32(r.front.choose(q.Site, q.Draw[(2*n)%len(q.Draw)])), Key: int32(q.Key), RunUS: q.RunUS, DueUS: q.DueUS,
+		SentUS: r.book.Now(), LeftMS: time.Until(until).Milliseconds(), AfterMS: -1, End: record.EndUnreachable}
+	defer func() {
+		t.EndedUS = r.book.Now()
+		r.book.Ended(t)
+	}()
+	if t.Scheduler < 0 || t.LeftMS < 1 {
+		return t
+	}
+	s := r.schedulers[t.Scheduler]
+	r.book.Sent(t)
+	ctx, cancel := context.WithDeadline(ctx, until.Add(60*time.Millisecond))
+	defer cancel()
+	name := r.set.Classes[q.Class].Name
+	for again := false; ; again = true {
+		req, _ := http.NewRequestWithContext(ctx, "POST", fmt.Sprintf("http://%s/%s/k%d", s.listen, name, q.Key), strings.NewReader("{}"))
+		req.Header.Set("X-Correlation-Id", t.ID)
+		req.Header.Set("X-Service-Class", name)
+		req.Header.Set("X-Time-Left-Ms", strconv.FormatInt(t.LeftMS, 10))
+		resp, err := c.http[q.Site*len(r.set.Sites)+s.site].Do(req)
+		if err == nil {
+			var body []byte
+			body, err = io.ReadAll(resp.Body)
+			resp.Body.Close()
+			if err == nil {
+				t.Status, t.End = int32(resp.StatusCode), record.EndAnswered
+				t.Right = t.Status != 200 || strings.HasPrefix(string(body), t.ID+" by ")
+				if after, bad := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); bad == nil {
+					t.AfterMS = int64(after * 1000)
+				}
+				return t
+			}
+		}
+		var dial *net.OpError
+		switch {
+		case errors.As(err, &dial) && dial.Op == "dial":
+			t.End = record.EndUnreachable
+		case ctx.Err() != nil:
+			t.End = record.EndLeft
+		case strings.Contains(err.Error(), "server closed idle connection") && !again:
+			continue // the close crossed the request: it is sent once more
+		default:
+			t.End = record.EndBroken
+		}
+		return t
+	}
+}
+
+func (c *clients) close() {
+	for _, h := range c.http {
+		h.CloseIdleConnections()
+	}
+}
--- /dev/null
+++ b/internal/fleet/farm/discovery.go
@@ -0,0 +1,296 @@
+package farm
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"cobaltflow/internal/fleet/record"
+	"cobaltflow/internal/fleet/relay"
+	"cobaltflow/internal/fleet/scenario"
+)
+
+// Entry is a table worker in discovery's form.
+type Entry struct {
+	Name    string  `json:"name"`
+	Address string  `json:"address"`
+	Zone    string  `json:"zone"`
+	Type    string  `json:"type"`
+	Group   int     `json:"group"`
+	Status  string  `json:"status"`
+	Weight  float64 `json:"weight"`
+	SinceMS int64   `json:"since_ms"`
+
+	worker int
+}
+
+type listed struct {
+	Index     int     `json:"index"`
+	Snapshot  bool    `json:"snapshot"`
+	Endpoints []Entry `json:"endpoints"`
+}
+
+// Discovery tells schedulers of the table workers, each late by a time of its own. Every scheduler has an address of
+// its own to ask, as it has an agent on its machine.
+type Discovery struct {
+	set   *scenario.Scenario
+	book  *Book
+	net   *relay.Net
+	views []*view
+	mu    sync.Mutex
+	rng   *rand.Rand
+}
+
+// view is what one scheduler has been told.
+type view struct {
+	d       *Discovery
+	number  int
+	site    int
+	server  *http.Server
+	address string
+
+	mu      sync.Mutex
+	index   int
+	entries map[string]Entry
+	changes []listed // one entry each, in order
+	news    chan struct{}
+	frozen  bool
+	held    []Entry // changes that wait while it is frozen
+	down    bool
+	stop    chan struct{} // closed when discovery goes down
+}
+
+// discoveryAt is the address of all agents.
+var discoveryAt = net.IPv4(127, 0, 3, 1)
+
+// NewDiscovery starts an agent for each scheduler. All know the workers from the start.
+func NewDiscovery(s *scenario.Scenario, book *Book, n *relay.Net, workers []*Worker, seed uint64) (*Discovery, error) {
+	d := &Discovery{set: s, book: book, net: n, rng: rand.New(rand.NewPCG(seed, 0x64697363))}
+	for i, site := range s.Schedulers() {
+		v := &view{d: d, number: i, site: site, entries: map[string]Entry{}, news: make(chan struct{}), stop: make(chan struct{}), index: 1}
+		ln, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: discoveryAt})
+		if err != nil {
+			return nil, err
+		}
+		v.address = ln.Addr().String()
+		for _, w := range workers {
+			v.entries[w.Name] = d.entry(w, v, "up")
+		}
+		v.server = &http.Server{Handler: v}
+		go v.server.Serve(wrapped{ln, n, relay.Path{Kind: relay.List, From: site, To: site}})
+		d.views = append(d.views, v)
+	}
+	return d, nil
+}
+
+// wrapped puts what a listener takes on a path.
+type wrapped struct {
+	net.Listener
+	net  *relay.Net
+	path relay.Path
+}
+
+func (l wrapped) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.net.Wrap(c, l.path, false), nil
+}
+
+func (d *Discovery) entry(w *Worker, v *view, status string) Entry {
+	return Entry{Name: w.Name, Address: w.Address(v.site), Zone: d.set.Sites[w.Site].Name, Type: d.set.Workers.Kinds[w.Kind].Name,
+		Group: w.Site, Status: status, Weight: 1, SinceMS: w.Since(), worker: w.Number}
+}
+
+// Address is where a scheduler asks.
+func (d *Discovery) Address(scheduler int) string { return d.views[scheduler].address }
+
+// Known is the list as a scheduler has it now, for its start.
+func (d *Discovery) Known(scheduler int) json.RawMessage {
+	v := d.views[scheduler]
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	text, _ := json.Marshal(v.whole())
+	return text
+}
+
+func (v *view) whole() listed {
+	l := listed{Index: v.index, Snapshot: true, Endpoints: []Entry{}}
+	for _, name := range slices.Sorted(maps.Keys(v.entries)) {
+		l.Endpoints = append(l.Endpoints, v.entries[name])
+	}
+	return l
+}
+
+// Change tells all schedulers of a worker's state, each after a time drawn from late. at most 0: they are not told.
+func (d *Discovery) Change(w *Worker, status string, late scenario.Range) {
+	if late.Most <= 0 && status == "removed" {
+		return
+	}
+	for _, v := range d.views {
+		e := d.entry(w, v, status)
+		d.mu.Lock()
+		wait := late.Draw(d.rng)
+		d.mu.Unlock()
+		time.AfterFunc(time.Duration(wait*float64(time.Second)), func() { v.tell(e) })
+	}
+}
+
+func (v *view) tell(e Entry) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.frozen || v.down {
+		v.held = append(v.held, e)
+		return
+	}
+	if old, ok := v.entries[e.Name]; ok && old.SinceMS > e.SinceMS {
+		return // overtaken by news of a later start
+	}
+	v.index++
+	if e.Status == "removed" {
+		delete(v.entries, e.Name)
+	} else {
+		v.entries[e.Name] = e
+	}
+	v.changes = append(v.changes, listed{Index: v.index, Endpoints: []Entry{e}})
+	close(v.news)
+	v.news = make(chan struct{})
+	v.d.book.Told(record.Told{AtUS: v.d.book.Now(), Scheduler: int32(v.number), Worker: int32(e.worker), Status: e.Status})
+}
+
+// Freeze has a scheduler hear nothing new of the list, or all that it has missed.
+func (d *Discovery) Freeze(scheduler int, on bool) {
+	d.views[scheduler].halt(func(v *view) { v.frozen = on })
+}
+
+// Down has discovery fall silent for all, or come back.
+func (d *Discovery) Down(on bool) {
+	for _, v := range d.views {
+		v.halt(func(v *view) {
+			if v.down = on; on {
+				close(v.stop)
+			} else {
+				v.stop = make(chan struct{})
+			}
+		})
+	}
+}
+
+func (v *view) halt(f func(*view)) {
+	v.mu.Lock()
+	f(v)
+	var held []Entry
+	if !v.frozen && !v.down {
+		held, v.held = v.held, nil
+	}
+	v.mu.Unlock()
+	for _, e := range held {
+		v.tell(e)
+	}
+}
+
+// ServeHTTP answers a scheduler's questions.
+func (v *view) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	v.mu.Lock()
+	down, stop := v.down, v.stop
+	v.mu.Unlock()
+	if r.URL.Path != "/api/targets" {
+		rw.WriteHeader(404)
+		return
+	}
+	if down {
+		if v.d.set.Discovery.Mode == "ask" {
+			rw.WriteHeader(503)
+			return
+		}
+		<-r.Context().Done() // an agent that hears nothing says nothing
+		return
+	}
+	if r.URL.Query().Get("watch") == "" {
+		v.mu.Lock()
+		text, _ := json.Marshal(v.whole())
+		v.mu.Unlock()
+		rw.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		rw.Write(text)
+		return
+	}
+	after, _ := strconv.Atoi(r.URL.Query().Get("after"))
+	rw.WriteHeader(200)
+	flush := rw.(http.Flusher)
+	flush.Flush()
+	beat := time.NewTicker(2 * time.Second)
+	defer beat.Stop()
+	for {
+		v.mu.Lock()
+		var lines []listed
+		for _, c := range v.changes {
+			if c.Index > after {
+				lines = append(lines, c)
+			}
+		}
+		news := v.news
+		v.mu.Unlock()
+		for _, l := range lines {
+			text, _ := json.Marshal(l)
+			fmt.Fprintf(rw, "%s\n", text)
+			after = l.Index
+		}
+		if len(lines) > 0 {
+			flush.Flush()
+		}
+		select {
+		case <-news:
+		case <-beat.C:
+			v.mu.Lock()
+			quiet := v.down
+			v.mu.Unlock()
+			if !quiet {
+				fmt.Fprint(rw, "\n")
+				flush.Flush()
+			}
+		case <-stop:
+			if v.d.set.Discovery.Mode == "ask" {
+				panic(http.ErrAbortHandler)
+			}
+			stop = nil
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// Close ends all agents.
+func (d *Discovery) Close() {
+	for _, v := range d.views {
+		v.server.Close()
+	}
+}
+
+// Port gives an address at which nothing listens yet, apart from those of outgoing connections. It may be bound by
+// another process before it is used, which the one that comes second tells.
+func Port(host [4]byte, udp bool) (netip.AddrPort, error) {
+	ip := net.IP(host[:])
+	if udp {
+		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: ip})
+		if err != nil {
+			return netip.AddrPort{}, err
+		}
+		defer c.Close()
+		return netip.MustParseAddrPort(c.LocalAddr().String()), nil
+	}
+	ln, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: ip})
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	defer ln.Close()
+	return netip.MustParseAddrPort(ln.Addr().String()), nil
+}
--- /dev/null
+++ b/internal/fleet/farm/gate.go
@@ -0,0 +1,188 @@
+package farm
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"cobaltflow/internal/fleet/relay"
+)
+
+// gate is a worker's listener for the schedulers of one site.
+type gate struct {
+	worker   *Worker
+	listener *relay.Listener
+	server   *http.Server
+	mu       sync.Mutex
+	conns    map[*relay.Conn]struct{}
+}
+
+type connKey struct{}
+
+// connState is what a worker remembers of a connection.
+type connState struct{ used bool }
+
+// workersAt is the address of all workers: apart from the one that outgoing connections leave from, so that none of
+// their ports is taken while a worker is away.
+var workersAt = netip.MustParseAddr("127.0.1.1")
+
+func (w *Worker) open(site int) (*gate, error) {
+	at := w.ports[site]
+	if !at.IsValid() {
+		at = netip.AddrPortFrom(workersAt, 0)
+	}
+	ln, err := w.net.Listen(relay.Path{Kind: relay.Job, From: site, To: w.Site}, at)
+	if err != nil {
+		return nil, fmt.Errorf("table worker %s: %w", w.Name, err)
+	}
+	g := &gate{worker: w, listener: ln, conns: map[*relay.Conn]struct{}{}}
+	g.server = &http.Server{Handler: g, IdleTimeout: time.Duration(w.set.IdleS * float64(time.Second)), ErrorLog: log.New(io.Discard, "", 0),
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, &connState{})
+		},
+		ConnState: func(c net.Conn, s http.ConnState) {
+			conn := c.(*relay.Conn)
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			switch s {
+			case http.StateNew:
+				g.conns[conn] = struct{}{}
+				if int(w.conns.Add(1)) > w.set.Connections {
+					go conn.Abort()
+				}
+			case http.StateClosed, http.StateHijacked:
+				if _, open := g.conns[conn]; open {
+					delete(g.conns, conn)
+					w.conns.Add(-1)
+				}
+			}
+		}}
+	go g.server.Serve(ln)
+	return g, nil
+}
+
+// close has the process's end be seen: refused from now on, and all connections reset.
+func (g *gate) close() {
+	g.listener.Close()
+	g.mu.Lock()
+	var open []*relay.Conn
+	for c := range g.conns {
+		open = append(open, c)
+	}
+	g.mu.Unlock()
+	for _, c := range open {
+		c.Abort()
+	}
+	g.server.Close()
+}
+
+// ServeHTTP takes what schedulers send to a worker.
+func (g *gate) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	w := g.worker
+	switch {
+	case r.Method == "DELETE" && strings.HasPrefix(r.URL.Path, "/jobs/"):
+		w.withdraw(strings.TrimPrefix(r.URL.Path, "/jobs/"))
+		return
+	case r.URL.Path == "/-/load" && w.set.Probes:
+		w.Probes.Add(1)
+		w.mu.Lock()
+		l := w.report(time.Now())
+		w.mu.Unlock()
+		fmt.Fprintf(rw, "TEXT queue=%d, latency_ms=%.1f, inflight=%d, x0=%d", l.queue, l.latency, l.inFlight, l.free)
+		return
+	case r.URL.Path == "/-/healthy" && w.set.Probes:
+		w.Probes.Add(1)
+		return
+	}
+	id := r.Header.Get("X-Correlation-Id")
+	if id == "" {
+		rw.WriteHeader(404)
+		return
+	}
+	io.Copy(io.Discard, r.Body)
+	try, known := w.book.Find(id)
+	if !known {
+		rw.WriteHeader(400)
+		return
+	}
+	opening := time.Duration(0)
+	if state := r.Context().Value(connKey{}).(*connState); !state.used {
+		state.used = true
+		opening = time.Duration(w.set.ConnectMS * float64(time.Millisecond))
+	}
+	switch w.take(try, opening) {
+	case took:
+		rw.WriteHeader(202)
+	case turnedAway:
+		rw.Header().Set("X-Unprocessed", "1")
+		rw.WriteHeader(503)
+	case failedAtOnce:
+		rw.WriteHeader(500)
+	case fell:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// Backs are the ways from table workers back to the schedulers.
+type Backs struct {
+	sites   []*http.Client // by the worker's site and the scheduler's, in one list
+	count   int
+	listens []string // by scheduler
+	at      []int    // their sites
+}
+
+// NewBacks makes the ways to schedulers that listen at addresses, at sites.
+func NewBacks(n *relay.Net, sites int, listens []string, at []int) *Backs {
+	b := &Backs{count: sites, listens: listens, at: at}
+	for from := range sites {
+		for to := range sites {
+			path := relay.Path{Kind: relay.Back, From: from, To: to}
+			b.sites = append(b.sites, &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{
+				MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute, DisableCompression: true,
+				DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return n.Dial(ctx, path, address) }}})
+		}
+	}
+	return b
+}
+
+const (
+	backTries = 10
+	backWait  = 100 * time.Millisecond
+)
+
+// tell calls the scheduler that sent a job, until it answers, ten times at most. A worker that has gone says nothing.
+func (b *Backs) tell(w *Worker, j *job, state, result string) {
+	fields := map[string]string{"id": j.run.ID, "from": w.Name, "state": state}
+	if state == "done" {
+		fields["result"] = result
+	}
+	text, _ := json.Marshal(fields)
+	to := int(j.run.Scheduler)
+	url, client := "http://"+b.listens[to]+"/v1/job-events", b.sites[w.Site*b.count+b.at[to]]
+	for range backTries {
+		w.mu.Lock()
+		gone := w.life != j.life || w.silent || !w.up && state != "lost"
+		w.mu.Unlock()
+		if gone {
+			return
+		}
+		r, err := client.Post(url, "application/json", bytes.NewReader(text))
+		if err == nil {
+			io.Copy(io.Discard, r.Body)
+			r.Body.Close()
+			if r.StatusCode == 200 || r.StatusCode == 204 {
+				return
+			}
+		}
+		time.Sleep(backWait)
+	}
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,153 @@
+package fleet
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cobaltflow/internal/fleet/judge"
+	"cobaltflow/internal/fleet/record"
+	"cobaltflow/internal/fleet/scenario"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "fleet-test")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "cobaltflow")
+	if out, err := exec.Command("go", "build", "-o", binary, "cobaltflow/cmd/cobaltflow").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// small is a scenario of a few processes; more is put behind its keys.
+func small(t *testing.T, more string) *scenario.Scenario {
+	t.Helper()
+	s, err := scenario.Parse([]byte(`{"name":"small","seconds":5,
+		"sites":[{"name":"a","schedulers":4,"workers":4},{"name":"b","schedulers":4,"workers":4}],
+		"workers":{"warm_s":2},
+		"classes":[{"name":"view","share":0.6,"run_ms":100,"effect":"repeatable","aim_ms":500,"stretch":2,"deadline_s":3,"worth":3,"late_worth":0.25},
+			{"name":"settle","share":0.4,"run_ms":100,"effect":"once","aim_ms":800,"stretch":2,"deadline_s":3,"worth":10,"late_worth":0.3}],
+		"clients":{"load":0.25}, "front":{"notice_s":0.3}, "prices":{"cross_zone":0}` + more + `}`))
+	require.NoError(t, err)
+	return s
+}
+
+func play(t *testing.T, s *scenario.Scenario) *record.Records {
+	t.Helper()
+	rec, err := Play(context.Background(), s, Build{Name: "test", Binary: binary}, Options{Seed: s.Seed})
+	require.NoError(t, err)
+	checks, err := judge.Judge(rec)
+	require.NoError(t, err)
+	for _, c := range checks {
+		require.True(t, c.Passed, "%s: %s", c.Name, c.Text)
+	}
+	return rec
+}
+
+// count tells how many records there are of a kind.
+func count[T any](list []T, is func(*T) bool) (n int) {
+	for i := range list {
+		if is(&list[i]) {
+			n++
+		}
+	}
+	return n
+}
+
+// The rules hold through each fault, and the fault was there: what it must have left in the records is looked for.
+func TestRulesThroughFaults(t *testing.T) {
+	event := func(what string) func(*record.Event) bool {
+		return func(e *record.Event) bool { return e.What == what }
+	}
+	for _, c := range []struct {
+		name, faults string
+		left         func(t *testing.T, rec *record.Records)
+	}{
+		{"a site is lost and returns", `{"at_s":1,"for_s":2,"what":"lose-site","site":"b"}`, func(t *testing.T, rec *record.Records) {
+			require.Equal(t, 4, count(rec.Events, event("killed")))
+			require.Equal(t, 4, count(rec.Events, event("ready")))
+			require.Positive(t, count(rec.Runs, func(r *record.Run) bool { return r.How == record.HowLost }))
+			require.Positive(t, count(rec.Runs, func(r *record.Run) bool { return r.Worker >= 4 && r.ArrivedUS > 3e6 && r.How == record.HowDone }), "it works again")
+			require.Zero(t, count(rec.Runs, func(r *record.Run) bool { return r.Worker >= 4 && r.StartedUS > 1.1e6 && r.StartedUS < 3e6 }), "it was lost")
+		}},
+		{"its workers hang while the list names them", `{"at_s":1,"for_s":2,"what":"silence-workers","site":"b","hung":true}`, func(t *testing.T, rec *record.Records) {
+			require.Zero(t, count(rec.Runs, func(r *record.Run) bool { return r.Worker >= 4 && r.StartedUS > 1.1e6 && r.StartedUS < 3e6 }))
+		}},
+		{"the sites are cut off from one another", `{"at_s":1,"for_s":2,"what":"cut","site":"a","to":"b","paths":["job","back","peer"]}`, func(t *testing.T, rec *record.Records) {
+			require.Zero(t, count(rec.Runs, func(r *record.Run) bool {
+				return r.Worker/4 != r.Scheduler/4 && r.ArrivedUS > 1.2e6 && r.ArrivedUS < 3e6
+			}))
+			require.Positive(t, count(rec.Runs, func(r *record.Run) bool { return r.Worker/4 != r.Scheduler/4 }))
+		}},
+		{"a scheduler is stopped and wakes", `{"at_s":1,"for_s":1,"what":"stop-schedulers","count":2}`, func(t *testing.T, rec *record.Records) {
+			require.Equal(t, 2, count(rec.Events, event("stopped")))
+			require.Equal(t, 2, count(rec.Events, event("continued")))
+		}},
+		{"workers drain and schedulers are released", `{"at_s":0.5,"for_s":3,"what":"drain-workers","share":0.25},{"at_s":1,"what":"release-schedulers","count":2,"step_s":1}`,
+			func(t *testing.T, rec *record.Records) {
+				require.Equal(t, 2, count(rec.Events, event("killed")))
+				require.Positive(t, count(rec.Told, func(x *record.Told) bool { return x.Status == "draining" }))
+			}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			rec := play(t, small(t, `,"faults":[`+c.faults+`]`))
+			require.Positive(t, count(rec.Tries, func(x *record.Try) bool { return x.Status == 200 }))
+			c.left(t, rec)
+		})
+	}
+}
+
+// With peers the schedulers hear one another through the relay.
+func TestPeersAreHeard(t *testing.T) {
+	rec := play(t, small(t, `,"peers":{"on":true,"lost":0.1,"twice":0.1}`))
+	require.Positive(t, rec.About.Messages)
+}
+
+// The clients ask for the same, whatever is played.
+func TestRequestsAreDrawnFromTheSeed(t *testing.T) {
+	s := small(t, "")
+	require.Equal(t, Requests(s, 7), Requests(s, 7))
+	require.NotEqual(t, Requests(s, 7), Requests(s, 8))
+	n := len(Requests(s, 7))
+	want := s.RatePerS() * s.Seconds
+	require.InDelta(t, want, n, 6*want/10)
+}
+
+// What the rig has started ends with it, also when it is interrupted.
+func TestNothingIsLeftBehind(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := small(t, "")
+	done := make(chan error, 1)
+	seen := &watched{cancel: cancel}
+	go func() {
+		_, err := Play(ctx, s, Build{Name: "test", Binary: binary}, Options{Seed: 1, Live: seen})
+		done <- err
+	}()
+	require.ErrorIs(t, <-done, context.Canceled)
+	dirs, err := os.ReadDir("/proc")
+	require.NoError(t, err)
+	for _, d := range dirs {
+		text, err := os.ReadFile(filepath.Join("/proc", d.Name(), "cmdline"))
+		require.False(t, err == nil && strings.HasPrefix(string(text), binary), "process %s is left", d.Name())
+	}
+}
+
+// watched interrupts a run at its first live line.
+type watched struct{ cancel func() }
+
+func (w *watched) Write(line []byte) (int, error) {
+	w.cancel()
+	return len(line), nil
+}
--- /dev/null
+++ b/internal/fleet/judge/figures.go
@@ -0,0 +1,187 @@
+package judge
+
+import (
+	"slices"
+
+	"cobaltflow/internal/fleet/record"
+	"cobaltflow/internal/fleet/scenario"
+)
+
+// Asked is what became of one request, over all its tries.
+type Asked struct {
+	Class, Site int
+	DueUS       int64
+	RunUS       int64
+	ReachedUS   int64 // when a scheduler first took it; below 0: never
+	EndedUS     int64 // of its last try
+	Served      bool
+	Refused     bool // in the end
+	Tries       int
+	Attempts    int
+	Earned      float64
+	Worth       float64 // at most
+	Bound       float64 // what a planner that sees all earns with it
+}
+
+// Book is what the figures are worked out from.
+type Book struct {
+	set     *scenario.Scenario
+	Asked   []Asked
+	runs    []record.Run
+	samples []record.Sample
+	fallen  int
+	site    []int // of each worker
+}
+
+// Read sums the records up by request.
+func Read(s *scenario.Scenario, rec *record.Records) *Book {
+	b := &Book{set: s, runs: rec.Runs, samples: rec.Samples, fallen: len(rec.About.Fallen)}
+	for i, x := range s.Sites {
+		for range x.Workers {
+			b.site = append(b.site, i)
+		}
+	}
+	tries := slices.Clone(rec.Tries)
+	slices.SortFunc(tries, func(a, b record.Try) int {
+		if a.Request != b.Request {
+			return int(a.Request - b.Request)
+		}
+		return int(a.Number - b.Number)
+	})
+	ids := make(map[string]int, len(tries))
+	last := int32(-1)
+	for i := range tries {
+		t := &tries[i]
+		c := &s.Classes[t.Class]
+		if t.Request != last {
+			last = t.Request
+			b.Asked = append(b.Asked, Asked{Class: int(t.Class), Site: int(t.Site), DueUS: t.DueUS, RunUS: t.RunUS, ReachedUS: -1, Worth: c.Worth})
+		}
+		a := &b.Asked[len(b.Asked)-1]
+		ids[t.ID] = len(b.Asked) - 1
+		a.Tries++
+		a.EndedUS = t.EndedUS
+		if t.End != record.EndUnreachable && a.ReachedUS < 0 {
+			a.ReachedUS = t.SentUS
+		}
+		a.Refused = t.Status == 429 || t.Status == 503
+		if t.Status == 200 {
+			a.Served = true
+			switch took := t.EndedUS - t.DueUS; {
+			case took <= aim(c, t.RunUS):
+				a.Earned = c.Worth
+			case took <= int64(c.DeadlineS*1e6):
+				a.Earned = c.Worth * c.LateWorth
+			}
+		}
+	}
+	for i := range rec.Runs {
+		if at, known := ids[rec.Runs[i].ID]; known {
+			b.Asked[at].Attempts++
+		}
+	}
+	b.plan()
+	return b
+}
+
+// aim is the time within which an answer earns all, from when the request was due.
+func aim(c *scenario.Class, runUS int64) int64 {
+	return min(int64(c.AimMS*1000+c.Stretch*float64(runUS)), int64(c.DeadlineS*1e6))
+}
+
+// Figures are those of a window.
+type Figures struct {
+	Requests                       int
+	Worth, OfBound                 float64 // earned, as parts of what was asked for and of what the planner earns
+	Bound                          float64
+	Served, Refused, Failed        float64 // parts of the requests
+	Attempts                       float64 // for each request that a scheduler took
+	IdleBesideWaiting              float64
+	WaitMeanS, WaitP99S, QueueLong float64
+	Fallen                         int
+}
+
+// Get gives a figure by its name in scenario files.
+func (f Figures) Get(name string) float64 {
+	return map[string]float64{"worth": f.Worth, "of_bound": f.OfBound, "served": f.Served, "refused": f.Refused, "failed": f.Failed, "attempts": f.Attempts,
+		"idle_beside_waiting": f.IdleBesideWaiting, "wait_mean_s": f.WaitMeanS, "wait_p99_s": f.WaitP99S, "queue_longest": f.QueueLong,
+		"fallen": float64(f.Fallen)}[name]
+}
+
+// Window gives the figures of a part of the run, of a class and of the clients of a site; below 0: of all.
+func (b *Book) Window(w scenario.Window, class, site int) (f Figures) {
+	from, to := int64(w.FromS*1e6), int64(w.ToS*1e6)
+	worth, earned, bound, taken, attempts := 0.0, 0.0, 0.0, 0, 0
+	for i := range b.Asked {
+		a := &b.Asked[i]
+		if a.DueUS < from || a.DueUS >= to || class >= 0 && a.Class != class || site >= 0 && a.Site != site {
+			continue
+		}
+		f.Requests++
+		worth, earned, bound = worth+a.Worth, earned+a.Earned, bound+a.Bound
+		if a.ReachedUS >= 0 {
+			taken++
+			attempts += a.Attempts
+		}
+		switch {
+		case a.Served:
+			f.Served++
+		case a.Refused:
+			f.Refused++
+		default:
+			f.Failed++
+		}
+	}
+	n := max(1, float64(f.Requests))
+	f.Served, f.Refused, f.Failed = f.Served/n, f.Refused/n, f.Failed/n
+	f.Worth, f.Bound, f.Attempts = earned/max(1e-9, worth), bound/max(1e-9, worth), float64(attempts)/max(1, float64(taken))
+	f.OfBound = earned / max(1e-9, bound)
+	b.evenness(&f, from, to, site)
+	f.Fallen = b.fallen
+	return f
+}
+
+// evenness takes the figures from the workers.
+func (b *Book) evenness(f *Figures, from, to int64, site int) {
+	var at int64 = -1
+	free, waiting, longest := 0.0, 0.0, 0.0
+	wasted, room, long, moments := 0.0, 0.0, 0.0, 0.0
+	end := func() {
+		if at >= 0 {
+			wasted += min(free, waiting)
+			long += longest
+			moments++
+		}
+		free, waiting, longest = 0, 0, 0
+	}
+	for i := range b.samples {
+		s := &b.samples[i]
+		if s.AtUS < from || s.AtUS >= to || site >= 0 && b.site[s.Worker] != site {
+			continue
+		}
+		if s.AtUS != at {
+			end()
+			at = s.AtUS
+		}
+		free += float64(max(0, s.Room-s.Running))
+		waiting += float64(s.Waiting)
+		longest = max(longest, float64(s.Waiting))
+		room += float64(s.Room)
+	}
+	end()
+	f.IdleBesideWaiting, f.QueueLong = wasted/max(1e-9, room), long/max(1, moments)
+	var waits []float64
+	sum := 0.0
+	for i := range b.runs {
+		r := &b.runs[i]
+		if r.StartedUS > 0 && r.ArrivedUS >= from && r.ArrivedUS < to && (site < 0 || b.site[r.Worker] == site) {
+			w := float64(r.StartedUS-r.ArrivedUS) / 1e6
+			waits = append(waits, w)
+			sum += w
+		}
+	}
+	if len(waits) > 0 {
+		slices.Sort(waits)
+		f.WaitMeanS, f.WaitP99S = sum/float64(len(waits)), waits[len(waits)*99/100]
+	}
+}
--- /dev/null
+++ b/internal/fleet/judge/judge.go
@@ -0,0 +1,201 @@
+// Package judge reads the records of a run and says what holds: the four rules, from what clients and table workers saw,
+// and the limits of the scenario. It knows nothing of the program that was played.
+package judge
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"cobaltflow/internal/fleet/record"
+	"cobaltflow/internal/fleet/scenario"
+)
+
+// Check is one thing that has to hold.
+type Check struct {
+	Name   string
+	Passed bool
+	Text   string // what was found
+}
+
+// slackUS is how late an answer or an attempt may be seen: the settings' slack, the protocol's 50 ms, and what a shared
+// machine adds.
+const slackUS = 150_000
+
+const graceUS = 1_000_000 // after which nothing new may go to a draining or gone worker
+
+// Judge checks the records of a run.
+func Judge(rec *record.Records) ([]Check, error) {
+	s := &scenario.Scenario{}
+	if err := json.Unmarshal(rec.About.Scenario, s); err != nil {
+		return nil, err
+	}
+	checks := []Check{answered(s, rec), right(rec), onceOnly(s, rec), drained(rec),
+		check("no cold table worker pushed over", len(rec.About.Fallen), func(i int) string { return fmt.Sprintf("table worker %d", rec.About.Fallen[i]) }),
+		crashes(rec), check("messages within 256 bytes", int(rec.About.TooLong), nil)}
+	return append(checks, limits(s, rec)...), nil
+}
+
+// check makes a check of a number of faults; what tells of one of them.
+func check(name string, faults int, what func(int) string) Check {
+	c := Check{Name: name, Passed: faults == 0, Text: fmt.Sprintf("%d faults", faults)}
+	if faults > 0 && what != nil {
+		c.Text += ", the first: " + what(0)
+	}
+	return c
+}
+
+// away gives the times at which a scheduler could not answer: killed until it was ready again, or stopped.
+type away map[int32][][2]int64
+
+func absences(rec *record.Records) away {
+	a := away{}
+	end := int64(1) << 62
+	for _, e := range rec.Events {
+		list := a[e.Scheduler]
+		switch e.What {
+		case "killed", "stopped", "crashed":
+			if e.Scheduler >= 0 && e.Text != "" {
+				a[e.Scheduler] = append(list, [2]int64{e.AtUS, end})
+			}
+		case "ready", "continued":
+			if n := len(list); n > 0 && list[n-1][1] == end {
+				list[n-1][1] = e.AtUS
+			}
+		}
+	}
+	return a
+}
+
+func (a away) between(scheduler int32, from, to int64) bool {
+	return slices.ContainsFunc(a[scheduler], func(x [2]int64) bool { return x[0] <= to && x[1] >= from })
+}
+
+// cutOff tells whether the way of clients to schedulers was in trouble then: what they did not hear, nobody lost.
+func cutOff(s *scenario.Scenario, t *record.Try) bool {
+	for _, f := range s.Faults {
+		if !slices.Contains([]string{"cut", "lossy", "reset", "trickle", "delay"}, f.What) || len(f.Paths) > 0 && !slices.Contains(f.Paths, "client") {
+			continue
+		}
+		ends := f.AtS + f.ForS
+		if f.ForS == 0 && f.What != "reset" {
+			ends = s.Seconds * 2
+		}
+		ends = max(ends, f.Until)
+		if float64(t.EndedUS)/1e6 >= f.AtS && float64(t.SentUS)/1e6 <= ends+1 {
+			return true
+		}
+	}
+	return false
+}
+
+func answered(s *scenario.Scenario, rec *record.Records) Check {
+	gone := absences(rec)
+	var bad []string
+	for i := range rec.Tries {
+		t := &rec.Tries[i]
+		if t.Scheduler < 0 || t.End == record.EndUnreachable || gone.between(t.Scheduler, t.SentUS, t.EndedUS) || cutOff(s, t) {
+			continue
+		}
+		late := t.EndedUS > t.SentUS+t.LeftMS*1000+slackUS
+		if t.End != record.EndAnswered || late {
+			bad = append(bad, fmt.Sprintf("%s of class %d at scheduler %d: %s after %.3f s of %.3f s", t.ID, t.Class, t.Scheduler, t.End,
+				float64(t.EndedUS-t.SentUS)/1e6, float64(t.LeftMS)/1e3))
+		}
+	}
+	return check("one final answer, in time, for all that was taken", len(bad), func(i int) string { return bad[i] })
+}
+
+func right(rec *record.Records) Check {
+	var bad []string
+	for i := range rec.Tries {
+		if t := &rec.Tries[i]; t.Status == 200 && !t.Right {
+			bad = append(bad, t.ID)
+		}
+	}
+	return check("what is served is what a table worker made", len(bad), func(i int) string { return bad[i] })
+}
+
+// onceOnly counts the starts of a request over all its tries: a client that was told that asking again is harmless asks
+// again.
+func onceOnly(s *scenario.Scenario, rec *record.Records) Check {
+	request := make(map[string]int32, len(rec.Tries))
+	class := map[int32]int32{}
+	for i := range rec.Tries {
+		request[rec.Tries[i].ID], class[rec.Tries[i].Request] = rec.Tries[i].Request, rec.Tries[i].Class
+	}
+	starts := map[int32]int{}
+	var bad []string
+	for i := range rec.Runs {
+		r := &rec.Runs[i]
+		q, known := request[r.ID]
+		if !known || r.StartedUS == 0 || s.Classes[class[q]].Effect != "once" {
+			continue
+		}
+		if starts[q]++; starts[q] == 2 {
+			bad = append(bad, fmt.Sprintf("%s, a %s, at table worker %d", r.ID, s.Classes[class[q]].Name, r.Worker))
+		}
+	}
+	return check("no effect twice", len(bad), func(i int) string { return bad[i] })
+}
+
+// drained looks at what schedulers sent to workers of which they had been told that they drain or are gone.
+func drained(rec *record.Records) Check {
+	type pair struct{ scheduler, worker int32 }
+	told := map[pair][]record.Told{}
+	for _, t := range rec.Told {
+		told[pair{t.Scheduler, t.Worker}] = append(told[pair{t.Scheduler, t.Worker}], t)
+	}
+	var bad []string
+	for i := range rec.Runs {
+		r := &rec.Runs[i]
+		var last record.Told
+		for _, t := range told[pair{r.Scheduler, r.Worker}] {
+			if t.AtUS <= r.ArrivedUS {
+				last = t
+			}
+		}
+		if (last.Status == "draining" || last.Status == "removed") && r.ArrivedUS > last.AtUS+graceUS+slackUS {
+			bad = append(bad, fmt.Sprintf("%s from scheduler %d to table worker %d, %.3f s after %q", r.ID, r.Scheduler, r.Worker,
+				float64(r.ArrivedUS-last.AtUS)/1e6, last.Status))
+		}
+	}
+	return check("nothing new to a draining or gone table worker after the grace", len(bad), func(i int) string { return bad[i] })
+}
+
+func crashes(rec *record.Records) Check {
+	var bad []string
+	for _, e := range rec.Events {
+		if e.What == "crashed" || e.What == "rig" {
+			bad = append(bad, e.Text)
+		}
+	}
+	return check("no process crashed", len(bad), func(i int) string { return bad[i] })
+}
+
+func limits(s *scenario.Scenario, rec *record.Records) (checks []Check) {
+	book := Read(s, rec)
+	for _, l := range s.Limits {
+		w := scenario.Window{Name: "the run", FromS: 0, ToS: s.Seconds}
+		for _, x := range s.Windows {
+			if x.Name == l.Window {
+				w = x
+			}
+		}
+		class := slices.IndexFunc(s.Classes, func(c scenario.Class) bool { return c.Name == l.Class })
+		v := book.Window(w, class, -1).Get(l.Figure)
+		name := fmt.Sprintf("%s, %s", l.Figure, w.Name)
+		if class >= 0 {
+			name += ", " + l.Class
+		}
+		c := Check{Name: name, Passed: true, Text: fmt.Sprintf("%.3f", v)}
+		if l.Least != nil {
+			c.Passed, c.Text = v >= *l.Least, c.Text+fmt.Sprintf(", at least %.3f", *l.Least)
+		}
+		if l.Most != nil {
+			c.Passed, c.Text = c.Passed && v <= *l.Most, c.Text+fmt.Sprintf(", at most %.3f", *l.Most)
+		}
+		checks = append(checks, c)
+	}
+	return checks
+}
--- /dev/null
+++ b/internal/fleet/judge/judge_test.go
@@ -0,0 +1,147 @@
+package judge
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cobaltflow/internal/fleet/record"
+	"cobaltflow/internal/fleet/scenario"
+)
+
+const plain = `{"name":"double","seconds":10,"sites":[{"name":"a","schedulers":2,"workers":2}],
+ "classes":[{"name":"view","share":0.5,"run_ms":100,"effect":"repeatable","aim_ms":500,"deadline_s":2,"worth":1,"late_worth":0.5},
+            {"name":"settle","share":0.5,"run_ms":100,"effect":"once","aim_ms":500,"deadline_s":2,"worth":10}]}`
+
+// sound are the records of a run in which all holds.
+func sound(t *testing.T) *record.Records {
+	s, err := scenario.Parse([]byte(plain))
+	require.NoError(t, err)
+	rec := &record.Records{}
+	rec.About.Scenario, err = json.Marshal(s)
+	require.NoError(t, err)
+	for i, class := range []int32{0, 1, 1} {
+		id := string(rune('a' + i))
+		at := int64(1+i) * 1e6
+		rec.Tries = append(rec.Tries, record.Try{Request: int32(i), ID: id, Class: class, Scheduler: int32(i % 2), RunUS: 100_000, DueUS: at, SentUS: at,
+			EndedUS: at + 150_000, LeftMS: 2000, Status: 200, End: record.EndAnswered, Right: true})
+		rec.Runs = append(rec.Runs, record.Run{ID: id, Worker: int32(i % 2), Scheduler: int32(i % 2), ArrivedUS: at + 10_000, StartedUS: at + 20_000,
+			EndedUS: at + 120_000, How: record.HowDone})
+	}
+	for at := int64(0); at < 10e6; at += 50_000 {
+		for w := range int32(2) {
+			rec.Samples = append(rec.Samples, record.Sample{AtUS: at, Worker: w, Room: 4})
+		}
+	}
+	return rec
+}
+
+// Each rule is broken once, in a double of the records, and the check of that rule alone finds it.
+func TestEachCheckCatchesItsFault(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		spoil func(*record.Records)
+		fails string
+	}{
+		{"all holds", func(*record.Records) {}, ""},
+		{"no answer", func(r *record.Records) { r.Tries[0].Status, r.Tries[0].End = 0, record.EndBroken }, "one final answer, in time, for all that was taken"},
+		{"a late answer", func(r *record.Records) { r.Tries[0].EndedUS += 3e6 }, "one final answer, in time, for all that was taken"},
+		{"no answer of a scheduler that was killed", func(r *record.Records) {
+			r.Tries[0].Status, r.Tries[0].End = 0, record.EndBroken
+			r.Events = []record.Event{{AtUS: 1.1e6, What: "killed", Text: "n0", Scheduler: 0, Worker: -1}}
+		}, ""},
+		{"no answer of one that was back by then", func(r *record.Records) {
+			r.Tries[2].Status, r.Tries[2].End = 0, record.EndBroken
+			r.Events = []record.Event{{AtUS: 1e6, What: "killed", Text: "n0", Scheduler: 0, Worker: -1}, {AtUS: 2e6, What: "ready", Scheduler: 0, Worker: -1}}
+		}, "one final answer, in time, for all that was taken"},
+		{"an answer that no worker gave", func(r *record.Records) { r.Tries[1].Right = false }, "what is served is what a table worker made"},
+		{"a settle started twice", func(r *record.Records) {
+			twice := r.Runs[1]
+			twice.Worker = 0
+			r.Runs = append(r.Runs, twice)
+		}, "no effect twice"},
+		{"a settle started for a try and its repeat", func(r *record.Records) {
+			r.Tries[1].Status = 503
+			r.Tries = append(r.Tries, record.Try{Request: 1, Number: 1, ID: "z", Class: 1, SentUS: 3e6, EndedUS: 3.2e6, LeftMS: 1000, Status: 200, End: record.EndAnswered, Right: true})
+			r.Runs = append(r.Runs, record.Run{ID: "z", ArrivedUS: 3.1e6, StartedUS: 3.1e6})
+		}, "no effect twice"},
+		{"a view started twice", func(r *record.Records) { r.Runs = append(r.Runs, r.Runs[0]) }, ""},
+		{"a settle that came twice and started once", func(r *record.Records) {
+			again := r.Runs[1]
+			again.StartedUS = 0
+			r.Runs = append(r.Runs, again)
+		}, ""},
+		{"a send after the grace", func(r *record.Records) {
+			r.Told = []record.Told{{AtUS: 1.8e6, Scheduler: 0, Worker: 0, Status: "draining"}}
+		}, "nothing new to a draining or gone table worker after the grace"},
+		{"a send within the grace", func(r *record.Records) {
+			r.Told = []record.Told{{AtUS: 2.5e6, Scheduler: 0, Worker: 0, Status: "removed"}}
+		}, ""},
+		{"a send to one that is back", func(r *record.Records) {
+			r.Told = []record.Told{{AtUS: 1.5e6, Scheduler: 0, Worker: 0, Status: "removed"}, {AtUS: 2.5e6, Scheduler: 0, Worker: 0, Status: "up"}}
+		}, ""},
+		{"a worker pushed over", func(r *record.Records) { r.About.Fallen = []int32{1} }, "no cold table worker pushed over"},
+		{"a crash", func(r *record.Records) {
+			r.Events = []record.Event{{AtUS: 9e6, What: "crashed", Text: "n1", Scheduler: 1, Worker: -1}}
+		}, "no process crashed"},
+		{"a long message", func(r *record.Records) { r.About.TooLong = 1 }, "messages within 256 bytes"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			rec := sound(t)
+			c.spoil(rec)
+			checks, err := Judge(rec)
+			require.NoError(t, err)
+			failed := ""
+			for _, x := range checks {
+				if !x.Passed {
+					require.Empty(t, failed, "one check finds it")
+					failed = x.Name
+				}
+			}
+			require.Equal(t, c.fails, failed)
+		})
+	}
+}
+
+func TestFigures(t *testing.T) {
+	rec := sound(t)
+	rec.Tries[0].EndedUS += 1e6 // late: half of its worth
+	rec.Tries[1].Status = 503
+	for i := range rec.Samples { // one worker idle, at the other two jobs wait, for half of the time
+		if s := &rec.Samples[i]; s.Worker == 0 && s.AtUS < 5e6 {
+			s.Running, s.Waiting = 4, 2
+		}
+	}
+	s := &scenario.Scenario{}
+	require.NoError(t, json.Unmarshal(rec.About.Scenario, s))
+	book := Read(s, rec)
+	f := book.Window(scenario.Window{ToS: 10}, -1, -1)
+	require.Equal(t, 3, f.Requests)
+	require.InDelta(t, 10.5/21, f.Worth, 1e-9)
+	require.InDelta(t, 1, f.Bound, 1e-9, "a planner serves all of them")
+	require.InDelta(t, 1.0/3, f.Refused, 1e-9)
+	require.InDelta(t, 2.0/8/2, f.IdleBesideWaiting, 1e-9)
+	require.InDelta(t, 1, f.QueueLong, 1e-9)
+	require.InDelta(t, 0.01, f.WaitMeanS, 1e-9)
+}
+
+// The planner serves the dear jobs where there is no room for all, and none while there is no worker.
+func TestBound(t *testing.T) {
+	rec := sound(t)
+	for i := range rec.Samples {
+		rec.Samples[i].Room = 0
+		if rec.Samples[i].Worker == 0 && rec.Samples[i].AtUS < 4.5e6 {
+			rec.Samples[i].Room = 1
+		}
+	}
+	rec.Tries = nil
+	for i := range 6 { // six jobs of 0.4 s at once, within 0.5 s: there is time for one, and a late one
+		rec.Tries = append(rec.Tries, record.Try{Request: int32(i), ID: string(rune('a' + i)), Class: int32(i) / 5, RunUS: 400_000, DueUS: 4e6, SentUS: 4e6,
+			EndedUS: 4.1e6, LeftMS: 2000, Status: 503, End: record.EndAnswered, Right: true})
+	}
+	s := &scenario.Scenario{}
+	require.NoError(t, json.Unmarshal(rec.About.Scenario, s))
+	book := Read(s, rec)
+	require.InDelta(t, 10.5/15, book.Window(scenario.Window{ToS: 10}, -1, -1).Bound, 1e-9)
+}
--- /dev/null
+++ b/internal/fleet/relay/conn.go
@@ -0,0 +1,140 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+// Path is from where to where a connection was opened.
+type Path struct {
+	Kind     Kind
+	From, To int
+}
+
+// Conn is a connection of the rig's end. What is read has come from the other end, what is written goes there; each
+// takes its time, and is held as long as its direction is cut.
+type Conn struct {
+	net.Conn
+	net    *Net
+	path   Path
+	opener bool // this end is the one that opened it
+	owner  *Listener
+	end    chan struct{}
+	once   sync.Once
+}
+
+// Wrap puts a connection on a path. opener tells whether the rig opened it.
+func (n *Net) Wrap(c net.Conn, p Path, opener bool) *Conn {
+	w := &Conn{Conn: c, net: n, path: p, opener: opener, end: make(chan struct{})}
+	n.mu.Lock()
+	n.conns[w] = struct{}{}
+	n.counts[p.Kind].Opened++
+	n.mu.Unlock()
+	return w
+}
+
+// Path tells from where to where it goes.
+func (c *Conn) Path() Path { return c.path }
+
+// Read gives what has arrived, once it has had its time.
+func (c *Conn) Read(b []byte) (int, error) {
+	size, err := c.Conn.Read(b)
+	if size > 0 {
+		from, to := c.path.To, c.path.From
+		if !c.opener {
+			from, to = to, from
+		}
+		c.pass(from, to, size)
+		select {
+		case <-c.end:
+			return 0, net.ErrClosed
+		default:
+		}
+	}
+	return size, err
+}
+
+// Write has what is written take its time before it leaves.
+func (c *Conn) Write(b []byte) (int, error) {
+	from, to := c.path.From, c.path.To
+	if !c.opener {
+		from, to = to, from
+	}
+	c.pass(from, to, len(b))
+	return c.Conn.Write(b)
+}
+
+// pass waits until a segment has passed from one site to another, or the connection ends.
+func (c *Conn) pass(from, to, size int) {
+	if c.owner != nil {
+		for quiet := c.owner.quiet(); quiet != nil; quiet = c.owner.quiet() { // its machine has vanished, or it hangs
+			select {
+			case <-quiet:
+			case <-c.end:
+				return
+			}
+		}
+	}
+	wait, t, changed := c.net.way(c.path.Kind, from, to, size)
+	for t.Cut > 0 {
+		select {
+		case <-changed:
+		case <-c.end:
+			return
+		}
+		wait, t, changed = c.net.way(c.path.Kind, from, to, size)
+	}
+	if wait < 50*time.Microsecond {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.end:
+	}
+}
+
+// Close ends it; what waits is let go.
+func (c *Conn) Close() error {
+	c.once.Do(func() {
+		close(c.end)
+		c.net.mu.Lock()
+		delete(c.net.conns, c)
+		c.net.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
+
+// Abort resets it: the other end is told that the process is gone.
+func (c *Conn) Abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
+// Dial opens a connection on a path. Where the path is cut it waits, as one waits for a machine that says nothing.
+func (n *Net) Dial(ctx context.Context, p Path, address string) (net.Conn, error) {
+	for {
+		n.mu.Lock()
+		open, changed := n.at(p.Kind, p.From, p.To).Cut == 0 && n.at(p.Kind, p.To, p.From).Cut == 0, n.changed
+		n.mu.Unlock()
+		if open {
+			break
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return n.Wrap(c, p, true), nil
+}
--- /dev/null
+++ b/internal/fleet/relay/listener.go
@@ -0,0 +1,169 @@
+package relay
+
+import (
+	"net"
+	"net/netip"
+	"os"
+	"slices"
+	"sync"
+
+	"golang.org/x/sys/unix"
+)
+
+// Listener takes connections of one path at an address of its own. It can fall silent, as a machine that vanishes does:
+// then a connection that is asked for neither comes up nor is refused. The kernel drops the first message of a
+// connection where a listener's queue is full, so a silent one has its queue cut to one place, and fills that itself.
+type Listener struct {
+	net  *Net
+	path Path
+	fd   int
+	file *os.File // keeps fd
+	ln   net.Listener
+
+	mu     sync.Mutex
+	silent bool          // by itself, whatever its path suffers
+	hung   bool          // silent, but its machine's kernel still takes connections
+	hush   chan struct{} // closed when what is silent hears again; nil: it does
+	mute   bool          // the queue is blocked now
+	block  []int
+	ready  chan struct{} // closed while connections are taken
+	closed bool
+}
+
+const backlog = 4096
+
+// Listen opens a listener of a path at an IPv4 address; port 0 has the kernel choose one.
+func (n *Net) Listen(p Path, at netip.AddrPort) (*Listener, error) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, err
+	}
+	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	addr := &unix.SockaddrInet4{Addr: at.Addr().As4(), Port: int(at.Port())}
+	if err = unix.Bind(fd, addr); err == nil {
+		err = unix.Listen(fd, backlog)
+	}
+	if err != nil {
+		unix.Close(fd)
+		return nil, err
+	}
+	// FileListener duplicates the descriptor: both name one socket, and listen on ours changes the queue of both.
+	file := os.NewFile(uintptr(fd), "listener")
+	ln, err := net.FileListener(file)
+	if err != nil {
+		file.Close()
+		return nil, err
+	}
+	l := &Listener{net: n, path: p, fd: fd, file: file, ln: ln, ready: make(chan struct{})}
+	close(l.ready)
+	n.mu.Lock()
+	n.waiting = append(n.waiting, l)
+	n.mu.Unlock()
+	return l, nil
+}
+
+// Silence has the listener fall silent, or hear again. Where only the process hangs, its machine's kernel goes on taking
+// connections and what comes on them: nobody reads it.
+func (l *Listener) Silence(on, hung bool) {
+	l.mu.Lock()
+	if l.silent, l.hung = on, on && hung; on && l.hush == nil {
+		l.hush = make(chan struct{})
+	} else if !on && l.hush != nil {
+		close(l.hush)
+		l.hush = nil
+	}
+	l.mu.Unlock()
+	l.check()
+}
+
+// check brings the queue into the state that the listener and its path are in.
+func (l *Listener) check() {
+	open := l.net.Open(l.path)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	mute := l.silent && !l.hung || !open
+	if mute == l.mute || l.closed {
+		return
+	}
+	l.mute = mute
+	if !mute {
+		unix.Listen(l.fd, backlog)
+		for _, fd := range l.block {
+			unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+			unix.Close(fd)
+		}
+		l.block = nil
+		close(l.ready)
+		return
+	}
+	l.ready = make(chan struct{})
+	unix.Listen(l.fd, 0)
+	to, _ := unix.Getsockname(l.fd)
+	for range 3 {
+		fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK, 0)
+		if err != nil {
+			return
+		}
+		unix.Connect(fd, to)
+		l.block = append(l.block, fd)
+	}
+}
+
+// Accept gives the next connection. One that the kernel took while the listener was silent is reset.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		l.mu.Lock()
+		ready := l.ready
+		l.mu.Unlock()
+		<-ready
+		c, err := l.ln.Accept()
+		if err != nil {
+			return nil, err
+		}
+		l.mu.Lock()
+		mute := l.mute
+		l.mu.Unlock()
+		if mute {
+			// It was let in by an Accept that stood already: its place in the queue is free again.
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+			continue
+		}
+		w := l.net.Wrap(c, l.path, false)
+		w.owner = l
+		return w, nil
+	}
+}
+
+// quiet gives what is closed as long as the listener hears: its connections are as silent as it is.
+func (l *Listener) quiet() chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.hush
+}
+
+// Close ends the listener: connections are refused from now on.
+func (l *Listener) Close() error {
+	l.mu.Lock()
+	if l.closed {
+		l.mu.Unlock()
+		return nil
+	}
+	l.closed = true
+	for _, fd := range l.block {
+		unix.Close(fd)
+	}
+	l.block = nil
+	if l.mute {
+		close(l.ready)
+	}
+	l.mu.Unlock()
+	l.net.mu.Lock()
+	l.net.waiting = slices.DeleteFunc(l.net.waiting, func(x *Listener) bool { return x == l })
+	l.net.mu.Unlock()
+	l.file.Close()
+	return l.ln.Close()
+}
+
+// Addr is where it listens.
+func (l *Listener) Addr() net.Addr { return l.ln.Addr() }
--- /dev/null
+++ b/internal/fleet/relay/net.go
@@ -0,0 +1,171 @@
+// Package relay stands on every path between the processes of a rig: it delays, loses, cuts, resets and trickles what
+// passes, by the pair of sites and the kind of path. One end of each path is the rig's own, so that a relay is a
+// connection that holds back what it carries, and a listener that can fall silent. Datagrams pass a socket between.
+package relay
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Kind is what a path carries.
+type Kind uint8
+
+// The kinds of paths, from the side that opens the connection.
+const (
+	Client Kind = iota // clients to schedulers
+	Job                // schedulers to table workers
+	Back               // table workers to schedulers
+	List               // schedulers to discovery
+	Peer               // schedulers to schedulers
+	Kinds
+)
+
+// KindOf gives a kind by its name in scenario files.
+func KindOf(name string) Kind {
+	for k, n := range []string{"client", "job", "back", "list", "peer"} {
+		if n == name {
+			return Kind(k)
+		}
+	}
+	return Kinds
+}
+
+// Trouble is what a path suffers in one direction. Several at once add up.
+type Trouble struct {
+	Cut     int           // above 0: nothing passes
+	Delay   time.Duration // added
+	Lost    float64       // part of the segments that come a retransmission later, and of datagrams that never do
+	Trickle int           // above 0: 64 bytes at a time, 20 ms apart
+}
+
+// Retransmit is how much later a lost segment of a connection comes.
+const Retransmit = 200 * time.Millisecond
+
+// Net is the network between sites. Its methods may be called from any goroutine.
+type Net struct {
+	sites    int
+	same     [2]time.Duration
+	cross    [2]time.Duration
+	mu       sync.Mutex
+	rng      *rand.Rand
+	troubles []Trouble     // by kind, from, to
+	changed  chan struct{} // closed at each change
+	conns    map[*Conn]struct{}
+	waiting  []*Listener
+	counts   [Kinds]Traffic
+}
+
+// Traffic is what has passed on a kind of path.
+type Traffic struct{ Opened, Messages, Bytes uint64 }
+
+// New makes a network of so many sites; same and cross are the least and the most time one way.
+func New(sites int, same, cross [2]time.Duration, seed uint64) *Net {
+	return &Net{sites: sites, same: same, cross: cross, rng: rand.New(rand.NewPCG(seed, 0x72656c6179)),
+		troubles: make([]Trouble, int(Kinds)*sites*sites), changed: make(chan struct{}), conns: map[*Conn]struct{}{}}
+}
+
+func (n *Net) at(k Kind, from, to int) *Trouble {
+	return &n.troubles[(int(k)*n.sites+from)*n.sites+to]
+}
+
+// Change alters what the paths suffer from one site to another, below 0 for any, for the kinds named or all. With both
+// directions the way back is altered too.
+func (n *Net) Change(kinds []Kind, from, to int, both bool, f func(*Trouble)) {
+	n.mu.Lock()
+	for k := Kind(0); k < Kinds; k++ {
+		if len(kinds) > 0 && !contains(kinds, k) {
+			continue
+		}
+		for a := range n.sites {
+			for b := range n.sites {
+				forth := (from < 0 || a == from) && (to < 0 || b == to)
+				back := both && (from < 0 || b == from) && (to < 0 || a == to)
+				if forth || back {
+					f(n.at(k, a, b))
+				}
+			}
+		}
+	}
+	close(n.changed)
+	n.changed = make(chan struct{})
+	listeners := append([]*Listener(nil), n.waiting...)
+	n.mu.Unlock()
+	for _, l := range listeners {
+		l.check()
+	}
+}
+
+func contains(kinds []Kind, k Kind) bool {
+	for _, x := range kinds {
+		if x == k {
+			return true
+		}
+	}
+	return false
+}
+
+// Reset breaks the open connections of the paths, in both directions, a share of them (0: all).
+func (n *Net) Reset(kinds []Kind, from, to int, share float64) int {
+	n.mu.Lock()
+	var hit []*Conn
+	for c := range n.conns {
+		if len(kinds) > 0 && !contains(kinds, c.path.Kind) || share > 0 && n.rng.Float64() >= share {
+			continue
+		}
+		if (from < 0 || c.path.From == from || c.path.To == from) && (to < 0 || c.path.From == to || c.path.To == to) {
+			hit = append(hit, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range hit {
+		c.Abort()
+	}
+	return len(hit)
+}
+
+// Open tells whether a connection can come up on a path: its first message and the answer to it both have to pass.
+func (n *Net) Open(p Path) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.at(p.Kind, p.From, p.To).Cut == 0 && n.at(p.Kind, p.To, p.From).Cut == 0
+}
+
+// way gives what a segment from one site to another takes now, whether it is cut off, and what tells of a change.
+func (n *Net) way(k Kind, from, to, size int) (wait time.Duration, t Trouble, changed chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	t = *n.at(k, from, to)
+	ends := n.same
+	if from != to {
+		ends = n.cross
+	}
+	wait = ends[0] + time.Duration(n.rng.Float64()*float64(ends[1]-ends[0])) + t.Delay
+	if t.Lost > 0 && n.rng.Float64() < t.Lost && k != Peer {
+		wait += Retransmit
+	}
+	if t.Trickle > 0 {
+		wait += time.Duration(size/64) * 20 * time.Millisecond
+	}
+	n.counts[k].Messages++
+	n.counts[k].Bytes += uint64(size)
+	return wait, t, n.changed
+}
+
+// Traffic tells what has passed on a kind of path.
+func (n *Net) Traffic(k Kind) Traffic {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.counts[k]
+}
+
+// chance draws.
+func (n *Net) chance(p float64) bool {
+	if p <= 0 {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.rng.Float64() < p
+}
