Let a test that ends a connection under a hundred streams bear those that were never read

Cause: the test closes its connection once 20 jobs have reached the worker; on a busy machine the last frames have not been read by then, and a job that was not taken has no end. Ruled out: a job lost after it was taken (the worker never saw these ids, which the test now checks).

--- a/internal/front/http2/http2_test.go
+++ b/internal/front/http2/http2_test.go
@@ -320,6 +320,11 @@
 		id := fmt.Sprint("id-", i)
 		s := state(n, c, id).State
 		assert.LessOrEqual(t, runs[id], 1, id)
+		if s == "" { // what was not read before the connection died was never taken
+			assert.Zero(t, runs[id], id)
+			assert.Greater(t, i, 20, "some had been")
+			continue
+		}
 		assert.Contains(t, []string{"served", "refused", "failed"}, s, id)
 		if s == "refused" {
 			assert.Zero(t, runs[id], "%s is said never to have run", id)
