Take a lost site out as a whole, from workers' first answers, and repeat what may be

Each of 30 schedulers found each of 30 workers by a loss of its own, since package rules knows a worker for silent only against the time to a job's start, which holds the queue. Ruled out: refusals for want of room (0.2 % with the crossing priced, where nobody sends there), the return, the retries of clients (none: a failed once job is not asked for again).

internal/sites, without I/O: a worker owes its 202 (or a probe's answer) within the usual time and six deviations, 75 to 600 ms. One silent worker has four others of its site asked; five silent and nobody heard since is a lost site, and all of its workers get nothing new (rules: a second holder beside the operators' hand, one line). A worker that is silent while its site lives is taken out by itself. Repeatable jobs in hand there end as reset and are tried elsewhere, under one budget of a tenth of what is served. A lost site is asked twice a second; when it answers its workers are let back in the order of their hashes over 2 s and count as started then, so that the cold budget of all together holds before the list tells. A host that was stopped takes nobody for silent; nobody is ever the last one out.

Off by default (sites.plan).

The rig gave two schedulers one port now and then (they listen with SO_REUSEPORT, so neither noticed); ports are held until all are chosen.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -44,6 +44,7 @@
 	Names     Names
 	Faktory   Faktory
 	HTTP2     HTTP2
+	Sites     Sites
 	Log       log.Settings
 	Notes     []string // what was read otherwise than it may seem; for the log
 
@@ -142,7 +143,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.Log, c.file = file.Log, own
+	c.Log, c.Sites, c.file = file.Log, file.Sites, own
 	if err := c.http2(file.HTTP2); err != nil {
 		return nil, err
 	}
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"cobaltflow/internal/log"
+	"cobaltflow/internal/sites"
 	"cobaltflow/rules"
 )
 
@@ -21,6 +22,22 @@
 	Scheduler *schedulerFile   `json:"scheduler"`
 	Faktory   *json.RawMessage `json:"faktory"`
 	HTTP2     *json.RawMessage `json:"http2"`
+	Sites     Sites            `json:"sites"`
+}
+
+// Sites is what is done about the loss of a site; off without Plan.
+type Sites struct {
+	Plan           bool  `json:"plan"`
+	Proof          int   `json:"proof"`
+	QuietMS        int64 `json:"quiet_ms"`
+	TrialMS        int64 `json:"trial_ms"`
+	ReturnWithinMS int64 `json:"return_within_ms"`
+}
+
+// Settings are those of the module.
+func (s Sites) Settings(set *rules.Settings) sites.Settings {
+	return sites.Settings{Sites: set.Zones, Own: set.Zone, MayAsk: set.MayProbe, Proof: s.Proof, LeastWait: set.ConnectTimeout / 2,
+		MostWait: 4 * set.ConnectTimeout, QuietFor: s.QuietMS * 1000, TrialEvery: s.TrialMS * 1000, ReturnWithin: s.ReturnWithinMS * 1000}
 }
 
 // schedulerFile holds what the platform's file would tell.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -123,6 +123,8 @@
 	queue    []func()
 	telling  []byte // what is told at the end of this turn
 
+	sites *siteWatch // nil: nothing is known of sites
+
 	transactions Table[*Transaction]
 	byID         map[string]*Transaction
 	open         int // transactions that still need an answer
@@ -293,6 +295,7 @@
 	}
 	t.ran = t.ran || !status.NeverRan()
 	if status == rules.OK && !t.closed {
+		c.sites.served()
 		c.answer(t, Answer{Kind: Served, Result: result})
 	}
 	t.Pool.dispatcher.Outcome(c.Loop.now, &rules.Outcome{
--- a/internal/core/farm.go
+++ b/internal/core/farm.go
@@ -31,6 +31,7 @@
 // Farm takes news of the workers of one carrier, for the main pool.
 func (c *Core) Farm(from Carrier, form rules.ListForm, news []FarmWorker) {
 	c.main.Farm(from, form, news)
+	c.sites.listed()
 	if c.Listed != nil {
 		c.Listed()
 	}
@@ -114,7 +115,7 @@
 // Hold takes a worker of the main pool out by an operator's hand (out), or lets it back in; the decisions keep
 // it from new work until then, whatever the list says. It tells whether the worker is listed.
 func (c *Core) Hold(worker string, out bool) bool {
-	return c.main.dispatcher.Hold(c.Loop.now, rules.WorkerID(worker), out)
+	return c.main.dispatcher.Hold(c.Loop.now, rules.WorkerID(worker), rules.ByHand, out)
 }
 
 // Avoided is the number of listed workers of the main pool that get nothing new now, by hand or by choice.
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -200,6 +200,7 @@
 			body, err = io.ReadAll(resp.Body)
 			resp.Body.Close()
 			if err == nil {
+				t.Fault = ""
 				t.Status, t.End = int32(resp.StatusCode), record.EndAnswered
 				t.Right = t.Status != 200 || strings.HasPrefix(string(body), t.ID+" by ")
 				if after, bad := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); bad == nil {
@@ -208,6 +209,7 @@
 				return t
 			}
 		}
+		t.Fault = err.Error()
 		var dial *net.OpError
 		switch {
 		case errors.As(err, &dial) && dial.Op == "dial":
--- a/internal/fleet/farm/discovery.go
+++ b/internal/fleet/farm/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
 	"math/rand/v2"
 	"net"
@@ -275,22 +276,29 @@
 	}
 }
 
-// Port gives an address at which nothing listens yet, apart from those of outgoing connections. It may be bound by
-// another process before it is used, which the one that comes second tells.
-func Port(host [4]byte, udp bool) (netip.AddrPort, error) {
+// Ports gives addresses at which nothing listens yet, apart from those of outgoing connections. All are held until the
+// last is chosen: the program listens with SO_REUSEPORT, so that two that were given one port would share it unseen.
+func Ports(host [4]byte, n int, udp bool) (list []netip.AddrPort, err error) {
 	ip := net.IP(host[:])
-	if udp {
-		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: ip})
+	for range n {
+		var held io.Closer
+		var at net.Addr
+		if udp {
+			c, bad := net.ListenUDP("udp4", &net.UDPAddr{IP: ip})
+			if err = bad; err == nil {
+				held, at = c, c.LocalAddr()
+			}
+		} else {
+			ln, bad := net.ListenTCP("tcp4", &net.TCPAddr{IP: ip})
+			if err = bad; err == nil {
+				held, at = ln, ln.Addr()
+			}
+		}
 		if err != nil {
-			return netip.AddrPort{}, err
+			return nil, err
 		}
-		defer c.Close()
-		return netip.MustParseAddrPort(c.LocalAddr().String()), nil
-	}
-	ln, err := net.ListenTCP("tcp4", &net.TCPAddr{IP: ip})
-	if err != nil {
-		return netip.AddrPort{}, err
+		defer held.Close()
+		list = append(list, netip.MustParseAddrPort(at.String()))
 	}
-	defer ln.Close()
-	return netip.MustParseAddrPort(ln.Addr().String()), nil
+	return list, nil
 }
--- a/internal/fleet/record/record.go
+++ b/internal/fleet/record/record.go
@@ -26,8 +26,9 @@
 	LeftMS    int64  `parquet:"left_ms"` // for which the client waits
 	Status    int32  `parquet:"status"`  // of the answer; 0: none
 	End       string `parquet:"end,dict"`
-	AfterMS   int64  `parquet:"after_ms"` // Retry-After; below 0: none
-	Right     bool   `parquet:"right"`    // the answer is what a table worker gave for it
+	Fault     string `parquet:"fault,dict"` // what went wrong, where there is no answer
+	AfterMS   int64  `parquet:"after_ms"`   // Retry-After; below 0: none
+	Right     bool   `parquet:"right"`      // the answer is what a table worker gave for it
 }
 
 // Ends of tries that got no answer.
--- a/internal/fleet/rig.go
+++ b/internal/fleet/rig.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -128,19 +127,20 @@
 	sites := r.set.Schedulers()
 	r.front = newFront(sites, r.set.Clients.Unlike)
 	var listens []string
-	var peers []netip.AddrPort
+	at, err := farm.Ports(schedulersAt, len(sites), false)
+	if err != nil {
+		return err
+	}
+	peers, err := farm.Ports(peersAt, len(sites), true)
+	if err != nil {
+		return err
+	}
 	for i, site := range sites {
-		s := &scheduler{rig: r, number: i, site: site, dir: filepath.Join(dir, fmt.Sprint("n", i))}
+		s := &scheduler{rig: r, number: i, site: site, listen: at[i], peer: peers[i], dir: filepath.Join(dir, fmt.Sprint("n", i))}
 		if err := os.Mkdir(s.dir, 0o700); err != nil {
 			return err
 		}
-		if s.listen, err = farm.Port(schedulersAt, false); err == nil && r.set.Peers.On {
-			s.peer, err = farm.Port(peersAt, true)
-		}
-		if err != nil {
-			return err
-		}
-		listens, peers = append(listens, s.listen.String()), append(peers, s.peer)
+		listens = append(listens, s.listen.String())
 		r.schedulers = append(r.schedulers, s)
 	}
 	own := merged(map[string]any{"log": map[string]any{"level": "warn"}}, merged(r.set.Own, r.build.Own))
--- a/internal/front/admin/figures.go
+++ b/internal/front/admin/figures.go
@@ -13,7 +13,9 @@
 // served (fulfilled), refused (throttled) and failed (faulted) since the start, the attempts written whole to
 // the workers (relayed), as counters; the jobs taken and not ended (open_requests), the workers listed
 // (registry_entries) and those of them that get nothing new now, by hand or by choice (out_of_rotation), as
-// gauges. Each is read where it is kept, on the loop, at the moment of the call.
+// gauges. Where sites are watched, for each its state (0 whole, 1 suspect, 2 lost, 3 cut off, 4 returning) and how many
+// of its workers get nothing new for that, as gauges. Each is read where it is kept, on the loop, at the moment of the
+// call.
 func Figures(c *core.Core, clients Clients, classes []string) []byte {
 	b := make([]byte, 0, 96*len(classes)+160)
 	for i, name := range classes {
@@ -28,7 +30,12 @@
 	b = figure(b, "relayed", clients.Relayed(), 'c')
 	b = figure(b, "open_requests", uint64(c.Open()), 'g')
 	b = figure(b, "registry_entries", uint64(c.FarmSize()), 'g')
-	return figure(b, "out_of_rotation", uint64(c.Avoided()), 'g')
+	b = figure(b, "out_of_rotation", uint64(c.Avoided()), 'g')
+	for _, s := range c.Sites() {
+		b = figure(b, "site_state."+s.Name, uint64(s.State), 'g')
+		b = figure(b, "site_out."+s.Name, uint64(s.Out), 'g')
+	}
+	return b
 }
 
 func figure(b []byte, name string, v uint64, kind byte) []byte {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,9 @@
 		settings = core.SingleClasses(settings)
 	}
 	g.Core = core.New(g.Loop, settings, conf.Seed, log)
+	if conf.Sites.Plan {
+		g.Core.WatchSites(conf.Sites.Settings(&conf.Settings), conf.Names.Zones, conf.Seed)
+	}
 	desk := admission.NewDesk(g.Core, &conf.Names)
 	g.Front = platform.New(g.Core, conf, desk, log)
 	if conf.HTTP2.On() {
--- a/internal/platform/events.go
+++ b/internal/platform/events.go
@@ -38,6 +38,7 @@
 		return
 	}
 	f.reply(a, 204, nil, q.KeepAlive)
+	f.core.Answered(e.From)
 	if !out {
 		return // ended or withdrawn
 	}
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -146,6 +146,7 @@
 	}
 	k.got = func(r *http1.Response) {
 		c.link = nil
+		f.core.Answered(w.name)
 		load := parseLoad(r.Get(HeaderLoad))
 		switch {
 		case r.Status == 202:
@@ -158,8 +159,9 @@
 			f.core.Ended(ref, rules.Unknown, nil, load)
 		}
 	}
-	k.broken = func(_ string, mayHaveRead bool) {
+	k.broken = func(reason string, mayHaveRead bool) {
 		c.link = nil
+		f.noAnswer(w, reason)
 		status := rules.Unreachable
 		if mayHaveRead {
 			status = rules.Reset
@@ -167,9 +169,25 @@
 		f.core.Ended(ref, status, nil, rules.Load{})
 	}
 	k.still = func() bool { q, out := f.core.Find(t.ID, p.Worker); return out && q.Ref == ref }
+	f.core.Asked(w.name)
 	k.wanted(f, w)
 }
 
+// TellsSigns implements core.Signs: a table worker answers each request at once, whenever its job may run.
+func (f *Front) TellsSigns() {}
+
+// noAnswer tells what a connection that came to nothing says of its worker. One that was up and broke says nothing: it
+// may have been closed on the way.
+func (f *Front) noAnswer(w *workerLinks, reason string) {
+	switch reason {
+	case link.NotUp:
+		f.core.NotReached(w.name)
+	case link.NoAnswer: // it still owes the answer
+	default:
+		f.core.Dropped(w.name)
+	}
+}
+
 // finish ends a pass by a call-back. One that came before the 202 leaves the connection waiting for it.
 func (f *Front) finish(p *core.ProxyPass, status rules.Status, result []byte, load rules.Load) {
 	f.core.Ended(p.Ref, status, result, load)
@@ -180,8 +198,10 @@
 	c := p.Carried.(*carried)
 	switch c.state {
 	case dialing:
+		f.core.Dropped(p.Worker)
 		return false
 	case writing, sent:
+		f.core.Dropped(p.Worker)
 		// Before the 202 the protocol gives an attempt up by closing its connection.
 		c.link.call = nil
 		c.link.Close(link.GivenUp)
@@ -208,7 +228,9 @@
 	}
 	k := &call{safe: true, message: http1.AppendRequest(nil, "GET", PathLoad, w.address, -1)}
 	k.begin = func(l *workerLink) { f.limit(k, l, probeTime) }
+	f.core.Asked(w.name)
 	k.got = func(r *http1.Response) {
+		f.core.Answered(w.name)
 		load := parseLoad(r.Body)
 		if header := r.Get(HeaderLoad); load.Has == 0 && header != nil {
 			load = parseLoad(header)
@@ -220,6 +242,7 @@
 		}
 	}
 	k.broken = func(reason string, mayHaveRead bool) {
+		f.noAnswer(w, reason)
 		switch {
 		case reason == link.NoAnswer:
 			done(rules.TimedOut, rules.Load{})
--- /dev/null
+++ b/internal/sites/machine_test.go
@@ -0,0 +1,298 @@
+package sites
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// world answers a machine as its workers would: those that are there answer after a while, the others never.
+type world struct {
+	m      *Machine
+	now    Time
+	next   Time
+	there  map[string]bool
+	late   Time // an answer takes so long
+	coming []answer
+	outs   int
+	asks   int
+	backs  []string
+	states []string
+}
+
+type answer struct {
+	at     Time
+	worker string
+}
+
+func (w *world) Ask(worker string) {
+	w.asks++
+	w.ask(worker)
+}
+
+func (w *world) ask(worker string) {
+	w.m.Asked(w.now, worker)
+	if w.there[worker] {
+		w.coming = append(w.coming, answer{w.now + w.late, worker})
+	}
+}
+
+func (w *world) Out(string, bool)           { w.outs++ }
+func (w *world) Back(worker string, _ bool) { w.backs = append(w.backs, worker) }
+func (w *world) Changed(site int, from, to State) {
+	w.states = append(w.states, fmt.Sprint(site, ":", to))
+}
+
+func name(site, i int) string { return fmt.Sprintf("s%d-%d", site, i) }
+
+func newWorld(set Settings, sizes ...int) *world {
+	w := &world{now: second, there: map[string]bool{}, late: 3 * millisecond}
+	set.Sites = len(sizes)
+	w.m = New(set, 1, w.now, w)
+	var list []Member
+	for s, n := range sizes {
+		for i := range n {
+			list = append(list, Member{name(s, i), s})
+			w.there[name(s, i)] = true
+		}
+	}
+	w.m.Listed(w.now, list)
+	w.next = w.m.Turn(w.now)
+	return w
+}
+
+// run lets time pass; jobs a second go out, the i-th to the worker that to names (empty: to nobody).
+func (w *world) run(until Time, every Time, to func(i int) string) {
+	for i, job := 0, w.now; w.now < until; {
+		next := min(until, w.next)
+		if every > 0 {
+			next = min(next, job)
+		}
+		for _, a := range w.coming {
+			next = min(next, a.at)
+		}
+		w.now = max(w.now, next)
+		kept := w.coming[:0]
+		for _, a := range w.coming {
+			if a.at <= w.now {
+				w.m.Answered(w.now, a.worker)
+			} else {
+				kept = append(kept, a)
+			}
+		}
+		w.coming = kept
+		if every > 0 && w.now >= job {
+			job += every
+			if worker := to(i); worker != "" && !w.m.Out(worker) {
+				w.ask(worker)
+			}
+			i++
+		}
+		if w.now >= w.next {
+			w.next = w.m.Turn(w.now)
+		}
+	}
+}
+
+func (w *world) lose(site, n int, there bool) {
+	for i := range n {
+		w.there[name(site, i)] = there
+	}
+}
+
+func (w *world) state(site int) State {
+	s, _ := w.m.State(site)
+	return s
+}
+
+func (w *world) out(site int) int {
+	n, _ := w.m.OutOf(site)
+	return n
+}
+
+// spread sends jobs to all workers of two sites in turn.
+func spread(n int) func(int) string { return func(i int) string { return name(i%2, i*7/2%n) } }
+
+// A lost site is known within two waits of the first job that goes there, by a quiet scheduler as by a busy one, and a
+// scheduler with nothing to do knows it too.
+func TestALossIsKnown(t *testing.T) {
+	for _, every := range []Time{0, 20 * millisecond, 500 * millisecond} {
+		w := newWorld(Settings{MayAsk: true}, 30, 30)
+		w.run(w.now+10*second, every, spread(30))
+		require.Equal(t, Whole, w.state(1))
+		w.lose(1, 30, false)
+		lost := w.now
+		w.run(lost+2200*millisecond, every, spread(30))
+		require.Equal(t, Lost, w.state(1), "a job every %d us", every)
+		require.Equal(t, 30, w.out(1))
+		require.Zero(t, w.out(0))
+		_, since := w.m.State(1)
+		if every > 0 {
+			require.Less(t, since-lost, 2*every+8*w.m.wait())
+		}
+	}
+}
+
+// Where workers may not be asked jobs alone show it.
+func TestALossIsKnownWithoutProbes(t *testing.T) {
+	w := newWorld(Settings{}, 10, 10)
+	w.run(w.now+5*second, 50*millisecond, spread(10))
+	w.lose(1, 10, false)
+	w.run(w.now+2*second, 50*millisecond, spread(10))
+	require.Equal(t, Lost, w.state(1))
+	w.lose(1, 10, true)
+	w.run(w.now+10*second, 50*millisecond, spread(10))
+	require.Equal(t, Whole, w.state(1))
+	require.Zero(t, w.out(1))
+}
+
+// A third of a site that goes does not make it lost: those that are gone are taken out by themselves.
+func TestAThirdOfASite(t *testing.T) {
+	w := newWorld(Settings{MayAsk: true}, 30, 30)
+	w.run(w.now+5*second, 20*millisecond, spread(30))
+	w.lose(1, 10, false)
+	w.run(w.now+10*second, 20*millisecond, spread(30))
+	require.Equal(t, Whole, max(w.state(1), Whole)&^Suspect)
+	require.Equal(t, 10, w.out(1))
+	w.lose(1, 10, true)
+	w.run(w.now+10*second, 20*millisecond, spread(30))
+	require.Zero(t, w.out(1))
+}
+
+// A site that answers late is alive: patience follows what answers take.
+func TestASlowSiteIsAlive(t *testing.T) {
+	w := newWorld(Settings{MayAsk: true}, 30, 30)
+	w.run(w.now+5*second, 20*millisecond, spread(30))
+	w.late = 60 * millisecond
+	w.run(w.now+10*second, 20*millisecond, spread(30))
+	require.NotContains(t, w.states, "1:lost")
+	w.late = 300 * millisecond // all at once: held for lost for a moment, at most, and back by itself
+	w.run(w.now+20*second, 20*millisecond, spread(30))
+	require.Equal(t, Whole, max(w.state(1), Whole)&^Suspect)
+	require.Zero(t, w.out(0)+w.out(1))
+}
+
+// A host that was stopped has answers that it has not read: they are no evidence.
+func TestAStoppedHostLosesNobody(t *testing.T) {
+	w := newWorld(Settings{MayAsk: true}, 30, 30)
+	w.run(w.now+5*second, 20*millisecond, spread(30))
+	for i := range 10 {
+		w.ask(name(1, i))
+	}
+	w.coming, w.now = nil, w.now+5*second // it wakes, and its timers come before its sockets
+	w.next = w.m.Turn(w.now)
+	require.Zero(t, w.outs)
+	for i := range 10 {
+		w.m.Answered(w.now, name(1, i))
+	}
+	w.run(w.now+2*second, 20*millisecond, spread(30))
+	require.Zero(t, w.outs)
+}
+
+// If nobody answers at all it is not the sites that are lost: somebody is always left to send to.
+func TestSomebodyIsLeft(t *testing.T) {
+	w := newWorld(Settings{MayAsk: true}, 8, 8)
+	w.run(w.now+5*second, 20*millisecond, spread(8))
+	w.lose(0, 8, false)
+	w.lose(1, 8, false)
+	w.run(w.now+5*second, 20*millisecond, spread(8))
+	require.Less(t, w.out(0)+w.out(1), 16)
+}
+
+// All other sites gone at once, and ours there: rather we are cut off.
+func TestCutOff(t *testing.T) {
+	w := newWorld(Settings{MayAsk: true, Own: 0}, 8, 8, 8)
+	w.run(w.now+5*second, 20*millisecond, func(i int) string { return name(i%3, i%8) })
+	w.lose(1, 8, false)
+	w.lose(2, 8, false)
+	w.run(w.now+3*second, 20*millisecond, func(i int) string { return name(i%3, i%8) })
+	require.Equal(t, CutOff, w.state(1))
+	require.Equal(t, CutOff, w.state(2))
+	require.Equal(t, Whole, w.state(0))
+}
+
+// A site that is back is let back in steps, in an order that all schedulers share.
+func TestTheReturn(t *testing.T) {
+	var orders [][]string
+	for range 2 {
+		w := newWorld(Settings{MayAsk: true, ReturnWithin: 4 * second}, 20, 20)
+		w.run(w.now+5*second, 20*millisecond, spread(20))
+		w.lose(1, 20, false)
+		w.run(w.now+5*second, 20*millisecond, spread(20))
+		require.Equal(t, Lost, w.state(1))
+		w.lose(1, 20, true)
+		w.run(w.now+3*second, 20*millisecond, spread(20))
+		require.Equal(t, Returning, w.state(1))
+		require.Greater(t, w.out(1), 2)
+		require.Less(t, w.out(1), 18)
+		w.run(w.now+4*second, 20*millisecond, spread(20))
+		require.Equal(t, Whole, w.state(1))
+		require.Zero(t, w.out(1))
+		orders = append(orders, w.backs)
+	}
+	require.Equal(t, orders[0], orders[1])
+}
+
+// A site that comes and goes is trusted more slowly each time.
+func TestFlapping(t *testing.T) {
+	w := newWorld(Settings{MayAsk: true}, 10, 10)
+	w.run(w.now+5*second, 20*millisecond, spread(10))
+	var away []Time
+	for range 4 {
+		w.lose(1, 10, false)
+		w.run(w.now+5*second, 20*millisecond, spread(10))
+		back := w.now
+		w.lose(1, 10, true)
+		for w.state(1) != Returning && w.now < back+10*second {
+			w.run(w.now+25*millisecond, 20*millisecond, spread(10))
+		}
+		away = append(away, w.now-back)
+		w.run(back+5*second, 20*millisecond, spread(10))
+	}
+	require.Greater(t, away[3], 2*away[0])
+	require.Less(t, away[3], 5*second)
+}
+
+// Whatever goes and comes: somebody is left, what is out is let back once it answers for good, and questions stay few.
+func TestAnyFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sizes := rapid.SliceOfN(rapid.IntRange(1, 12), 2, 4).Draw(t, "sizes")
+		asks := rapid.Bool().Draw(t, "asks")
+		w := newWorld(Settings{MayAsk: asks}, sizes...)
+		all := 0
+		for _, n := range sizes {
+			all += n
+		}
+		every := Time(rapid.IntRange(5, 200).Draw(t, "every")) * millisecond
+		to := func(i int) string { s := i % len(sizes); return name(s, i/len(sizes)*5%sizes[s]) }
+		from := w.now
+		for range rapid.IntRange(1, 8).Draw(t, "faults") {
+			s := rapid.IntRange(0, len(sizes)-1).Draw(t, "site")
+			w.lose(s, rapid.IntRange(0, sizes[s]).Draw(t, "n"), rapid.Bool().Draw(t, "there"))
+			w.late = Time(rapid.IntRange(1, 400).Draw(t, "late")) * millisecond
+			w.run(w.now+Time(rapid.IntRange(50, 4000).Draw(t, "for"))*millisecond, every, to)
+			out := 0
+			for i := range sizes {
+				out += w.out(i)
+			}
+			if out >= all {
+				t.Fatalf("all %d are out", all)
+			}
+		}
+		if most := 40 + int((w.now-from)/second)*(3*all+10); w.asks > most {
+			t.Fatalf("%d questions in %d s", w.asks, (w.now-from)/second)
+		}
+		for i, n := range sizes {
+			w.lose(i, n, true)
+		}
+		w.late = 3 * millisecond
+		w.run(w.now+60*second, every, to)
+		for i := range sizes {
+			if w.out(i) > 0 {
+				t.Fatalf("%d of site %d, %s, are still out", w.out(i), i, w.state(i))
+			}
+		}
+	})
+}
--- a/rules/api.go
+++ b/rules/api.go
@@ -139,6 +139,16 @@
 	Gone
 )
 
+// Holder is who takes a worker out beside the list. Each lets back only what it took.
+type Holder int
+
+// The holders.
+const (
+	ByHand  Holder = iota // an operator
+	BySites               // the knowledge of sites: it does not answer
+	holders
+)
+
 // ListEntry is one worker of the list.
 type ListEntry struct {
 	Worker           WorkerID
--- a/rules/hold_test.go
+++ b/rules/hold_test.go
@@ -6,13 +6,13 @@
 // undone by one release; an unknown worker is owed a no.
 func TestHoldKeepsAWorkerOutUntilLetBack(t *testing.T) {
 	b := newBed(oneClass(Repeatable), fleet(4)...)
-	if !b.Hold(b.now, "w1", true) || !b.Hold(b.now, "w1", true) {
+	if !b.Hold(b.now, "w1", ByHand, true) || !b.Hold(b.now, "w1", ByHand, true) {
 		t.Fatal("a listed worker was not held")
 	}
-	if b.Hold(b.now, "w9", true) {
+	if b.Hold(b.now, "w9", ByHand, true) {
 		t.Fatal("an unknown worker was held")
 	}
-	b.Hold(b.now, "w9", false)
+	b.Hold(b.now, "w9", ByHand, false)
 	if n := b.Avoided(b.now); n != 1 {
 		t.Fatalf("avoided: %d, want 1", n)
 	}
@@ -29,7 +29,7 @@
 			t.Fatalf("%s, not held, got nothing", w)
 		}
 	}
-	b.Hold(b.now, "w1", false)
+	b.Hold(b.now, "w1", ByHand, false)
 	if n := b.Avoided(b.now); n != 0 {
 		t.Fatalf("avoided after the release: %d", n)
 	}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -111,7 +111,7 @@
 	watching      bool
 	askFails      int
 	buf           []*worker
-	byHand        map[WorkerID]WorkerState // Draining: taken out by an operator, whatever the list says
+	out           [holders]map[WorkerID]WorkerState // Draining: taken out, whatever the list says
 }
 
 // New makes a dispatcher. It emits through act, also from within New.
@@ -119,7 +119,8 @@
 	s = s.withDefaults()
 	d := &Dispatcher{
 		set: s, act: act, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
-		byID: map[WorkerID]*worker{}, requests: map[RequestID]*request{}, byHand: map[WorkerID]WorkerState{},
+		byID: map[WorkerID]*worker{}, requests: map[RequestID]*request{},
+		out:   [holders]map[WorkerID]WorkerState{{}, {}},
 		table: entries{byKey: map[uint64]*entry{}},
 		rings: make([][]uint64, s.Kinds+1), kinds: make([]kindStat, s.Kinds+1), wakeAt: math.MaxInt64,
 	}
@@ -369,13 +370,13 @@
 		w.tokens, w.tokensAt = 0, 0
 	}
 	w.ListEntry = *e
-	w.state = max(e.State, d.byHand[w.id])
+	w.state = max(e.State, d.out[ByHand][w.id], d.out[BySites][w.id])
 }
 
-// Hold takes a worker out by hand, draining whatever the list says, or back in; false: it is not listed.
-func (d *Dispatcher) Hold(now Time, id WorkerID, out bool) bool {
-	if delete(d.byHand, id); out {
-		d.byHand[id] = Draining // out twice is out once
+// Hold takes a worker out, draining whatever the list says, or back in; false: it is not listed.
+func (d *Dispatcher) Hold(now Time, id WorkerID, by Holder, out bool) bool {
+	if delete(d.out[by], id); out {
+		d.out[by][id] = Draining // out twice is out once
 	}
 	if w := d.byID[id]; w != nil && w.state != Gone {
 		d.listed(now, &w.ListEntry)
--- a/rules/structs.go
+++ b/rules/structs.go
@@ -353,11 +353,11 @@
 	return mix(h)
 }
 
-// Avoided counts the listed workers that get nothing new now, by hand or by choice: held by an operator, or
+// Avoided counts the listed workers that get nothing new now, by hand or by choice: held out, or
 // benched for their failures. It is a figure for the host's report and decides nothing.
 func (d *Dispatcher) Avoided(now Time) (n int) {
 	for _, w := range d.workers {
-		if w.state != Gone && (d.byHand[w.id] == Draining || w.benchUntil > now) {
+		if w.state != Gone && (w.state == Draining && w.ListEntry.State == Ready || w.benchUntil > now) {
 			n++
 		}
 	}
