--- a/internal/fleet/experiment/experiment.go
+++ b/internal/fleet/experiment/experiment.go
@@ -130,7 +130,7 @@
 	}
 	list = append(list, fleet.Build{Name: "new", Binary: o.Binary})
 	if o.Old != "" {
-		list = append(list, fleet.Build{Name: oldName, Binary: o.Old})
+		list = append(list, fleet.Build{Name: oldName, Binary: o.Old, Plain: true})
 	}
 	for _, arm := range o.Arms {
 		name, path, ok := strings.Cut(arm, "=")
--- a/internal/fleet/farm/gate.go
+++ b/internal/fleet/farm/gate.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log"
@@ -12,6 +13,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"cobaltflow/internal/fleet/relay"
@@ -40,7 +42,14 @@
 	if !at.IsValid() {
 		at = netip.AddrPortFrom(workersAt, 0)
 	}
-	ln, err := w.net.Listen(relay.Path{Kind: relay.Job, From: site, To: w.Site}, at)
+	path := relay.Path{Kind: relay.Job, From: site, To: w.Site}
+	ln, err := w.net.Listen(path, at)
+	// A process that is being started holds all sockets of ours until it becomes the program: one just closed may still
+	// listen there.
+	for tries := 0; errors.Is(err, syscall.EADDRINUSE) && tries < 200; tries++ {
+		time.Sleep(5 * time.Millisecond)
+		ln, err = w.net.Listen(path, at)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("table worker %s: %w", w.Name, err)
 	}
--- a/internal/fleet/relay/peers.go
+++ b/internal/fleet/relay/peers.go
@@ -21,8 +21,8 @@
 	ranks  map[netip.AddrPort]int
 
 	mu      sync.Mutex
-	Passed  uint64 // datagrams delivered
-	TooLong uint64 // over 256 bytes: never to be seen
+	passed  uint64
+	tooLong uint64
 }
 
 // NewPeers opens the addresses of schedulers at sites, whose own addresses are own.
@@ -70,7 +70,7 @@
 		}
 		if size > 256 {
 			p.mu.Lock()
-			p.TooLong++
+			p.tooLong++
 			p.mu.Unlock()
 			continue
 		}
@@ -90,7 +90,7 @@
 	for range times {
 		time.AfterFunc(wait+p.delay(), func() {
 			p.mu.Lock()
-			p.Passed++
+			p.passed++
 			p.mu.Unlock()
 			p.public[from].WriteToUDPAddrPort(data, p.own[to])
 		})
@@ -105,6 +105,13 @@
 	return each, p.all.LocalAddr().String()
 }
 
+// Counts are the datagrams that were delivered, and those over 256 bytes, which never should be.
+func (p *Peers) Counts() (passed, tooLong uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.passed, p.tooLong
+}
+
 // Close ends the relaying.
 func (p *Peers) Close() {
 	p.all.Close()
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -213,5 +213,6 @@
 	text, from = hear(2)
 	require.Equal(t, "two", text, "the first was lost at the cut, the second is too long")
 	require.Equal(t, each[1], from)
-	require.EqualValues(t, 1, p.TooLong)
+	_, tooLong := p.Counts()
+	require.EqualValues(t, 1, tooLong)
 }
--- a/internal/fleet/report/report.go
+++ b/internal/fleet/report/report.go
@@ -119,8 +119,9 @@
 	color.RGBA{140, 86, 75, 255}, color.RGBA{20, 150, 170, 255}, color.RGBA{110, 110, 110, 255}, color.RGBA{190, 20, 60, 255}}
 
 // chart makes an empty one with the faults marked.
-func chart(title, y string, most float64, marks []float64) (*plot.Plot, error) {
+func chart(title, y string, seconds, most float64, marks []float64) (*plot.Plot, error) {
 	p := plot.New()
+	p.X.Min, p.X.Max = 0, seconds*1.22 // room for the legend
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "seconds", y
 	p.Y.Min, p.Legend.Top = 0, false
 	if most > 0 {
@@ -151,7 +152,7 @@
 
 // served is the part of the worth that is earned, second by second, by site and by class.
 func served(s *scenario.Scenario, book *judge.Book, marks []float64) (*plot.Plot, error) {
-	p, err := chart("Worth earned within what was asked for, by when it was due", "part", 1, marks)
+	p, err := chart("Worth earned within what was asked for, by when it was due", "part", s.Seconds, 1, marks)
 	if err != nil {
 		return nil, err
 	}
@@ -201,7 +202,7 @@
 		count[how][at]++
 		most = max(most, count[how][at])
 	}
-	p, err := chart("Tries that were not served, by when they were sent", "a second", most, marks)
+	p, err := chart("Tries that were not served, by when they were sent", "a second", s.Seconds, most, marks)
 	if err != nil {
 		return nil, err
 	}
@@ -250,7 +251,7 @@
 		longest[len(longest)-1].Y = max(longest[len(longest)-1].Y, float64(x.Waiting))
 		most = max(most, running[k][len(running[k])-1].Y, waiting[k][len(waiting[k])-1].Y)
 	}
-	p, err := chart("Jobs at the table workers", "jobs", most, marks)
+	p, err := chart("Jobs at the table workers", "jobs", s.Seconds, most, marks)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleet/rig.go
+++ b/internal/fleet/rig.go
@@ -30,6 +30,7 @@
 	Binary string
 	Arm    string         // the name of what is changed in its own configuration; empty: nothing
 	Own    map[string]any // put over the scenario's
+	Plain  bool           // an earlier build, which may not know what the scenario puts over its configuration
 }
 
 // Options of a run.
@@ -143,7 +144,10 @@
 		listens = append(listens, s.listen.String())
 		r.schedulers = append(r.schedulers, s)
 	}
-	own := merged(map[string]any{"log": map[string]any{"level": "warn"}}, merged(r.set.Own, r.build.Own))
+	own := map[string]any{"log": map[string]any{"level": "warn"}}
+	if !r.build.Plain {
+		own = merged(own, merged(r.set.Own, r.build.Own))
+	}
 	r.own = filepath.Join(dir, "cobaltflow.json")
 	text, err := json.Marshal(own)
 	if err == nil {
@@ -298,7 +302,7 @@
 		}
 	}
 	if r.peers != nil {
-		a.Messages, a.TooLong = r.peers.Passed, r.peers.TooLong
+		a.Messages, a.TooLong = r.peers.Counts()
 	}
 }
 
--- a/internal/sites/machine.go
+++ b/internal/sites/machine.go
@@ -21,6 +21,8 @@
 	pause      = second / 4  // a host that comes so late to its turn was stopped: what was due meanwhile proves nothing
 	turnEvery  = 25 * millisecond
 	idleEvery  = second / 4
+	askRate    = 12.0       // questions a second, of all sites, at most: a host that is short of time finds many silent
+	askDepth   = 16.0       // and how many may be saved up
 	trialMost  = 2 * second // a single silent worker is asked again after this at the latest
 )
 
@@ -34,6 +36,8 @@
 	order   []*member // in an order that is the same at all schedulers
 	open    int       // members that are not out
 	turned  Time
+	asks    float64 // questions that may go out
+	askedAt Time
 	took    float64 // mean time to an answer, and its deviation
 	dev     float64
 	seen    float64
@@ -81,7 +85,8 @@
 			*d.at = d.otherwise
 		}
 	}
-	m := &Machine{set: set, act: act, rng: rand.New(rand.NewPCG(seed, 0x7369746573)), members: map[string]*member{}, turned: now}
+	m := &Machine{set: set, act: act, rng: rand.New(rand.NewPCG(seed, 0x7369746573)), members: map[string]*member{}, turned: now,
+		asks: askDepth, askedAt: now}
 	m.sites = make([]site, set.Sites)
 	for i := range m.sites {
 		m.sites[i].heard, m.sites[i].since = now, now
@@ -325,9 +330,7 @@
 	switch {
 	case w.doubted == 0:
 		w.doubted = now
-		if m.set.MayAsk {
-			m.act.Ask(w.Worker)
-		}
+		m.question(now, w)
 	case now-w.doubted > m.wait() && s.heard > w.asked && m.open > 1:
 		m.out(now, w, false)
 	}
@@ -347,7 +350,7 @@
 	if !w.out {
 		return
 	}
-	w.out, w.refused, w.doubted = false, 0, 0
+	w.out, w.asked, w.refused, w.doubted = false, 0, 0, 0 // what it owed from before proves nothing now
 	m.open++
 	m.act.Back(w.Worker, cold)
 }
@@ -365,8 +368,7 @@
 	w.trials++
 	w.trialAt = now + wait/2 + Time(m.rng.Float64()*float64(wait))
 	if m.set.MayAsk {
-		w.asked, w.refused = 0, 0
-		m.act.Ask(w.Worker)
+		m.question(now, w)
 	} else if w.trials > 1 {
 		m.back(w, false) // its next job shows
 	}
@@ -385,9 +387,22 @@
 	}
 	m.rng.Shuffle(len(some), func(a, b int) { some[a], some[b] = some[b], some[a] })
 	for _, w := range some[:min(n, len(some))] {
-		w.asked = 0
-		m.act.Ask(w.Worker)
+		m.question(now, w)
+	}
+}
+
+// question asks a worker for a sign of life, as far as there are questions to spare.
+func (m *Machine) question(now Time, w *member) {
+	m.asks = min(askDepth, m.asks+askRate*float64(now-m.askedAt)/float64(second))
+	m.askedAt = now
+	if !m.set.MayAsk || m.asks < 1 {
+		return
+	}
+	m.asks--
+	if w.out {
+		w.asked, w.refused = 0, 0 // what it owed from before is forgotten
 	}
+	m.act.Ask(w.Worker)
 }
 
 // lose takes a whole site out.
@@ -489,10 +504,9 @@
 		case !m.set.MayAsk:
 			m.back(w, true)
 			waits--
-		case w.asked == 0 || m.silent(now, w) && now >= w.trialAt:
-			w.asked, w.refused = 0, 0
+		case now >= w.trialAt && (w.asked == 0 || m.silent(now, w)):
 			w.trialAt = now + m.set.TrialEvery
-			m.act.Ask(w.Worker)
+			m.question(now, w)
 		}
 	}
 	silentFor := now - max(s.heard, s.since)
--- a/internal/sites/machine_test.go
+++ b/internal/sites/machine_test.go
@@ -148,6 +148,19 @@
 	require.Zero(t, w.out(1))
 }
 
+// A site of one worker, and no probes: what it owed when it was lost is not held against it when it is back.
+func TestASiteOfOneWithoutProbes(t *testing.T) {
+	w := newWorld(Settings{}, 1, 1)
+	to := func(i int) string { return name(i%2, 0) }
+	w.run(w.now+second, 80*millisecond, to)
+	w.lose(0, 1, false)
+	w.run(w.now+2*second, 80*millisecond, to)
+	require.Positive(t, w.outs)
+	w.lose(0, 1, true)
+	w.run(w.now+10*second, 80*millisecond, to)
+	require.Zero(t, w.out(0))
+}
+
 // A third of a site that goes does not make it lost: those that are gone are taken out by themselves.
 func TestAThirdOfASite(t *testing.T) {
 	w := newWorld(Settings{MayAsk: true}, 30, 30)
