Take a worker out that is listed at a lost site, and forget one that has left

Seen on reading the change again: a worker that discovery listed at a site while it was lost was marked as out in the machine and the host was never told, so that jobs went to it; and letting go of a worker that left the list raised the count of workers in rotation by one for good, so that the last one could be taken out (machine.go, Listed). The test fails without the mend at the first; the second went unseen.

The host is told of each; how many are left is counted where it is asked for, and kept nowhere.

--- a/internal/sites/machine.go
+++ b/internal/sites/machine.go
@@ -34,7 +34,6 @@
 	sites   []site
 	members map[string]*member
 	order   []*member // in an order that is the same at all schedulers
-	open    int       // members that are not out
 	turned  Time
 	asks    float64 // questions that may go out
 	askedAt Time
@@ -127,15 +126,16 @@
 			continue
 		}
 		w := m.members[x.Worker]
+		if w != nil && w.Site != x.Site {
+			m.back(w, false)
+		}
 		if w == nil || w.Site != x.Site {
 			w = &member{Member: x, hash: hash(x.Worker)}
 			m.members[x.Worker] = w
-			// A site that is lost stays lost when its list grows.
-			w.out = m.gone(x.Site)
 		}
 		w.listed = true
 	}
-	m.order, m.open = m.order[:0], 0
+	m.order = m.order[:0]
 	for i := range m.sites {
 		m.sites[i].size = 0
 	}
@@ -148,8 +148,8 @@
 		}
 		m.order = append(m.order, w)
 		m.sites[w.Site].size++
-		if !w.out {
-			m.open++
+		if m.gone(w.Site) { // it stays lost when its list grows
+			m.out(now, w, true)
 		}
 	}
 	slices.SortFunc(m.order, func(a, b *member) int { return cmp.Compare(a.hash, b.hash) })
@@ -232,7 +232,7 @@
 	}
 	need := min(m.set.Proof, s.size)
 	switch {
-	case proof >= need && m.others(i) > 0:
+	case proof >= need && m.left(i) > 0:
 		m.lose(now, i)
 		return true
 	case proof > 0:
@@ -255,10 +255,10 @@
 	return owing > 0
 }
 
-// others is how many workers may get jobs without a site.
-func (m *Machine) others(site int) (n int) {
+// left is how many workers may get jobs, but for those of a site; below 0: of all sites.
+func (m *Machine) left(but int) (n int) {
 	for _, w := range m.order {
-		if !w.out && w.Site != site {
+		if !w.out && w.Site != but {
 			n++
 		}
 	}
@@ -272,7 +272,7 @@
 	case w.doubted == 0:
 		w.doubted = now
 		m.question(now, w)
-	case now-w.doubted > m.wait() && s.heard > w.asked && m.open > 1:
+	case now-w.doubted > m.wait() && s.heard > w.asked && m.left(-1) > 1:
 		m.out(now, w, false)
 	}
 }
@@ -283,7 +283,6 @@
 	}
 	w.out, w.outAt, w.trials = true, now, 0
 	w.trialAt = now + m.set.TrialEvery
-	m.open--
 	m.act.Out(w.Worker, siteLost)
 }
 
@@ -292,7 +291,6 @@
 		return
 	}
 	w.out, w.asked, w.refused, w.doubted = false, 0, 0, 0 // what it owed from before proves nothing now
-	m.open++
 	m.act.Back(w.Worker, cold)
 }
 
@@ -452,7 +450,7 @@
 	}
 	silentFor := now - max(s.heard, s.since)
 	switch {
-	case owing >= min(m.set.Proof, s.size) && m.others(i) > 0, silentFor > 2*m.set.MostWait+m.set.QuietFor && owing > 0 && m.others(i) > 0:
+	case owing >= min(m.set.Proof, s.size) && m.left(i) > 0, silentFor > 2*m.set.MostWait+m.set.QuietFor && owing > 0 && m.left(i) > 0:
 		m.lose(now, i)
 	case waits == 0 || now-s.since > 2*within:
 		m.become(now, i, Whole) // those that have not answered are tried one by one
--- a/internal/sites/machine_test.go
+++ b/internal/sites/machine_test.go
@@ -161,6 +161,27 @@
 	require.Zero(t, w.out(0))
 }
 
+// A worker that is listed at a lost site is out like the others, and one that leaves the list is no longer anybody's.
+func TestTheListChangesWhileASiteIsLost(t *testing.T) {
+	w := newWorld(Settings{MayAsk: true}, 2, 6)
+	w.run(w.now+5*second, 20*millisecond, spread(2))
+	w.lose(1, 6, false)
+	w.run(w.now+3*second, 20*millisecond, spread(2))
+	require.Equal(t, Lost, w.state(1))
+	list := []Member{{name(0, 0), 0}, {name(0, 1), 0}, {"new", 1}}
+	for i := range 5 {
+		list = append(list, Member{name(1, i), 1})
+	}
+	outs := w.outs
+	w.m.Listed(w.now, list)
+	require.True(t, w.m.Out("new"))
+	require.Equal(t, outs+1, w.outs, "the host is told of it")
+	require.Equal(t, []string{name(1, 5)}, w.backs, "nothing is kept of one that has left")
+	w.there[name(0, 0)], w.there[name(0, 1)] = false, false
+	w.run(w.now+5*second, 20*millisecond, spread(2))
+	require.Less(t, w.out(0), 2, "somebody is left")
+}
+
 // A third of a site that goes does not make it lost: those that are gone are taken out by themselves.
 func TestAThirdOfASite(t *testing.T) {
 	w := newWorld(Settings{MayAsk: true}, 30, 30)
