--- a/internal/fleet/relay/listener.go
+++ b/internal/fleet/relay/listener.go
@@ -1,11 +1,13 @@
 package relay
 
 import (
+	"errors"
 	"net"
 	"net/netip"
 	"os"
 	"slices"
 	"sync"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -88,6 +90,7 @@
 	l.mute = mute
 	if !mute {
 		unix.Listen(l.fd, backlog)
+		l.ln.(*net.TCPListener).SetDeadline(time.Time{})
 		for _, fd := range l.block {
 			unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
 			unix.Close(fd)
@@ -97,18 +100,35 @@
 		return
 	}
 	l.ready = make(chan struct{})
+	// An Accept that stands would take what fills the queue, and leave a place for whoever comes next.
+	l.ln.(*net.TCPListener).SetDeadline(time.Unix(1, 0))
 	unix.Listen(l.fd, 0)
-	to, _ := unix.Getsockname(l.fd)
-	for range 3 {
-		fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK, 0)
-		if err != nil {
-			return
+	for tries, refused := 0, 0; tries < mostFilled && refused < surely; tries++ {
+		if refused++; l.fill() {
+			refused = 0
 		}
-		unix.Connect(fd, to)
-		l.block = append(l.block, fd)
 	}
 }
 
+const (
+	mostFilled = 24
+	surely     = 3 // connections in a row that do not come up: now and then a single one does not, and the next one does
+	comesUp    = 5 // milliseconds in which a connection on loopback comes up, if it does
+)
+
+// fill takes a place in the listener's own queue, and tells whether there was one.
+func (l *Listener) fill() bool {
+	to, _ := unix.Getsockname(l.fd)
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC|unix.SOCK_NONBLOCK, 0)
+	if err != nil {
+		return false
+	}
+	unix.Connect(fd, to)
+	l.block = append(l.block, fd)
+	up, _ := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLOUT}}, comesUp)
+	return up > 0
+}
+
 // Accept gives the next connection. One that the kernel took while the listener was silent is reset.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
@@ -117,18 +137,21 @@
 		l.mu.Unlock()
 		<-ready
 		c, err := l.ln.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			continue // it has fallen silent, or hears again since
+		}
 		if err != nil {
 			return nil, err
 		}
 		l.mu.Lock()
-		mute := l.mute
-		l.mu.Unlock()
-		if mute {
-			// It was let in by an Accept that stood already: its place in the queue is free again.
+		if l.mute { // it came as the listener fell silent: its place in the queue is free again
+			l.fill()
+			l.mu.Unlock()
 			c.(*net.TCPConn).SetLinger(0)
 			c.Close()
 			continue
 		}
+		l.mu.Unlock()
 		w := l.net.Wrap(c, l.path, false)
 		w.owner = l
 		return w, nil
