Read a run's records once, and drop state of the rig that nothing used

Judge worked out the figures and the planner's bound, and the tables and the report did so again: it gives the book along. Paths' names stood in two places and now are relay.Kind's; the grace of a drain stood in two and is the scenario's; sites hashes by hash/fnv; two like cases and two like fades of package sites are one each. Gone: a worker's count of fetches and its draining flag, a scheduler's front flag, a setting for probes, fields of a request that nobody read.

--- a/internal/fleet/experiment/experiment.go
+++ b/internal/fleet/experiment/experiment.go
@@ -71,11 +71,11 @@
 					return failed, err
 				}
 			}
-			checks, err := judge.Judge(rec)
+			checks, book, err := judge.Judge(rec)
 			if err != nil {
 				return failed, err
 			}
-			p := played{build: b.Name, seed: seed, book: judge.Read(s, rec), rec: rec, checks: checks}
+			p := played{build: b.Name, seed: seed, book: book, rec: rec, checks: checks}
 			all = append(all, p)
 		}
 	}
--- a/internal/fleet/farm/worker.go
+++ b/internal/fleet/farm/worker.go
@@ -27,29 +27,27 @@
 	back   *Backs
 	ports  []netip.AddrPort // by site, from the first start on
 
-	mu       sync.Mutex
-	rng      *rand.Rand
-	gates    []*gate // by site; nil: it does not run
-	life     int     // grows with each start
-	up       bool
-	silent   bool
-	draining bool
-	fallen   bool
-	started  time.Time // zero: long ago
-	slow     float64   // running times are multiplied by it
-	failing  bool
-	lying    bool
-	stuck    bool
-	running  []*job
-	queue    []*job
-	keys     []int32 // kept, the last used last
-	fetches  int
-	pushed   []push // work that came within the last while, for the cold budget
-	reports  []report
-	nextAt   time.Time
-	Probes   atomic.Int64
-	conns    atomic.Int64
-	meanRun  time.Duration
+	mu      sync.Mutex
+	rng     *rand.Rand
+	gates   []*gate // by site; nil: it does not run
+	life    int     // grows with each start
+	up      bool
+	silent  bool
+	fallen  bool
+	started time.Time // zero: long ago
+	slow    float64   // running times are multiplied by it
+	failing bool
+	lying   bool
+	stuck   bool
+	running []*job
+	queue   []*job
+	keys    []int32 // kept, the last used last
+	pushed  []push  // work that came within the last while, for the cold budget
+	reports []report
+	nextAt  time.Time
+	Probes  atomic.Int64
+	conns   atomic.Int64
+	meanRun time.Duration
 }
 
 type job struct {
@@ -58,7 +56,6 @@
 	life    int
 	timer   *time.Timer
 	begun   chan struct{} // closed when the call that tells of the start is over
-	takes   time.Duration
 	opening time.Duration // what its connection's opening cost
 }
 
@@ -94,7 +91,7 @@
 		w.ports[site] = netip.MustParseAddrPort(g.listener.Addr().String())
 	}
 	w.life++
-	w.up, w.silent, w.draining, w.fallen = true, false, false, false
+	w.up, w.silent, w.fallen = true, false, false
 	w.started = time.Time{}
 	if cold {
 		w.started = time.Now()
@@ -175,15 +172,15 @@
 func (w *Worker) Set(f func(*Behaviour)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	b := Behaviour{w.slow, w.failing, w.lying, w.stuck, w.draining}
+	b := Behaviour{w.slow, w.failing, w.lying, w.stuck}
 	f(&b)
-	w.slow, w.failing, w.lying, w.stuck, w.draining = b.Slow, b.Failing, b.Lying, b.Stuck, b.Draining
+	w.slow, w.failing, w.lying, w.stuck = b.Slow, b.Failing, b.Lying, b.Stuck
 }
 
 // Behaviour is what faults change at a worker that runs.
 type Behaviour struct {
-	Slow                            float64 // running times are multiplied by it
-	Failing, Lying, Stuck, Draining bool
+	Slow                  float64 // running times are multiplied by it
+	Failing, Lying, Stuck bool
 }
 
 // warmth is the part of its capacity that it has now.
@@ -262,14 +259,14 @@
 		j := w.queue[0]
 		w.queue = w.queue[1:]
 		w.running = append(w.running, j)
-		j.takes = time.Duration(float64(j.try.RunUS) * 1000 * w.slow / w.speed / w.warmth(now))
+		takes := time.Duration(float64(j.try.RunUS) * 1000 * w.slow / w.speed / w.warmth(now))
 		if w.fetch(j.try.Key) {
 			j.run.Fetched = true
-			j.takes += time.Duration(w.set.FetchMS * float64(time.Millisecond))
+			takes += time.Duration(w.set.FetchMS * float64(time.Millisecond))
 		}
-		j.takes += j.opening
+		takes += j.opening
 		j.run.StartedUS = w.book.Now()
-		j.timer = time.AfterFunc(j.takes, func() { w.finish(j) })
+		j.timer = time.AfterFunc(takes, func() { w.finish(j) })
 		go func() {
 			w.back.tell(w, j, "started", "")
 			close(j.begun)
@@ -288,7 +285,6 @@
 			return false
 		}
 	}
-	w.fetches++
 	if w.keys = append(w.keys, key); len(w.keys) > w.set.KeptKeys {
 		w.keys = w.keys[1:]
 	}
@@ -373,13 +369,6 @@
 	return w.fallen
 }
 
-// Fetches is how many keys it has brought.
-func (w *Worker) Fetches() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.fetches
-}
-
 // End notes the jobs that are still there when the run ends.
 func (w *Worker) End() {
 	w.mu.Lock()
--- a/internal/fleet/faults.go
+++ b/internal/fleet/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"syscall"
 	"time"
 
@@ -76,10 +77,7 @@
 	case "drain-workers":
 		ws := workers()
 		begin(0, func() {
-			each(ws, func(w *farm.Worker) {
-				w.Set(func(b *farm.Behaviour) { b.Draining = true })
-				r.discovery.Change(w, "draining", r.set.Discovery.AddS)
-			})
+			each(ws, func(w *farm.Worker) { r.discovery.Change(w, "draining", r.set.Discovery.AddS) })
 		})
 		end(0, func() {
 			each(ws, func(w *farm.Worker) { w.Stop(true) })
@@ -115,7 +113,7 @@
 			each(ss, func(s *scheduler) {
 				s.signal(syscall.SIGSTOP)
 				r.note(record.Event{What: "stopped", Text: s.name(), Scheduler: int32(s.number), Worker: -1})
-				r.noticed(s, func() bool { return !s.live() }, false)
+				r.gone(s)
 			})
 		})
 		end(0, func() {
@@ -173,15 +171,17 @@
 
 // loseWorkers has machines vanish, or their processes die. Of a silent one discovery tells later, or never.
 func (r *rig) loseWorkers(ws []*farm.Worker, silent, hung bool) {
+	var all sync.WaitGroup // at once: to fall silent takes some milliseconds
 	for _, w := range ws {
 		if silent {
-			w.Silence(hung)
+			all.Go(func() { w.Silence(hung) })
 			r.discovery.Change(w, "removed", r.set.Discovery.SilentS)
 		} else {
 			w.Stop(true)
 			r.discovery.Change(w, "removed", r.set.Discovery.NoticeS)
 		}
 	}
+	all.Wait()
 }
 
 func (r *rig) returnWorkers(ws []*farm.Worker, back string) {
@@ -206,18 +206,18 @@
 		// Noted first: a client may see the end before the signal has returned.
 		r.note(record.Event{What: "killed", Text: fmt.Sprint(s.name(), " ", sig), Scheduler: int32(s.number), Worker: -1})
 		s.signal(sig)
-		r.noticed(s, func() bool { return !s.live() }, false)
+		r.gone(s)
 	}
 }
 
-// noticed has the front learn of a scheduler's state after a while, if it is still so then.
-func (r *rig) noticed(s *scheduler, still func() bool, up bool) {
+// gone has the front notice after a while that a scheduler is not there, if it still is not then.
+func (r *rig) gone(s *scheduler) {
 	r.mu.Lock()
 	wait := r.set.Front.NoticeS.Draw(r.rng)
 	r.mu.Unlock()
 	time.AfterFunc(time.Duration(wait*float64(time.Second)), func() {
-		if still() {
-			r.front.set(s.number, up)
+		if !s.live() {
+			r.front.set(s.number, false)
 		}
 	})
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -48,7 +48,7 @@
 	t.Helper()
 	rec, err := Play(context.Background(), s, Build{Name: "test", Binary: binary}, Options{Seed: s.Seed})
 	require.NoError(t, err)
-	checks, err := judge.Judge(rec)
+	checks, _, err := judge.Judge(rec)
 	require.NoError(t, err)
 	for _, c := range checks {
 		require.True(t, c.Passed, "%s: %s", c.Name, c.Text)
--- a/internal/fleet/judge/figures.go
+++ b/internal/fleet/judge/figures.go
@@ -13,10 +13,8 @@
 	DueUS       int64
 	RunUS       int64
 	ReachedUS   int64 // when a scheduler first took it; below 0: never
-	EndedUS     int64 // of its last try
 	Served      bool
 	Refused     bool // in the end
-	Tries       int
 	Attempts    int
 	Earned      float64
 	Worth       float64 // at most
@@ -59,8 +57,6 @@
 		}
 		a := &b.Asked[len(b.Asked)-1]
 		ids[t.ID] = len(b.Asked) - 1
-		a.Tries++
-		a.EndedUS = t.EndedUS
 		if t.End != record.EndUnreachable && a.ReachedUS < 0 {
 			a.ReachedUS = t.SentUS
 		}
--- a/internal/fleet/judge/judge.go
+++ b/internal/fleet/judge/judge.go
@@ -22,17 +22,18 @@
 // machine adds.
 const slackUS = 150_000
 
-const graceUS = 1_000_000 // after which nothing new may go to a draining or gone worker
+const graceUS = scenario.DrainGraceS * 1e6 // after which nothing new may go to a draining or gone worker
 
-// Judge checks the records of a run.
-func Judge(rec *record.Records) ([]Check, error) {
+// Judge checks the records of a run, and gives the book of its figures.
+func Judge(rec *record.Records) ([]Check, *Book, error) {
 	s := &scenario.Scenario{}
 	if err := json.Unmarshal(rec.About.Scenario, s); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
+	book := Read(s, rec)
 	checks := []Check{answered(s, rec), right(rec), onceOnly(s, rec), drained(rec),
 		pushedOver(s, rec), crashes(rec), check("messages within 256 bytes", int(rec.About.TooLong), nil)}
-	return append(checks, limits(s, rec)...), nil
+	return append(checks, limits(s, book)...), book, nil
 }
 
 // check makes a check of a number of faults; what tells of one of them.
@@ -209,8 +210,7 @@
 	return check("no process crashed", len(bad), func(i int) string { return bad[i] })
 }
 
-func limits(s *scenario.Scenario, rec *record.Records) (checks []Check) {
-	book := Read(s, rec)
+func limits(s *scenario.Scenario, book *Book) (checks []Check) {
 	for _, l := range s.Limits {
 		w := scenario.Window{Name: "the run", FromS: 0, ToS: s.Seconds}
 		for _, x := range s.Windows {
--- a/internal/fleet/judge/judge_test.go
+++ b/internal/fleet/judge/judge_test.go
@@ -97,7 +97,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			rec := sound(t)
 			c.spoil(rec)
-			checks, err := Judge(rec)
+			checks, _, err := Judge(rec)
 			require.NoError(t, err)
 			failed := ""
 			for _, x := range checks {
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -35,7 +35,6 @@
 	alive   bool          // started, and not told to end
 	stopped bool          // by SIGSTOP
 	wanted  bool          // an end of it is no crash
-	front   bool          // the front sends clients here
 }
 
 var (
@@ -216,7 +215,7 @@
 		"classes": classes, "dcs": zones, "kinds": kinds, "locality": site, "discovery": sc.Discovery.Mode,
 		"domainType": "jobs", "groupSize": len(sc.Schedulers()), "rank": rank,
 		"report": map[string]any{"fields": []string{"waiting", "avg_ms", "active", "x0"}, "how": map[bool]string{true: "probe", false: "none"}[w.Probes]},
-		"rules": map[string]any{"answerSlackUs": us(0.016), "askWithinUs": us(10), "coldFrom": w.ColdFrom, "drainGraceUs": us(drainGrace.Seconds()),
+		"rules": map[string]any{"answerSlackUs": us(0.016), "askWithinUs": us(10), "coldFrom": w.ColdFrom, "drainGraceUs": us(scenario.DrainGraceS),
 			"overloadFactor": w.OverloadFactor, "tipAfterUs": us(w.TipAfterS), "warmWithinUs": us(w.WarmS)},
 		"specifics": map[string]any{"classKind": kind, "classPriority": priority, "classStretch": stretch, "queueOrder": "fifo",
 			"reportX0": "free_slots", "tellsStart": true, "progressUs": 0},
@@ -224,9 +223,6 @@
 	}
 }
 
-// drainGrace is how long sends to a draining or gone worker may go on.
-const drainGrace = time.Second
-
 // merged puts one object over another, key by key.
 func merged(below, over map[string]any) map[string]any {
 	out := maps.Clone(below)
--- a/internal/fleet/relay/net.go
+++ b/internal/fleet/relay/net.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -22,12 +23,15 @@
 	Kinds
 )
 
-// KindOf gives a kind by its name in scenario files.
+var names = [Kinds]string{"client", "job", "back", "list", "peer"}
+
+// String is a kind's name in scenario files and records.
+func (k Kind) String() string { return names[k] }
+
+// KindOf gives a kind by its name; Kinds: there is none of it.
 func KindOf(name string) Kind {
-	for k, n := range []string{"client", "job", "back", "list", "peer"} {
-		if n == name {
-			return Kind(k)
-		}
+	if k := slices.Index(names[:], name); k >= 0 {
+		return Kind(k)
 	}
 	return Kinds
 }
@@ -75,7 +79,7 @@
 func (n *Net) Change(kinds []Kind, from, to int, both bool, f func(*Trouble)) {
 	n.mu.Lock()
 	for k := Kind(0); k < Kinds; k++ {
-		if len(kinds) > 0 && !contains(kinds, k) {
+		if len(kinds) > 0 && !slices.Contains(kinds, k) {
 			continue
 		}
 		for a := range n.sites {
@@ -97,21 +101,12 @@
 	}
 }
 
-func contains(kinds []Kind, k Kind) bool {
-	for _, x := range kinds {
-		if x == k {
-			return true
-		}
-	}
-	return false
-}
-
 // Reset breaks the open connections of the paths, in both directions, a share of them (0: all).
 func (n *Net) Reset(kinds []Kind, from, to int, share float64) int {
 	n.mu.Lock()
 	var hit []*Conn
 	for c := range n.conns {
-		if len(kinds) > 0 && !contains(kinds, c.path.Kind) || share > 0 && n.rng.Float64() >= share {
+		if len(kinds) > 0 && !slices.Contains(kinds, c.path.Kind) || share > 0 && n.rng.Float64() >= share {
 			continue
 		}
 		if (from < 0 || c.path.From == from || c.path.To == from) && (to < 0 || c.path.From == to || c.path.To == to) {
--- a/internal/fleet/report/report.go
+++ b/internal/fleet/report/report.go
@@ -70,10 +70,10 @@
 	if err := json.Unmarshal(rec.About.Scenario, s); err != nil {
 		return run, err
 	}
-	if run.Checks, err = judge.Judge(rec); err != nil {
+	var book *judge.Book
+	if run.Checks, book, err = judge.Judge(rec); err != nil {
 		return run, err
 	}
-	book := judge.Read(s, rec)
 	run.Title = fmt.Sprintf("%s, build %s, seed %d", s.Name, rec.About.Build, rec.About.Seed)
 	run.About = s.About
 	for _, w := range append(slices.Clone(s.Windows), scenario.Window{Name: "all", ToS: s.Seconds}) {
--- a/internal/fleet/rig.go
+++ b/internal/fleet/rig.go
@@ -291,9 +291,9 @@
 func (r *rig) about(a *record.About) {
 	a.Scenario, _ = json.Marshal(r.set)
 	a.Seed, a.Build, a.Arm, a.Passed = r.seed, r.build.Name, r.build.Arm, map[string]record.Path{}
-	for k, name := range []string{"client", "job", "back", "list", "peer"} {
-		t := r.net.Traffic(relay.Kind(k))
-		a.Passed[name] = record.Path{Opened: t.Opened, Messages: t.Messages, Bytes: t.Bytes}
+	for k := range relay.Kinds {
+		t := r.net.Traffic(k)
+		a.Passed[k.String()] = record.Path{Opened: t.Opened, Messages: t.Messages, Bytes: t.Bytes}
 	}
 	for _, w := range r.workers {
 		a.Probes += w.Probes.Load()
--- a/internal/fleet/scenario/scenario.go
+++ b/internal/fleet/scenario/scenario.go
@@ -97,11 +97,10 @@
 	ReportDelayS   Range   `json:"report_delay_s"` // and seen so much later
 	Noise          float64 // of a report's figures, as a part of them
 	Connections    int     // held at most, each worker
-	ConnectMS      float64 `json:"connect_ms"`       // the first request on a new connection takes so much longer
-	KeptKeys       int     `json:"kept_keys"`        // 0: keys cost nothing
-	FetchMS        float64 `json:"fetch_ms"`         // a key that is not kept takes so much longer
-	IdleS          float64 `json:"idle_connect_s"`   // idle connections are closed after it
-	ProbesMS       float64 `json:"probe_timeout_ms"` // unused where probes are off
+	ConnectMS      float64 `json:"connect_ms"`     // the first request on a new connection takes so much longer
+	KeptKeys       int     `json:"kept_keys"`      // 0: keys cost nothing
+	FetchMS        float64 `json:"fetch_ms"`       // a key that is not kept takes so much longer
+	IdleS          float64 `json:"idle_connect_s"` // idle connections are closed after it
 	Probes         bool
 }
 
@@ -318,6 +317,9 @@
 	MostWorkers    = 200
 )
 
+// DrainGraceS is how long schedulers may go on sending to a draining or gone worker.
+const DrainGraceS = 1
+
 // Site gives a site's number; -1: there is none of that name.
 func (s *Scenario) Site(name string) int {
 	return slices.IndexFunc(s.Sites, func(x Site) bool { return x.Name == name })
--- a/internal/sites/machine.go
+++ b/internal/sites/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"hash/fnv"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -347,7 +348,7 @@
 // lose takes a whole site out.
 func (m *Machine) lose(now Time, i int) {
 	s := &m.sites[i]
-	s.flaps = s.flaps*math.Exp2(-float64(now-s.flapAt)/float64(flapFade)) + 1
+	s.flaps = s.flapsNow(now) + 1
 	s.flapAt, s.answers, s.checks = now, 0, 0
 	s.trialAt = now + m.trialWait()
 	for _, w := range m.order {
@@ -409,11 +410,15 @@
 
 // trust is how long a site must have answered before it is let back.
 func (m *Machine) trust(now Time, i int) Time {
-	s := &m.sites[i]
-	flaps := s.flaps * math.Exp2(-float64(now-s.flapAt)/float64(flapFade))
+	flaps := m.sites[i].flapsNow(now)
 	return Time(float64(m.set.Distrust) * (math.Exp2(min(flapMost, max(0, flaps-1))) - 0.5))
 }
 
+// flapsNow is how often a site was lost of late.
+func (s *site) flapsNow(now Time) float64 {
+	return s.flaps * math.Exp2(-float64(now-s.flapAt)/float64(flapFade))
+}
+
 // returning lets workers back in steps, in the order of their hashes, which is the same at all schedulers: keys go home
 // together. Each is asked before. A site none of which answers any more is lost again.
 func (m *Machine) returning(now Time, i int) {
@@ -437,10 +442,7 @@
 			continue
 		}
 		switch {
-		case w.heard > s.since-m.set.TrialEvery && w.heard > w.outAt:
-			m.back(w, true)
-			waits--
-		case !m.set.MayAsk:
+		case !m.set.MayAsk || w.heard > s.since-m.set.TrialEvery && w.heard > w.outAt:
 			m.back(w, true)
 			waits--
 		case now >= w.trialAt && (w.asked == 0 || m.silent(now, w)):
@@ -459,10 +461,9 @@
 
 // hash is the FNV-1a of a name, mixed: the same at all schedulers.
 func hash(name string) uint64 {
-	h := uint64(14695981039346656037)
-	for i := range len(name) {
-		h = (h ^ uint64(name[i])) * 1099511628211
-	}
+	f := fnv.New64a()
+	f.Write([]byte(name))
+	h := f.Sum64()
 	h ^= h >> 31
 	h *= 0x9e3779b97f4a7c15
 	return h ^ h>>29
