Pass a request's header fields on to its worker, but for those of the hop

A build that printed both sides showed that the client of a by_key class sends Idempotency-Key, and that the worker gets method, target, body and id but not that field.

At fault: platform/pool.go, Carry, wrote a request anew from the fields that the program knows. A worker tells a repeat from a new request by the key, so that without it a repeat would run twice; the same would hold for any field not known here.

Change: admission collects all end-to-end fields as they came (RFC 9110, 7.6.1: those named by Connection, and the hop's own, stay), core.Work carries them to transports that have such, the pool writes them behind its own. HTTP/2 the same. No field is known by name.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -17,6 +17,7 @@
 	Target string // what is to be done, in the form of a path and query
 	Key    string // what it concerns; may be empty
 	Body   []byte // valid until the transaction's Released call
+	Fields []byte // further header fields for the worker, in the form of HTTP/1.1's field lines; not for other transports
 }
 
 // Transaction is one request of a user agent.
--- a/internal/front/admission/admission.go
+++ b/internal/front/admission/admission.go
@@ -38,6 +38,29 @@
 	Body                 []byte // valid until the transaction is released
 	// Header gives a header's first value and how often it stands there.
 	Header func(name string) (value []byte, count int)
+	// Fields appends each of its header fields with AppendField; nil: there are none to pass on.
+	Fields func(b []byte) []byte
+}
+
+// notPassed are the fields that end at a hop (RFC 9110, section 7.6.1), and those that a transport writes itself.
+var notPassed = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
+	"Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Host", "Content-Length", HeaderID, HeaderClass, HeaderTimeLeft}
+
+// AppendField appends a field of a request as the worker is to have it: all that are not for this hop alone pass
+// unchanged, known here or not. By one of them, as an idempotency key, a worker may tell a repeat from a new request.
+// connection is what the request's Connection field says, which names further ones for this hop.
+func AppendField[T ~string | ~[]byte](b []byte, name, value, connection T) []byte {
+	for _, own := range notPassed {
+		if strings.EqualFold(own, string(name)) {
+			return b
+		}
+	}
+	for option := range strings.SplitSeq(string(connection), ",") {
+		if strings.EqualFold(strings.TrimSpace(option), string(name)) {
+			return b
+		}
+	}
+	return append(append(append(append(b, name...), ": "...), value...), "\r\n"...)
 }
 
 // Fault is a request that can't be served.
@@ -79,6 +102,9 @@
 	if tenant, n := q.Header(HeaderTenant); n == 1 {
 		t.Work.Tenant = d.names.Tenant(tenant)
 	}
+	if q.Fields != nil {
+		t.Work.Fields = q.Fields(nil)
+	}
 	t.Agent = agent
 	t.Deadline = d.core.Loop.Now() + max(core.Millisecond, t.Deadline-answerMargin)
 	if !d.core.Take(t) {
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -87,7 +87,13 @@
 		s.local("GET", func() { s.tell(strings.TrimPrefix(path, PathJobs)) })
 		return
 	}
-	t, fault := f.desk.Admit(&admission.Request{Method: h.method, Target: h.path, Path: path, Body: s.body, Header: h.get}, s)
+	t, fault := f.desk.Admit(&admission.Request{Method: h.method, Target: h.path, Path: path, Body: s.body, Header: h.get,
+		Fields: func(b []byte) []byte {
+			for _, field := range h.fields {
+				b = admission.AppendField(b, field.Name, field.Value, "")
+			}
+			return b
+		}}, s)
 	if fault != nil {
 		if fault.Allow != "" {
 			s.respond(fault.Status, []byte(fault.Text+"\n"), "allow", fault.Allow)
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -413,14 +413,15 @@
 	return append(append(b, crlf...), body...)
 }
 
-// AppendRequest appends the head of a request whose body has the given length; below zero: none.
-func AppendRequest(b []byte, method, target, host string, length int, extra ...string) []byte {
+// AppendRequest appends the head of a request whose body has the given length; below zero: none. Lines are further
+// field lines, as they are to stand there.
+func AppendRequest(b []byte, method, target, host string, length int, lines []byte, extra ...string) []byte {
 	b = append(append(append(append(b, method...), ' '), target...), " HTTP/1.1\r\nHost: "...)
 	b = append(append(b, host...), crlf...)
 	if length >= 0 {
 		b = appendLength(b, length)
 	}
-	return append(appendExtra(b, extra), crlf...)
+	return append(append(appendExtra(b, extra), lines...), crlf...)
 }
 
 func appendLength(b []byte, n int) []byte {
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -130,5 +130,5 @@
 	assert.Equal(t, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 1\r\nConnection: close\r\nRetry-After: 2\r\n\r\nx",
 		string(AppendResponse(nil, 503, false, []byte("x"), "Retry-After", "2")))
 	assert.Equal(t, "HTTP/1.1 204 No Content\r\n\r\n", string(AppendResponse(nil, 204, true, nil)))
-	assert.Equal(t, "DELETE /jobs/a HTTP/1.1\r\nHost: h\r\n\r\n", string(AppendRequest(nil, "DELETE", "/jobs/a", "h", -1)))
+	assert.Equal(t, "DELETE /jobs/a HTTP/1.1\r\nHost: h\r\n\r\n", string(AppendRequest(nil, "DELETE", "/jobs/a", "h", -1, nil)))
 }
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -411,7 +411,13 @@
 // open turns a request into a transaction; what can't be one is answered and reaches no worker.
 func (f *Front) open(a *agentLink, q *http1.Request, path string) bool {
 	t, fault := f.desk.Admit(&admission.Request{Method: string(q.Method), Target: string(q.Target), Path: path, Body: q.Body,
-		Header: func(name string) ([]byte, int) { return q.Get(name), q.Count(name) }}, a)
+		Header: func(name string) ([]byte, int) { return q.Get(name), q.Count(name) }, Fields: func(b []byte) []byte {
+			connection := q.Get("Connection")
+			for _, h := range q.Headers {
+				b = admission.AppendField(b, h.Name, h.Value, connection)
+			}
+			return b
+		}}, a)
 	if fault != nil {
 		f.refuseInput(a, fault.Status, fault.Text)
 		return false
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -132,8 +132,9 @@
 	}
 	left := min(max(1, t.Left(f.loop.Now())/core.Millisecond), admission.LongestLeft)
 	// The message is a copy: its writer may still be at it when the transaction is over.
-	message := http1.AppendRequest(make([]byte, 0, 320+len(t.Work.Body)), "POST", t.Work.Target, w.address, len(t.Work.Body),
-		HeaderID, t.ID, HeaderClass, f.conf.Names.Classes[t.Work.Class], HeaderTimeLeft, strconv.FormatInt(left, 10))
+	message := http1.AppendRequest(make([]byte, 0, 320+len(t.Work.Fields)+len(t.Work.Body)), "POST", t.Work.Target, w.address,
+		len(t.Work.Body), t.Work.Fields, HeaderID, t.ID, HeaderClass, f.conf.Names.Classes[t.Work.Class],
+		HeaderTimeLeft, strconv.FormatInt(left, 10))
 	k := &call{message: append(message, t.Work.Body...)}
 	k.begin = func(l *workerLink) { c.state, c.link = writing, l }
 	k.wrote = func(err error) {
@@ -208,7 +209,7 @@
 		return true
 	}
 	if w := f.pool.workers[p.Worker]; w != nil {
-		k := &call{safe: true, message: http1.AppendRequest(nil, "DELETE", PathJobs+p.Transaction.ID, w.address, -1)}
+		k := &call{safe: true, message: http1.AppendRequest(nil, "DELETE", PathJobs+p.Transaction.ID, w.address, -1, nil)}
 		k.begin = func(l *workerLink) { f.limit(k, l, deleteTime) }
 		k.got = func(*http1.Response) {}
 		k.broken = func(string, bool) {}
@@ -226,7 +227,7 @@
 		f.loop.Post(func() { done(rules.Unreachable, rules.Load{}) })
 		return
 	}
-	k := &call{safe: true, message: http1.AppendRequest(nil, "GET", PathLoad, w.address, -1)}
+	k := &call{safe: true, message: http1.AppendRequest(nil, "GET", PathLoad, w.address, -1, nil)}
 	k.begin = func(l *workerLink) { f.limit(k, l, probeTime) }
 	f.core.Asked(w.name)
 	k.got = func(r *http1.Response) {
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -206,7 +206,7 @@
 }
 
 func (w *watch) ask(l *link.Link, target string) {
-	l.Send(w.f.loop, link.Outgoing{Message: http1.AppendRequest(nil, "GET", target, w.address, -1)})
+	l.Send(w.f.loop, link.Outgoing{Message: http1.AppendRequest(nil, "GET", target, w.address, -1, nil)})
 }
 
 func (w *watch) follow(l *link.Link) {
