Ask again whether an attempt may begin when its connection comes up

In platform/pool.go the dial's end asked only whether the attempt was still out (wanted), and the second dial from breakOff did not ask even that of anything new.

Ruled out: connections that are up (idle ones are used in the turn of the decision).

Change: Dispatcher.Begin decides (closed, past the deadline, worker not Ready or another process than at the decision, a repeat that the class does not allow any more); Core.Begin asks it as the first byte is about to leave, and an attempt that may not begin ends as NotSent and goes elsewhere as its class permits. The connection rests for others. A call that waits for its second connection counts as not left (state dialing): withdrawn there it was taken for one that may have run, and a client of a once class got 500 for a request that never left. A worker that moved while dialled is not spoken to at its old address. No descriptor left for a worker says nothing of that worker (NotSent, before: Unreachable, which benched it), and owes no sign of life.

The mend for descriptors has no test of its own.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -306,6 +306,20 @@
 	c.settle(t)
 }
 
+// Begin tells a carrier whether a pass may begin now, as its first byte is about to leave: the client may have gone
+// since, or the worker, or the time in which it may be repeated. A pass that may not ends as not sent, in a later turn.
+func (c *Core) Begin(ref Ref) bool {
+	p, ok := c.passes.Get(ref)
+	if !ok {
+		return false
+	}
+	if p.Transaction.Pool.dispatcher.Begin(c.Loop.now, rules.RequestID(p.Transaction.ID), p.Number) {
+		return true
+	}
+	c.Loop.Post(func() { c.Ended(ref, rules.NotSent, nil, rules.Load{}) })
+	return false
+}
+
 // Started reports that a pass's job has started.
 func (c *Core) Started(ref Ref) {
 	if p, ok := c.passes.Get(ref); ok {
--- /dev/null
+++ b/internal/platform/export_test.go
@@ -0,0 +1,50 @@
+package platform
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
+)
+
+// HoldDials has each connection to a worker wait, once it is up, until the test lets it go. It is called on the loop.
+// The channel gives the address of each that is up.
+func (f *Front) HoldDials(t *testing.T) (up chan string, letGo chan struct{}) {
+	up, letGo = make(chan string, 16), make(chan struct{}, 16)
+	ended := make(chan struct{})
+	t.Cleanup(func() { close(ended) })
+	f.pool.dial = func(address string, within time.Duration) (netpoll.Connection, error) {
+		nc, err := dialTCP(address, within)
+		up <- address
+		select {
+		case <-letGo:
+		case <-ended:
+		}
+		return nc, err
+	}
+	return up, letGo
+}
+
+// BreakIdle has the next write on each idle connection to a worker fail in the call itself, as on one that the worker
+// has closed and that nobody has noticed yet. It is called on the loop.
+func (f *Front) BreakIdle(t *testing.T) {
+	for _, w := range f.pool.workers {
+		for _, l := range w.idle {
+			if err := unix.Shutdown(l.NC.(netpoll.Conn).Fd(), unix.SHUT_WR); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+}
+
+// Idle is the number of idle connections to workers.
+func (f *Front) Idle() (n int) {
+	for _, w := range f.pool.workers {
+		n += len(w.idle)
+	}
+	return n
+}
+
+// Dials is the number of connections to workers that are not up yet.
+func (f *Front) Dials() int { return f.pool.dials }
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -41,6 +41,7 @@
 	workers map[string]*workerLinks
 	links   core.Table[*workerLink]
 	dials   int
+	dial    func(address string, within time.Duration) (netpoll.Connection, error) // blocks
 	idleFor core.Time
 	connect core.Time
 
@@ -80,6 +81,8 @@
 	safe    bool        // it may be sent twice
 	fresh   bool        // only a new connection will do
 	still   func() bool // whether it is wanted yet; nil: it is
+	may     func() bool // whether it may begin now, asked as its first byte is about to leave; nil: it may
+	waits   func()      // it waits for a new connection, nothing of it has left
 	written bool
 	gone    bool // the connection went while the writer was still at it
 }
@@ -92,7 +95,11 @@
 	if connect <= 0 {
 		connect = 150 * core.Millisecond
 	}
-	return pool{f: f, workers: map[string]*workerLinks{}, idleFor: idle - max(idle/5, min(idle/2, 2*core.Second)), connect: connect}
+	return pool{f: f, workers: map[string]*workerLinks{}, dial: dialTCP, idleFor: idle - max(idle/5, min(idle/2, 2*core.Second)), connect: connect}
+}
+
+func dialTCP(address string, within time.Duration) (netpoll.Connection, error) {
+	return netpoll.DialConnection("tcp", address, within)
 }
 
 // addresses takes the addresses of a list. Of a process that has gone or was started anew nothing is
@@ -136,6 +143,7 @@
 		len(t.Work.Body), t.Work.Fields, HeaderID, t.ID, HeaderClass, f.conf.Names.Classes[t.Work.Class],
 		HeaderTimeLeft, strconv.FormatInt(left, 10))
 	k := &call{message: append(message, t.Work.Body...)}
+	k.waits = func() { c.state, c.link = dialing, nil }
 	k.begin = func(l *workerLink) { c.state, c.link = writing, l }
 	k.wrote = func(err error) {
 		if err == nil {
@@ -164,11 +172,15 @@
 		c.link = nil
 		f.noAnswer(w, reason)
 		status := rules.Unreachable
-		if mayHaveRead {
+		switch {
+		case mayHaveRead:
 			status = rules.Reset
+		case reason == link.OverBudget:
+			status = rules.NotSent // which says nothing of the worker
 		}
 		f.core.Ended(ref, status, nil, rules.Load{})
 	}
+	k.may = func() bool { return f.core.Begin(ref) }
 	k.still = func() bool { q, out := f.core.Find(t.ID, p.Worker); return out && q.Ref == ref }
 	f.core.Asked(w.name)
 	k.wanted(f, w)
@@ -266,6 +278,9 @@
 func (k *call) wanted(f *Front, w *workerLinks) {
 	p := &f.pool
 	oldest := f.loop.Now() - p.keepsFor(w)
+	if k.waits != nil {
+		k.waits()
+	}
 	for n := len(w.idle); n > 0 && !k.fresh; n = len(w.idle) {
 		l := w.idle[n-1]
 		if !k.safe && l.since < oldest {
@@ -284,9 +299,9 @@
 		return
 	}
 	p.dials++
-	address, began := w.address, f.loop.Now()
+	address, began, dial := w.address, f.loop.Now(), p.dial
 	go func() { // a dial blocks, so it is run outside the loop
-		nc, err := netpoll.DialConnection("tcp", address, time.Duration(p.connect)*time.Microsecond)
+		nc, err := dial(address, time.Duration(p.connect)*time.Microsecond)
 		f.loop.Post(func() {
 			p.dials--
 			if err != nil {
@@ -298,8 +313,9 @@
 			}
 			f.isUp(address)
 			l := p.add(nc, w, address)
-			if k.still != nil && !k.still() {
-				l.rest()
+			if address != w.address { // the worker has moved since
+				l.Close(link.Moved)
+				k.broken(link.Moved, false)
 				return
 			}
 			l.use(k)
@@ -338,8 +354,14 @@
 	return l
 }
 
-// use puts a call on the connection.
+// use puts a call on the connection. One that may not begin any more has ended, and leaves the connection to others.
 func (l *workerLink) use(k *call) {
+	if k.may != nil && !k.may() {
+		idle := l.since
+		l.rest()
+		l.since = idle
+		return
+	}
 	l.call = k
 	now := l.f.loop.Now()
 	l.rested, l.since = now-l.since, now
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -66,6 +66,7 @@
 		Faktory: config.DefaultFaktory(), HTTP2: config.DefaultHTTP2(),
 	}
 	n.Conf.Known = n.Farm.Tell(true, entries("up", workers)...)
+	n.Farm.Whole(n.Conf.Known)
 	if change != nil {
 		change(n.Conf)
 	}
@@ -78,7 +79,7 @@
 		close(n.Ended)
 	}()
 	for _, w := range workers {
-		w.backTo(n.URL(platform.PathEvents))
+		w.BackTo(n)
 	}
 	t.Cleanup(func() {
 		n.Loop.Post(n.Loop.Stop)
@@ -338,10 +339,11 @@
 	return Event(url, fields)
 }
 
-func (w *Worker) backTo(url string) {
+// BackTo has a worker that was not there at the node's start call it back.
+func (w *Worker) BackTo(n *Node) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.back = url
+	w.back = n.URL(platform.PathEvents)
 }
 
 // Jobs are the requests that have come.
--- a/rules/attempts.go
+++ b/rules/attempts.go
@@ -3,6 +3,8 @@
 // Attempts and retries: the one place that knows what may have run, from a class's effect and how
 // attempts ended.
 
+import "slices"
+
 // may is the gate of every send: drains, kinds, attempts, effects, groups, windows, cold budget.
 func (d *Dispatcher) may(now Time, r *request, w *worker) bool {
 	c := &d.classes[r.Class]
@@ -13,20 +15,11 @@
 	if c.Kind >= 0 && w.Kind != c.Kind || r.Slots > 1 && d.tooSmall(w, r.Slots) {
 		return false
 	}
-	if b := r.bound(); b != nil {
-		if r.out > 0 && (!d.set.MaySecondCopy || r.out > 1) {
-			return false
-		}
-		switch c.Effect {
-		case Once:
-			return false
-		case Keyed:
-			// The repeat should also arrive while the first is remembered: a tenth is kept back.
-			if now-b.sent > c.Window-c.Window/10 ||
-				c.Group == GroupZone && w.Zone != b.w.Zone || c.Group == GroupCell && w.Cell != b.w.Cell {
-				return false
-			}
-		}
+	if r.out > 0 && (!d.set.MaySecondCopy || r.out > 1) {
+		return false
+	}
+	if b := r.bound(); b != nil && !mayRepeat(now, c, b, w) {
+		return false
 	}
 	for i := range r.attempts {
 		if r.attempts[i].w == w && (!r.attempts[i].over || r.attempts[i].never) {
@@ -36,6 +29,33 @@
 	return d.coldAllows(now, w, r)
 }
 
+// mayRepeat tells whether a class allows an attempt at w where b may have run. The repeat should also
+// arrive while the first is remembered: a tenth of the window is kept back.
+func mayRepeat(now Time, c *classStat, b *attempt, w *worker) bool {
+	if c.Effect == Keyed {
+		return now-b.sent <= c.Window-c.Window/10 &&
+			(c.Group != GroupZone || w.Zone == b.w.Zone) && (c.Group != GroupCell || w.Cell == b.w.Cell)
+	}
+	return c.Effect == Repeatable
+}
+
+// Begin tells whether an attempt may begin now: what allowed it may be over by the time its connection
+// is up. One that may not is to end as NotSent.
+func (d *Dispatcher) Begin(now Time, id RequestID, attempt int) bool {
+	r := d.requests[id]
+	if r == nil || r.closed || now >= r.Deadline {
+		return false
+	}
+	a, c := &r.attempts[attempt], &d.classes[r.Class]
+	for i := range r.attempts {
+		if b := &r.attempts[i]; b != a && b.begun && !b.never && !mayRepeat(now, c, b, a.w) {
+			return false
+		}
+	}
+	a.begun = !a.over && a.w.state == Ready && a.w.StartedAt == a.start
+	return a.begun
+}
+
 // mayRefuse tells whether the client may be told that trying again is harmless.
 func (d *Dispatcher) mayRefuse(r *request) bool {
 	c := &d.classes[r.Class]
@@ -47,7 +67,7 @@
 		r.attempts = r.first[:0]
 	}
 	w.smoothOwn(now, d.meanRun.v)
-	r.attempts = append(r.attempts, attempt{w: w, sent: now})
+	r.attempts = append(r.attempts, attempt{w: w, start: w.StartedAt, sent: now})
 	r.out++
 	w.own += r.Slots
 	w.out++
@@ -87,7 +107,9 @@
 	if s == OK || s == Error || s == Refused {
 		d.heard(now, a)
 	} else if !a.seen {
-		w.unseen--
+		if w.unseen--; s == NotSent && w.unseen == 0 {
+			w.quietSince = 0 // it owes no sign of life to what never left
+		}
 	}
 	switch s {
 	case OK:
@@ -141,14 +163,14 @@
 	}
 }
 
-// goOn decides what becomes of an open request none of whose attempts is out any more.
-func (d *Dispatcher) goOn(now Time, r *request, s Status) {
-	bound := r.bound() != nil && d.classes[r.Class].Effect == Once
-	if now >= r.Deadline || bound || len(r.attempts) >= d.set.MaxAttempts {
+// goOn decides what becomes of an open request none of whose attempts is out.
+func (d *Dispatcher) goOn(now Time, r *request) {
+	if b := r.bound(); now >= r.Deadline || len(r.attempts) >= d.set.MaxAttempts ||
+		b != nil && !mayRepeat(now, &d.classes[r.Class], b, b.w) { // nor ever again
 		d.giveUp(now, r)
-		return
+	} else {
+		d.place(now, r)
 	}
-	d.place(now, r)
 }
 
 func (d *Dispatcher) giveUp(now Time, r *request) {
@@ -187,26 +209,14 @@
 
 // retryHeld looks at the requests that no worker could be sent.
 func (d *Dispatcher) retryHeld(now Time) {
-	if len(d.held) == 0 {
-		return
-	}
-	kept := d.held[:0]
-	for i, r := range d.held {
-		if r.closed {
-			continue
-		}
-		if i < heldLook {
-			if r.held = false; d.place(now, r) {
-				d.forget(r)
-				continue
-			}
-			if r.held { // place has put it at the end of the list that is being walked
-				d.held = d.held[:len(d.held)-1]
-			}
-			r.held = true
+	held := slices.Clone(d.held)
+	d.held = d.held[:0]
+	for i, r := range held {
+		if i >= heldLook && !r.closed {
+			d.held = append(d.held, r)
+		} else if r.held = false; !r.closed {
+			d.goOn(now, r) // it is held again where no worker can be sent it
+			d.forget(r)
 		}
-		kept = append(kept, r)
 	}
-	clear(d.held[len(kept):])
-	d.held = kept
 }
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -180,7 +180,7 @@
 		r.closed = true
 		d.withdraw(r)
 	} else if !r.closed && r.out == 0 {
-		d.goOn(now, r, o.Status)
+		d.goOn(now, r)
 	}
 	d.forget(r)
 	d.retryHeld(now)
@@ -203,14 +203,6 @@
 	}
 }
 
-// Streaming tells that an answer is on its way to the client: nothing more is owed.
-func (d *Dispatcher) Streaming(now Time, id RequestID, attempt int) {
-	if r := d.requests[id]; r != nil && attempt >= 0 && attempt < len(r.attempts) {
-		d.heard(now, &r.attempts[attempt])
-		r.streaming = true
-	}
-}
-
 // Hangup tells that the request is over.
 func (d *Dispatcher) Hangup(now Time, id RequestID) {
 	if r := d.requests[id]; r != nil {
--- a/rules/structs.go
+++ b/rules/structs.go
@@ -136,7 +136,9 @@
 
 type attempt struct {
 	w       *worker
+	start   Time // of the worker's process, as listed at the sending
 	sent    Time
+	begun   bool // the host has asked whether it may begin, and it might
 	started Time
 	seen    bool // a sign of life came
 	over    bool
@@ -339,6 +341,14 @@
 	d.arm(now)
 }
 
+// Streaming tells that an answer is on its way to the client: nothing more is owed.
+func (d *Dispatcher) Streaming(now Time, id RequestID, attempt int) {
+	if r := d.requests[id]; r != nil && attempt >= 0 && attempt < len(r.attempts) {
+		d.heard(now, &r.attempts[attempt])
+		r.streaming = true
+	}
+}
+
 // forget lets go of a request that is over and has nothing out.
 func (d *Dispatcher) forget(r *request) {
 	if r.closed && r.out == 0 {
