Hear a silent watch in time on any deployment, and scale the end after SIGTERM by it

The first call now waits for 0.9 s at the most; the longer waits stand for calls that failed. - Lists that are pushed: an agent had 0.5 s for an answer and was asked again after 0.1 to 0.3 s whatever the grace; both are parts of the grace now. The watch that follows a whole list on its connection had no limit of its own: alive() of the list answered for it, and a silent agent was noticed after 3 s (found by the test 'after the start, pushed'). Each call has its own limit now (watch.ask). - A start: ready was set before the agent's list was in, while what it holds counts from the first moment. The whole list is asked for first where that is free (a watch says nothing where nothing changed), and readiness waits for it, for 1 s at the most. - Lists may come indented: stream.take cut at each line feed, so that an indented list was several bad lines. Lists are taken apart by their brackets now; one that never ends is given up where something follows that can't be a part of it. - 1.3 s, 2 s and 3.55 s after SIGTERM were fitted to deadlines of 3 s and more. The kill comes the longest deadline (3 s at most) and 0.7 s after SIGTERM at the earliest, so with deadlines of 1.2 s what was open at 1.9 s got no answer. They follow the settings now (endingOf) and are the same as before where a deadline is 3 s or longer.

Each mend was taken out and a test seen to fail: the first wait, the limits by the grace, the limit of the second call, the whole list first, readiness, its bound, the ending, and each of the four conditions of lines.take. A bad line of TestBadDiscoveryLinesAreKeptOut is '{' followed by an empty line now, since '{' alone may be the beginning of an indented list.

--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -40,21 +40,45 @@
 
 const (
 	sweepEvery = 50 * core.Millisecond
-	// For so long after SIGTERM requests are taken as ever, and connections kept: clients go on using those
-	// they have, and where all schedulers of a zone are restarted in turn there may be nobody else yet.
-	acceptOn = 1300 * core.Millisecond
-	firstUse = 200 * core.Millisecond // in which a new connection brings its first bytes, where we end
-	// The platform kills a scheduler 3.7 s after SIGTERM at the earliest: what is still open then gets its
-	// answer while there is time for it to arrive.
-	answerBy = 3550 * core.Millisecond
+	firstUse   = 200 * core.Millisecond // in which a new connection brings its first bytes, where we end
+	// The platform kills a scheduler no sooner after SIGTERM than the longest deadline, counted as killMost where it
+	// is longer, and killLater more. What is still open killMargin before that gets its answer while there is time
+	// for it to arrive.
+	killMost   = 3 * core.Second
+	killLater  = 700 * core.Millisecond
+	killMargin = 150 * core.Millisecond
+	newLast    = 450 * core.Millisecond // for so long after SIGTERM new connections may come
+	// firstList is how long readiness waits for the agent's list at the start: it may be silent, and ready we must be.
+	firstList = core.Second
 	// Within messageTime a message has to come to its end, and a connection to its first job: those that say
 	// nothing, or half of something, take no place from others for longer.
 	messageTime = 2 * core.Second
-	// With a successor beside us, jobs that come later than this after SIGTERM are refused, and the listener
-	// is closed at answerBy: the kernel would go on giving us half of all new connections until the kill.
-	takeLast = 2 * core.Second
 )
 
+// ending is what happens when after SIGTERM, by how soon the platform may kill us.
+type ending struct {
+	// For acceptOn requests are taken as ever, and connections kept: clients go on using those they have, and where
+	// all schedulers of a zone are restarted in turn there may be nobody else yet.
+	acceptOn core.Time
+	// With a successor beside us, jobs that come later than takeLast are refused, and the listener is closed at
+	// answerBy: the kernel would go on giving us half of all new connections until the kill.
+	takeLast core.Time
+	answerBy core.Time // what is open is answered then
+}
+
+func endingOf(classes []rules.Class) ending {
+	longest := core.Time(0)
+	for _, c := range classes {
+		longest = max(longest, c.Deadline)
+	}
+	if longest == 0 {
+		longest = killMost
+	}
+	answerBy := min(longest, killMost) + killLater - killMargin
+	acceptOn := max(answerBy*11/30, min(newLast, answerBy*3/4))
+	return ending{acceptOn: acceptOn, takeLast: max(answerBy*17/30, (3*acceptOn+answerBy)/4), answerBy: answerBy}
+}
+
 // Front is the HTTP/1.1 front and the carrier to the workers that discovery tells of.
 type Front struct {
 	desk    *admission.Desk
@@ -72,9 +96,10 @@
 	accepted atomic.Int64 // connections, also those the loop has not heard of yet
 	most     atomic.Int64 // of them: past it a new one is closed by the poller
 
-	pool  pool
-	watch *watch
-	peers *peers // nil: there are none to talk to
+	pool   pool
+	watch  *watch
+	ending ending
+	peers  *peers // nil: there are none to talk to
 
 	stopping core.Time // SIGTERM came then; 0: it has not
 	stopped  func()
@@ -157,7 +182,7 @@
 
 // New makes the front; Start opens it.
 func New(c *core.Core, conf *config.Config, desk *admission.Desk, logger *slog.Logger) *Front {
-	f := &Front{loop: c.Loop, core: c, conf: conf, desk: desk, log: logger}
+	f := &Front{loop: c.Loop, core: c, conf: conf, desk: desk, log: logger, ending: endingOf(conf.Settings.Classes)}
 	f.pool = newPool(f)
 	f.shareOut()
 	return f
@@ -193,13 +218,21 @@
 	}
 	go f.server.Serve(bounded{ln, f})
 	f.loop.Post(func() {
-		f.ready = true
 		f.watch.open(0)
+		if f.watch.whole && f.conf.Discovery != "" {
+			f.loop.At(f.loop.Now()+firstList, f.informed)
+		} else {
+			f.informed()
+		}
 		f.sweep()
 	})
 	return nil
 }
 
+// informed makes the front ready: the list that its agent holds has come, or was waited for long enough. What the agent
+// holds counts as told from the process's first moment, and the list known at the start may be older.
+func (f *Front) informed() { f.ready = true }
+
 // Reload takes a new configuration over, within one event: the watch goes to its discovery at once, and
 // the budgets follow its limits. All that is open lives on, and so does what is known of the workers.
 func (f *Front) Reload(next *config.Config) {
@@ -336,7 +369,7 @@
 	}
 	path := string(q.Path)
 	r, fixed := routes[path]
-	if !fixed && f.handing && f.loop.Now() > f.stopping+takeLast {
+	if !fixed && f.handing && f.loop.Now() > f.stopping+f.ending.takeLast {
 		// Its job could not end before we do: the client tries again, and its new connection may reach
 		// the successor. Refused at once, as the rule on given-up requests wants.
 		a.Reason = link.ShutDown
@@ -451,7 +484,7 @@
 	if a.Ended {
 		return
 	}
-	keepAlive = keepAlive && (f.stopping == 0 || f.loop.Now() < f.stopping+acceptOn || a.callsBack) && a.Reason == "" &&
+	keepAlive = keepAlive && (f.stopping == 0 || f.loop.Now() < f.stopping+f.ending.acceptOn || a.callsBack) && a.Reason == "" &&
 		(f.drained == 0 || a.callsBack)
 	if string(a.request.Method) == "HEAD" {
 		body = nil
@@ -526,8 +559,8 @@
 	if f.stopping == 0 {
 		f.stopping, f.stopped = min(since, f.loop.Now()), done
 		f.log.Info("stopping", "open", f.core.Open())
-		f.loop.At(f.stopping+acceptOn, f.drain)
-		f.loop.At(f.stopping+answerBy, func() {
+		f.loop.At(f.stopping+f.ending.acceptOn, f.drain)
+		f.loop.At(f.stopping+f.ending.answerBy, func() {
 			f.core.GiveUp(func(u core.UserAgent) bool { _, ours := u.(*agentLink); return ours })
 		})
 	}
@@ -587,7 +620,7 @@
 	agents, open := 0, f.core.Open()
 	// With a successor, the listener closes at answerBy whatever is open: what comes later could not end in
 	// time. A connection that is closed under a request unread is the client's to send again, to the successor.
-	late := f.handing && f.loop.Now() >= f.stopping+answerBy
+	late := f.handing && f.loop.Now() >= f.stopping+f.ending.answerBy
 	if late && !f.shut {
 		f.shut = true
 		f.listener.Close()
--- a/internal/platform/rules_test.go
+++ b/internal/platform/rules_test.go
@@ -169,7 +169,7 @@
 func TestBadDiscoveryLinesAreKeptOut(t *testing.T) {
 	w := standin.NewWorker(t, "s-1", nil)
 	n := standin.Start(t, nil, w)
-	for _, line := range []string{"{", `{"snapshot":true,"endpoints":[]}`, `{"index":9,"snapshot":true,"endpoints":[{"name":""}]}`,
+	for _, line := range []string{"{\n", `{"snapshot":true,"endpoints":[]}`, `{"index":9,"snapshot":true,"endpoints":[{"name":""}]}`,
 		`{"index":9,"snapshot":true,"endpoints":[{"name":"s-1","status":"up"}]}`, `{"index":"x"}`} {
 		n.Farm.Say(line)
 		n.Eventually(func() bool { return n.Logged("bad line kept out") })
--- /dev/null
+++ b/internal/platform/silence_test.go
@@ -0,0 +1,184 @@
+package platform_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cobaltflow/internal/config"
+	"cobaltflow/internal/standin"
+)
+
+// Discovery that falls silent, at each instant of a watch, and a start with a list that is old: what it would have told
+// counts as told all the same, by the clock of the test.
+
+// discovery takes calls and answers none by itself.
+type discovery struct {
+	net.Listener
+	calls chan call
+}
+
+type call struct {
+	net.Conn
+	target string
+}
+
+func newSilentDiscovery(t *testing.T) *discovery {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	d := &discovery{ln, make(chan call, 64)}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			go func() {
+				for r := bufio.NewReader(c); ; {
+					q, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					d.calls <- call{c, q.URL.RequestURI()}
+				}
+			}()
+		}
+	}()
+	return d
+}
+
+// whole answers a call for the whole list, or begins a watch with it.
+func (c call) whole(list []byte) {
+	if c.target == "/api/targets" {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list), list)
+		return
+	}
+	c.head()
+	c.part(string(list) + "\n")
+}
+
+func (c call) head() { io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") }
+
+func (c call) part(text string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) }
+
+// A process starts with the list that was known when it was set up. What its agent holds counts as told from the first
+// moment: it says that it is ready when it has that, and sends nothing to a worker that was leaving by then.
+func TestAStartWithAnOldListWaitsForTheAgent(t *testing.T) {
+	agent := newSilentDiscovery(t)
+	a, b := standin.NewWorker(t, "s-1", nil), standin.NewWorker(t, "s-2", nil)
+	n := standin.Start(t, func(c *config.Config) { c.Pushed, c.Discovery = true, agent.Addr().String() }, a)
+	b.BackTo(n)
+	asked := next(t, agent.calls)
+	require.Equal(t, "/api/targets", asked.target, "whole: a watch says nothing where nothing changed")
+	assert.False(t, ready(n), "the agent has not answered")
+	asked.whole(n.Farm.Tell(true, a.Entry("draining"), b.Entry("up")))
+	n.Eventually(func() bool { return ready(n) })
+	for i := range 4 {
+		require.Equal(t, 200, n.Ask("board-view", fmt.Sprint("k", i), fmt.Sprint("id-", i), 5000, "").Status)
+	}
+	assert.Empty(t, a.Jobs())
+}
+
+// Discovery may be down for seconds: a process is ready all the same, with the list that it was given.
+func TestASilentAgentDoesNotHoldReadinessUp(t *testing.T) {
+	agent := newSilentDiscovery(t)
+	a := standin.NewWorker(t, "s-1", nil)
+	n := standin.Start(t, func(c *config.Config) { c.Pushed, c.Discovery = true, agent.Addr().String() }, a)
+	n.Eventually(func() bool { return ready(n) })
+	assert.Equal(t, 200, n.Ask("board-view", "k", "id-1", 5000, "").Status)
+}
+
+func ready(n *standin.Node) bool {
+	r, err := http.Get(n.URL("/-/ready"))
+	if err != nil {
+		return false
+	}
+	r.Body.Close()
+	return r.StatusCode == 200
+}
+
+// Wherever a watch falls silent it is opened anew, by one of three hundred schedulers too, before what it missed counts
+// as told: 6 s after its last byte, and for an agent that gives no answer at all within the grace. Nothing is sent to
+// the worker that has left meanwhile once the new watch has told of it.
+func TestAWatchThatFallsSilentIsOpenedAnewInTime(t *testing.T) {
+	const head = "its head"
+	for silent, last := range map[string]func(c call, list []byte){
+		"the start":   func(call, []byte) {},
+		head:          func(c call, _ []byte) { c.head() },
+		"a list":      func(c call, list []byte) { c.whole(list) },
+		"half a line": func(c call, list []byte) { c.head(); c.part(string(list[:len(list)/2])) },
+		"half a list": func(c call, _ []byte) { c.head(); c.part("{\n  \"index\": 9,\n") },
+		"a reset":     func(c call, _ []byte) { c.Conn.(*net.TCPConn).SetLinger(0); c.Close() },
+	} {
+		for _, pushed := range []bool{false, true} {
+			t.Run(fmt.Sprintf("after %s, pushed %v", silent, pushed), func(t *testing.T) {
+				t.Parallel()
+				d := newSilentDiscovery(t)
+				a, b := standin.NewWorker(t, "s-1", nil), standin.NewWorker(t, "s-2", nil)
+				n := standin.Start(t, func(c *config.Config) {
+					c.Pushed, c.Discovery, c.Settings.GroupSize = pushed, d.Addr().String(), 300
+				}, a)
+				b.BackTo(n)
+				first := next(t, d.calls)
+				if pushed { // the watch follows on the same connection
+					first.whole(n.Farm.Tell(true, a.Entry("up")))
+					first = next(t, d.calls)
+				}
+				since := time.Now()
+				last(first, n.Farm.Tell(true, a.Entry("up")))
+				second := next(t, d.calls)
+				took := time.Since(since)
+				if silent == "the start" && pushed {
+					assert.Less(t, took, time.Duration(n.Conf.Settings.DrainGrace)*time.Microsecond)
+				}
+				assert.Less(t, took, 6*time.Second)
+				second.whole(n.Farm.Tell(true, a.Entry("draining"), b.Entry("up")))
+				n.Eventually(knows(n, 2))
+				for i := range 4 {
+					require.Equal(t, 200, n.Ask("board-view", fmt.Sprint("k", i), fmt.Sprint("id-", i), 5000, "").Status)
+				}
+				assert.Empty(t, a.Jobs())
+			})
+		}
+	}
+}
+
+// A worker that was removed and is listed again is asked again, by its new address.
+func TestAWorkerThatIsListedAgainIsAskedAgain(t *testing.T) {
+	a, b := standin.NewWorker(t, "s-1", nil), standin.NewWorker(t, "s-1", nil)
+	n := standin.Start(t, nil, a)
+	b.BackTo(n)
+	require.Equal(t, 200, n.Ask("move", "k", "id-1", 5000, "").Status)
+	told(n, a.Entry("removed"))
+	got := ask(n, "move", "id-2")
+	n.Eventually(func() bool { return open(n) == 1 })
+	told(n, b.Entry("up"))
+	assert.Equal(t, 200, next(t, got).Status)
+	assert.Len(t, a.Jobs(), 1)
+	assert.Len(t, b.Jobs(), 1)
+}
+
+// A process that the platform may kill soon answers what is open before: where the longest deadline is short, so is its time.
+func TestWhatIsOpenIsAnsweredBeforeAnEarlyKill(t *testing.T) {
+	w := standin.NewWorker(t, "s-1", silent)
+	n := standin.Start(t, func(c *config.Config) {
+		for i := range c.Settings.Classes {
+			c.Settings.Classes[i].Deadline = 1_200_000
+		}
+	}, w)
+	got := make(chan standin.Answer, 1)
+	go func() { got <- n.Ask("move", "k", "id-1", 60_000, "") }()
+	n.Eventually(func() bool { return len(w.Jobs()) == 1 })
+	n.On(func() { n.Front.StopSince(n.Loop.Now()-1_800_000, func() {}) }) // killed 1.9 s after SIGTERM at the earliest
+	assert.Zero(t, open(n), "given up in the same turn")
+	assert.Equal(t, 500, next(t, got).Status, "it may have run")
+}
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -87,15 +87,34 @@
 
 const (
 	watchSilence = 3 * core.Second        // the watch is opened anew when nothing came for so long: it is due every 2 s
-	watchPart    = core.Second            // and when what has come of a line is not continued for so long
+	watchPart    = core.Second            // and when what has come of a list is not continued for so long
 	watchFirst   = 3 * core.Second        // and when it gave no first answer for so long
-	pushedFirst  = core.Second / 2        // the same of an agent, which answers at once: what it holds counts as told
 	watchRetry   = 200 * core.Millisecond // mean wait before the first retry, at least
 	watchShare   = 20 * core.Millisecond  // the same for each scheduler of the fleet: they may all have to retry at once
 	watchSlower  = 3                      // doublings of it, for calls that failed in a row
-	longestLine  = 1 << 20
+	// What a silent watch misses counts as told 6 s after it fell silent: with watchSilence until that is seen and
+	// watchFirst for the answer, the first call after it can't wait for longer, however many schedulers there are.
+	watchSoon   = 600 * core.Millisecond
+	watchDial   = core.Second // for a connection to come up
+	longestLine = 1 << 20
+
+	// An agent on our own machine answers at once, and what it holds counts as told whether it was heard or not: a call
+	// and the wait after it take three eighths of the grace at most, within these bounds.
+	agentFirstPart, agentFirstLeast, agentFirstMost = 4, 60 * core.Millisecond, 500 * core.Millisecond
+	agentRetryPart, agentRetryLeast                 = 12, 20 * core.Millisecond
 )
 
+// agentFirst is how long an agent has for the beginning of its answer, where sends to a leaving worker may go on for
+// the grace.
+func agentFirst(grace core.Time) core.Time {
+	return min(max(grace/agentFirstPart, agentFirstLeast), agentFirstMost)
+}
+
+// agentRetry is the mean wait before an agent is asked again.
+func agentRetry(grace core.Time) core.Time {
+	return min(max(grace/agentRetryPart, agentRetryLeast), watchRetry)
+}
+
 // watch follows discovery: one connection, one chunked answer that stays open. It can be moved to
 // another address; all that belongs to an earlier one is told by its epoch and changes nothing.
 type watch struct {
@@ -105,7 +124,8 @@
 	version int64 // of the list, at this address
 	whole   bool  // the whole list is asked for first: its version may not continue the one we hold
 	heard   core.Time
-	begun   bool // an answer has, on this connection
+	calls   int  // so far
+	begun   bool // the answer to the last of them has
 	partial bool // a line has, and its end has not come yet
 	stuck   core.Time
 	link    *link.Link
@@ -115,7 +135,9 @@
 }
 
 func newWatch(f *Front, address string, version int64) *watch {
-	return &watch{f: f, address: address, version: version, rng: rand.New(rand.NewPCG(f.conf.Seed, 0x77617463))}
+	// The list that is known at the start may be old. Where asking costs nothing the whole one is asked for first: its
+	// answer tells also that nothing has changed, which a watch leaves unsaid.
+	return &watch{f: f, address: address, version: version, whole: f.conf.Pushed, rng: rand.New(rand.NewPCG(f.conf.Seed, 0x77617463))}
 }
 
 // again opens the watch anew after a while. Discovery may be one service for all schedulers, which fails calls when
@@ -124,19 +146,25 @@
 // together. An agent on our own machine serves nobody else: it is asked again soon, however many schedulers there are
 // and however often it was silent, since all that it holds counts as told.
 func (w *watch) again(epoch int) {
-	schedulers, failed := w.f.conf.Settings.GroupSize, w.fails
+	mean := retryMean(w.f.conf.Settings.GroupSize, w.fails)
+	if w.fails == 0 {
+		mean = min(mean, watchSoon)
+	}
 	if w.f.conf.Pushed {
-		schedulers, failed = 1, 0
+		mean = agentRetry(w.f.conf.Settings.DrainGrace)
 	}
-	wait := retryAfter(schedulers, failed, w.rng.Float64())
+	wait := spreadOut(mean, w.rng.Float64())
 	w.fails++
 	w.f.loop.At(w.f.loop.Now()+wait, func() { w.open(epoch) })
 }
 
-// retryAfter is how long a scheduler among so many waits when so many calls in a row have failed before; drawn is
-// from 0 to under 1.
-func retryAfter(schedulers, failed int, drawn float64) core.Time {
-	mean := max(watchRetry, watchShare*core.Time(schedulers)) << min(failed, watchSlower)
+// retryMean is how long a scheduler among so many waits on average when so many calls in a row have failed before.
+func retryMean(schedulers, failed int) core.Time {
+	return max(watchRetry, watchShare*core.Time(schedulers)) << min(failed, watchSlower)
+}
+
+// spreadOut draws a wait of half to one and a half times the mean; drawn is from 0 to under 1.
+func spreadOut(mean core.Time, drawn float64) core.Time {
 	return mean/2 + core.Time(drawn*float64(mean))
 }
 
@@ -161,8 +189,12 @@
 		return
 	}
 	loop, address := w.f.loop, w.address
+	within := watchDial
+	if w.f.conf.Pushed {
+		within = w.first()
+	}
 	go func() { // a dial blocks, so it is run outside the loop
-		nc, err := netpoll.DialConnection("tcp", address, time.Second)
+		nc, err := netpoll.DialConnection("tcp", address, time.Duration(within)*time.Microsecond)
 		loop.Post(func() {
 			if err != nil {
 				w.f.notUp("discovery", address, 0)
@@ -191,22 +223,30 @@
 			} else {
 				w.follow(l)
 			}
-			first := watchFirst
-			if w.f.conf.Pushed {
-				first = pushedFirst
-			}
-			loop.At(w.heard+first, func() {
-				if l == w.link && !w.begun {
-					l.Close(link.NoAnswer)
-				}
-			})
 			w.listen(l)
 		})
 	}()
 }
 
+// ask sends a call, whose answer has to begin in time.
 func (w *watch) ask(l *link.Link, target string) {
 	l.Send(w.f.loop, link.Outgoing{Message: http1.AppendRequest(nil, "GET", target, w.address, -1, nil)})
+	w.begun = false
+	w.calls++
+	this := w.calls
+	w.f.loop.At(w.f.loop.Now()+w.first(), func() {
+		if l == w.link && this == w.calls && !w.begun {
+			l.Close(link.NoAnswer)
+		}
+	})
+}
+
+// first is how long an answer may take to begin.
+func (w *watch) first() core.Time {
+	if w.f.conf.Pushed {
+		return agentFirst(w.f.conf.Settings.DrainGrace)
+	}
+	return watchFirst
 }
 
 func (w *watch) follow(l *link.Link) {
@@ -288,6 +328,7 @@
 		form = rules.ListFull
 	}
 	w.f.core.Farm(w.f, form, news.Workers)
+	w.f.informed()
 	return true
 }
 
@@ -309,11 +350,83 @@
 	link   *link.Link
 	list   bool // the answer that comes is the whole list; the watch follows
 	headed bool
-	line   []byte // the part of a line that has come
-	part   bool   // there is one, as the watch was told
+	lines  lines
+	part   bool // a list has begun and not ended, as the watch was told
+}
+
+// lines takes what a watch sends apart: one list a line, which may come indented over several, and empty lines.
+type lines struct {
+	text    []byte // what has come of a list or line
+	at      int    // so much of it has been looked at
+	depth   int    // brackets that are open there
+	quoted  bool   // it is within a string
+	escaped bool   // behind a backslash of one
+}
+
+// take adds what has come and gives each whole list, or line that holds none, trimmed, to each. A list that never ends
+// is given up where an empty line follows, which no indented one holds, or another list that can't be a part of it: it
+// goes out as it is, to be found bad.
+func (l *lines) take(data []byte, each func(line []byte)) {
+	l.text = append(l.text, data...)
+	cut := func(end int) {
+		each(bytes.TrimSpace(bytes.Clone(l.text[:end])))
+		l.text = l.text[:copy(l.text, l.text[end:])]
+		l.at, l.depth, l.quoted, l.escaped = 0, 0, false, false
+	}
+	for l.at < len(l.text) {
+		c := l.text[l.at]
+		switch {
+		case c == '\n' && (l.depth == 0 || l.blank(l.at)): // no string holds a bare line feed
+			cut(l.at + 1)
+			continue
+		case c == '{' && l.depth > 0 && !l.follows():
+			cut(l.at)
+			continue
+		case c == '\n' && l.whole(l.at): // and what is before it never ended
+			cut(l.begins(l.at))
+			continue
+		case c == '\n':
+			l.quoted, l.escaped = false, false
+		case l.escaped:
+			l.escaped = false
+		case l.quoted && c == '\\':
+			l.escaped = true
+		case c == '"':
+			l.quoted = !l.quoted
+		case l.quoted:
+		case c == '{' || c == '[':
+			l.depth++
+		case (c == '}' || c == ']') && l.depth > 0:
+			l.depth--
+		}
+		l.at++
+	}
 }
 
-// read runs on a goroutine of netpoll's. Lines are copied, since a line may lie across chunks.
+// begins is where the line that ends at a place begins.
+func (l *lines) begins(at int) int { return bytes.LastIndexByte(l.text[:at], '\n') + 1 }
+
+// blank tells whether the line that ends at a place holds nothing.
+func (l *lines) blank(at int) bool { return len(bytes.TrimSpace(l.text[l.begins(at):at])) == 0 }
+
+// whole tells whether the line that ends at a place, but does not begin the text, is a list by itself. A line of an
+// indented one may be an entry at the most.
+func (l *lines) whole(at int) bool {
+	begins := l.begins(at)
+	line := bytes.TrimSpace(l.text[begins:at])
+	return begins > 0 && line[0] == '{' && line[len(line)-1] == '}' && bytes.Contains(line, []byte(`"endpoints"`)) && json.Valid(line)
+}
+
+// follows tells whether an object at the present place can be a part of the list that is open.
+func (l *lines) follows() bool {
+	if l.quoted {
+		return true
+	}
+	before := bytes.TrimRight(l.text[:l.at], " \t\r\n")
+	return len(before) > 0 && (before[len(before)-1] == '[' || before[len(before)-1] == ',' || before[len(before)-1] == ':')
+}
+
+// read runs on a goroutine of netpoll's. Lines are copied, since one may lie across chunks.
 func (s *stream) read() error {
 	var bad error
 	return s.link.Read(s.watch.f.loop, func(buf []byte) (size, need int, fault bool) {
@@ -372,17 +485,8 @@
 	if data == nil {
 		return 0, 0, errors.New("the watch was ended")
 	}
-	s.line = append(s.line, data...)
-	for {
-		i := bytes.IndexByte(s.line, '\n')
-		if i < 0 {
-			break
-		}
-		line := bytes.TrimSpace(bytes.Clone(s.line[:i]))
-		s.line = s.line[:copy(s.line, s.line[i+1:])]
-		s.watch.f.loop.Post(func() { s.watch.news(s.link, line) })
-	}
-	if part := len(s.line) > 0; part != s.part {
+	s.lines.take(data, func(line []byte) { s.watch.f.loop.Post(func() { s.watch.news(s.link, line) }) })
+	if part := len(s.lines.text) > 0; part != s.part {
 		s.part = part
 		s.watch.f.loop.Post(func() {
 			if s.link == s.watch.link {
@@ -390,7 +494,7 @@
 			}
 		})
 	}
-	if len(s.line) > longestLine {
+	if len(s.lines.text) > longestLine {
 		return 0, 0, errors.New("a line without end")
 	}
 	return next, 0, nil
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -85,7 +85,9 @@
 		n.Loop.Post(n.Loop.Stop)
 		<-n.Ended
 	})
-	n.Eventually(func() bool { return n.Farm.watching() })
+	if n.Conf.Discovery == n.Farm.Address() {
+		n.Eventually(func() bool { return n.Farm.watching() })
+	}
 	return n
 }
 
