End our side of a connection before its close, and take nothing behind its last answer

Seen by reading, then by tests in which the loop stands still until the other side has acted (ending_test.go, link_test.go): - A request pipelined behind one with Connection: close was taken and sent on before the close came (front.go, reply told nobody that its answer was the last): its client got no answer, its effect was there. A reply that is the last says so at once. - link.write closed outright behind the last answer: bytes that came meanwhile turned the close into a reset. Now the write side ends first (link.Shut), what still comes is read over, and the connection is closed when the peer ends its side, or after 0.3 s. The same at an idle close, an operator's drain and the drain after SIGTERM. What is read after that is never sent on. - shed closed connections whose first request had come whole and waited for the loop (they had brought no job yet), and such as had an answer still with their writer. Both count as busy; a new connection whose request is whole is served, under the poller's bound. - drain ended the process under a connection that the poller had accepted and the loop had not heard of yet. The listener is closed first and all is looked at once more. - A request that came whole only after all that was open had been answered (3.55 s after SIGTERM) was sent on into the kill. It is refused at once, as with a successor. - Streams of HTTP/2 were never given up after SIGTERM, and were lost with the kill. They get their answers with all others. - A worker's second answer some milliseconds late, behind the next request on the connection, was taken for that one's: a late 503 with X-Unprocessed had a once request that was running sent again. Within 50 ms of the answer before, that word is not believed.

Taken out one by one, a test was seen to fail for: the end of the write side, reading over, the close in the end, the last reply's mark, a message in hand in shed, the refusal past the last answers, the count of accepted connections, the doubt of a second answer, the giving up of streams. Not shown by a test: letGo with a plain close in the place of Shut (the client reads the end either way), a writer that is not done in shed.

TestSilentCallersHoldUpNobody waits for its three log lines now: they come with the connection's end, which is the caller's too.

--- a/internal/front/admin/admin.go
+++ b/internal/front/admin/admin.go
@@ -175,7 +175,7 @@
 	f.loop.Drop(k.limit)
 	k.Reason = reason
 	message := http1.AppendResponse(nil, status, false, []byte(body), append(extra, "Content-Type", "text/plain")...)
-	k.Send(f.loop, link.Outgoing{Message: message, Last: true, Linger: status >= 400})
+	k.Send(f.loop, link.Outgoing{Message: message, Last: true})
 }
 
 func (f *Front) gone(k *call) {
--- a/internal/front/admin/admin_test.go
+++ b/internal/front/admin/admin_test.go
@@ -169,9 +169,10 @@
 		_, err := io.ReadAll(c)
 		require.NoError(t, err, "a silent caller's connection must be ended by us")
 	}
-	assert.True(t, n.Logged("party=operator"))
-	assert.True(t, n.Logged("reason=over-budget"))
-	assert.True(t, n.Logged("reason=slow-input"))
+	// The line of a connection comes with its end, which is the caller's too, or a moment later.
+	for _, text := range []string{"party=operator", "reason=over-budget", "reason=slow-input"} {
+		n.Eventually(func() bool { return n.Logged(text) })
+	}
 }
 
 // With a small budget of descriptors and the clients' address crowded by idle and half-written connections,
--- a/internal/front/http2/conn.go
+++ b/internal/front/http2/conn.go
@@ -23,7 +23,7 @@
 	c.marked = false
 	if out := c.out; len(out) > 0 {
 		c.out = nil
-		c.Send(c.front.loop, link.Outgoing{Message: out, Last: c.Reason != "", Linger: true})
+		c.Send(c.front.loop, link.Outgoing{Message: out, Last: c.Reason != ""})
 	}
 }
 
--- a/internal/front/http2/front.go
+++ b/internal/front/http2/front.go
@@ -172,17 +172,21 @@
 const mostUnread = 128 << 10
 
 // Quiet begins the end: a first GOAWAY tells that there will be a last stream, a second which one it was. Streams
-// that were taken go on to their answers; those past the last were never taken.
-func (f *Front) Quiet() {
+// that were taken go on to their answers, but for those that are still open at within from now, since the platform may
+// kill the process soon after: they are given up, each with its answer. Those past the last were never taken.
+func (f *Front) Quiet(within core.Time) {
 	if f.quiet {
 		return
 	}
 	f.quiet = true
 	f.conns.Each(func(_ core.Ref, c *conn) { c.warn(mostStreamID) })
-	f.loop.At(f.loop.Now()+f.limits.Drain, func() {
+	f.loop.At(f.loop.Now()+min(f.limits.Drain, within/2), func() {
 		f.last = true
 		f.conns.Each(func(_ core.Ref, c *conn) { c.warn(c.highest) })
 	})
+	f.loop.At(f.loop.Now()+within, func() {
+		f.core.GiveUp(func(u core.UserAgent) bool { _, ours := u.(*stream); return ours })
+	})
 }
 
 // Done tells whether no connection has a stream any more, and the last GOAWAY has been sent.
--- a/internal/front/http2/http2_test.go
+++ b/internal/front/http2/http2_test.go
@@ -284,6 +284,22 @@
 	assert.Len(t, w.Jobs(), 2, "what was refused was never taken")
 }
 
+// A stream that is still open when the platform may soon kill the process gets its answer before, as any other request.
+func TestOpenStreamsAreAnsweredBeforeTheKill(t *testing.T) {
+	w := standin.NewWorker(t, "s-1", func(_ *standin.Worker, _ string, rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(202) })
+	n := start(t, nil, w)
+	r := dial(n)
+	stream := r.post("settle", "id-1", 15000, true)
+	n.Eventually(func() bool { return len(w.Jobs()) == 1 })
+	n.On(func() { n.HTTP2.Quiet(1000) })
+	r.until(t, func(f xhttp2.Frame) bool {
+		h, yes := f.(*xhttp2.HeadersFrame)
+		return yes && h.StreamID == stream
+	})
+	n.On(func() { assert.Zero(t, n.Core.Open()) })
+	n.Eventually(func() bool { return w.Deleted("id-1") })
+}
+
 // A connection that dies with a hundred streams open: each job has its one end in the books, no move runs twice.
 func TestConnectionDiesWithAHundredStreams(t *testing.T) {
 	var mu sync.Mutex
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,7 +125,7 @@
 			g.Faktory.Quiet()
 		}
 		if g.HTTP2 != nil {
-			g.HTTP2.Quiet()
+			g.HTTP2.Quiet(g.Front.AnswersWithin())
 		}
 		g.Front.Stop(g.end)
 	})
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -46,7 +46,7 @@
 	writeTime = 2 * time.Second  // for a peer to take what is written
 	AheadMost = 64 << 10         // bytes that may wait unread behind a message
 
-	lingerTime = 300 * core.Millisecond // for a peer to read why its input was not taken
+	lingerTime = 300 * core.Millisecond // for a peer to read the end, and end its side
 	lingerMost = 128 << 10              // bytes of it that are read over meanwhile
 )
 
@@ -64,12 +64,15 @@
 	Cut    func() // called by Close before the buffer is given back: what is made of it must not be used on
 
 	held    chan struct{} // OnRequest waits here while the loop holds its buffer
+	inHand  atomic.Bool   // a message has come whole, and its buffer was not given back yet
 	discard atomic.Bool   // what comes from now on is read over
 	over    int           // bytes that were; OnRequest's
+	shut    bool          // our side has ended; the peer's may go on for a moment
 
 	mu      sync.Mutex
 	outbox  []Outgoing
 	writing bool
+	fdGone  bool         // the descriptor is being given back: its number may soon be another's
 	queued  atomic.Int64 // bytes that the peer has not taken yet
 }
 
@@ -77,8 +80,7 @@
 type Outgoing struct {
 	Message []byte      // not touched again by the sender: it may be written after the turn
 	Done    func(error) // posted to the loop when all is written, or could not be
-	Last    bool        // the connection is closed after it
-	Linger  bool        // but the peer, which may still be writing, gets a moment to read it and close by itself
+	Last    bool        // our side of the connection ends with it, see Shut
 }
 
 // Init readies a link for a connection; it is called before anything is read.
@@ -86,6 +88,12 @@
 	l.NC, l.Party, l.Peer, l.Opened, l.held = nc, party, peer, now, make(chan struct{}, 1)
 	nc.SetReadTimeout(readTime)
 	nc.SetWriteTimeout(writeTime)
+	nc.AddCloseCallback(func(netpoll.Connection) error { // called before netpoll's own, which gives the descriptor back
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.fdGone = true
+		return nil
+	})
 }
 
 // Release gives the buffer back to OnRequest.
@@ -134,15 +142,7 @@
 		if err != nil {
 			loop.Post(func() { l.Close(NotReading) })
 		} else if o.Last {
-			loop.Post(func() {
-				if o.Linger {
-					// Closed at once under what it still writes, the peer would be reset and might never
-					// read why.
-					loop.At(loop.Now()+lingerTime, func() { l.Close(Answered) })
-					return
-				}
-				l.Close(Answered)
-			})
+			loop.Post(func() { l.Shut(loop, Answered) })
 		}
 	}
 }
@@ -159,6 +159,39 @@
 // to be read.
 func (l *Link) Discard() { l.discard.Store(true) }
 
+// InHand tells that a message has come whole and waits for the loop, or is held by it.
+func (l *Link) InHand() bool { return l.inHand.Load() }
+
+// Shut ends our side of the connection, behind all that was written, which must be with the system by now. What the
+// peer sends from then on is read over and never taken: the peer reads the end, and sends elsewhere what has crossed
+// it. So nothing lies unread at the close: a close over unread bytes resets the connection, and an answer that the peer
+// has not read yet may go with it. The connection is closed when the peer ends its side too, or lingerTime later. The
+// first reason stands.
+func (l *Link) Shut(loop *core.Loop, reason string) {
+	if l.shut || l.Closed || l.Ended {
+		return
+	}
+	l.shut = true
+	l.mu.Lock()
+	if conn, ok := l.NC.(netpoll.Conn); ok && !l.fdGone {
+		// An error tells that the peer has gone already, of which we hear by itself.
+		_ = syscall.Shutdown(conn.Fd(), syscall.SHUT_WR)
+	}
+	l.mu.Unlock()
+	l.Discard()
+	if l.Reason == "" {
+		l.Reason = reason
+	}
+	loop.At(loop.Now()+lingerTime, func() {
+		if !l.Ended {
+			l.Close(reason)
+		}
+	})
+}
+
+// IsShut tells that our side has ended.
+func (l *Link) IsShut() bool { return l.shut }
+
 // Close ends the connection from our side; the first reason stands.
 func (l *Link) Close(reason string) {
 	if l.Reason == "" {
@@ -233,8 +266,10 @@
 			need = max(more, len(buf)+1)
 			continue
 		}
+		l.inHand.Store(true)
 		loop.Post(take)
 		<-l.held
+		l.inHand.Store(false)
 		if fault {
 			size = r.Len()
 		}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"log/slog"
 	"net"
 	"testing"
@@ -64,3 +65,44 @@
 	}
 	assert.False(t, l.Farewell(log, 0), "one line a connection")
 }
+
+// What a peer sends behind our last answer, before it has read it, neither resets the connection nor takes the answer
+// with it: the peer reads the answer whole, and then the end. It is closed when the peer ends its side.
+func TestWhatComesBehindTheLastAnswerDoesNotResetIt(t *testing.T) {
+	l, peer, loop, gone := dialed(t)
+	require.NoError(t, l.NC.SetOnRequest(func(context.Context, netpoll.Connection) error {
+		return l.Read(loop, func([]byte) (int, int, bool) { t.Error("looked at"); return 1, 0, false }, func() {})
+	}))
+	answer := bytes.Repeat([]byte("answer "), 1000)
+	sent := make(chan error, 1)
+	shut := func() (yes bool) {
+		done := make(chan struct{})
+		loop.Post(func() { yes = l.IsShut(); close(done) })
+		<-done
+		return yes
+	}
+	l.Send(loop, Outgoing{Message: answer, Last: true, Done: func(err error) { sent <- err }})
+	require.NoError(t, <-sent)
+	require.Eventually(t, shut, 5*time.Second, time.Millisecond)
+	for range 3 { // a reset would come with the first, and be met by the next
+		_, err := peer.Write(bytes.Repeat([]byte("late "), 1000))
+		require.NoError(t, err)
+	}
+	require.NoError(t, peer.SetReadDeadline(time.Now().Add(5*time.Second)))
+	got, err := io.ReadAll(peer)
+	require.NoError(t, err)
+	assert.Equal(t, answer, got)
+	closed := make(chan bool, 1)
+	loop.Post(func() { closed <- l.Closed })
+	assert.False(t, <-closed, "the end was read, and the connection is open to what comes")
+	require.NoError(t, peer.Close())
+	<-gone
+}
+
+// A peer that does not end its side is closed all the same.
+func TestAPeerThatStaysIsClosedInTheEnd(t *testing.T) {
+	l, _, loop, gone := dialed(t)
+	loop.Post(func() { l.Shut(loop, IdleOut) })
+	<-gone
+	assert.Equal(t, IdleOut, l.Reason)
+}
--- /dev/null
+++ b/internal/platform/ending_test.go
@@ -0,0 +1,303 @@
+package platform_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cobaltflow/internal/config"
+	"cobaltflow/internal/core"
+	"cobaltflow/internal/platform"
+	"cobaltflow/internal/standin"
+)
+
+// Ends of clients' connections and of the process, each crossed by what the other side does in that instant: the loop
+// stands still, in one event of the test's, until the other side has acted.
+
+const whole = head + "\r\n"
+
+// meanwhile waits on the loop itself, which stands still: nothing is taken until the condition holds.
+func meanwhile(t *testing.T, f func() bool) {
+	t.Helper()
+	for by := time.Now().Add(standin.Patience); !f(); time.Sleep(time.Millisecond) {
+		if time.Now().After(by) {
+			t.Error("it never came")
+			return
+		}
+	}
+}
+
+func answered(t *testing.T, c *standin.Raw) int {
+	t.Helper()
+	r, err := http.ReadResponse(c.R, nil)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, r.Body)
+	require.NoError(t, err, "the answer came whole")
+	return r.StatusCode
+}
+
+// ended reads the end, and nothing before it and no reset.
+func ended(t *testing.T, c *standin.Raw) {
+	t.Helper()
+	rest, err := io.ReadAll(c.R)
+	assert.NoError(t, err, "the end, and no reset")
+	assert.Empty(t, rest)
+}
+
+// A request that arrives between the last look at a resting connection and its end is never taken: its client reads the
+// end and no answer, and may send it elsewhere. So in the drain after SIGTERM, in an operator's, and at an idle close.
+func TestARequestThatCrossesTheEndOfItsConnectionIsNotTaken(t *testing.T) {
+	for name, end := range map[string]func(n *standin.Node){
+		"SIGTERM": func(n *standin.Node) {
+			n.On(func() { n.Front.StopSince(n.Loop.Now()-2*core.Second, n.Loop.Stop) })
+		},
+		"drain": func(n *standin.Node) { n.On(n.Front.Drain) },
+		"idle":  func(*standin.Node) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := standin.NewWorker(t, "s-1", nil)
+			n := standin.Start(t, nil, w)
+			c := standin.Dial(t, n.Front.Address())
+			c.Say("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+			require.Equal(t, 200, answered(t, c))
+			crossed := false
+			n.On(func() {
+				n.Front.Crossing(func() {
+					if crossed {
+						return
+					}
+					crossed = true
+					c.Say(fmt.Sprintf(whole, "id-1"))
+					meanwhile(t, func() bool { _, _, inHand := n.Front.Clients(); return inHand == 1 })
+				})
+			})
+			end(n)
+			ended(t, c)
+			if name == "SIGTERM" {
+				<-n.Ended
+			} else {
+				n.On(func() { assert.True(t, crossed) })
+			}
+			assert.Empty(t, w.Jobs(), "never sent on")
+		})
+	}
+}
+
+// What is behind a request whose answer is the connection's last is not taken, and does not reset the answer.
+func TestWhatIsBehindALastAnswerIsNotTaken(t *testing.T) {
+	w := standin.NewWorker(t, "s-1", silent)
+	n := standin.Start(t, nil, w)
+	c := standin.Dial(t, n.Front.Address())
+	c.Say(fmt.Sprintf(head, "id-1") + "Connection: close\r\n\r\n" + fmt.Sprintf(whole, "id-2"))
+	n.Eventually(func() bool { return len(w.Jobs()) == 1 })
+	require.Equal(t, 204, w.Call("id-1", "done", nil))
+	require.Equal(t, 200, answered(t, c))
+	ended(t, c)
+	n.Eventually(func() bool { return open(n) == 0 })
+	assert.Len(t, w.Jobs(), 1, "one request, one job")
+}
+
+// Connections whose first request has come whole, and waits for the loop, are not closed for one that is new.
+func TestAWholeRequestIsNotEvictedByANewConnection(t *testing.T) {
+	const budget = 24
+	n := standin.Start(t, func(c *config.Config) { c.Limits.Sockets = 64 }, standin.NewWorker(t, "s-1", nil))
+	var usual []*standin.Raw
+	for range budget {
+		usual = append(usual, standin.Dial(t, n.Front.Address()))
+	}
+	n.Eventually(func() (all bool) {
+		n.On(func() { known, _, _ := n.Front.Clients(); all = known == budget })
+		return all
+	})
+	n.On(func() {
+		standin.Dial(t, n.Front.Address())
+		meanwhile(t, func() bool { return n.Front.Accepted() == budget+1 }) // and its place is asked for first
+		for _, c := range usual {
+			c.Say("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+		}
+		meanwhile(t, func() bool { _, _, inHand := n.Front.Clients(); return inHand == budget })
+	})
+	for _, c := range usual {
+		assert.Equal(t, 200, answered(t, c))
+	}
+	n.Eventually(func() bool { return n.Logged("reason=over-budget") })
+}
+
+// A request that comes whole only when all that was open has been answered, as the platform may kill us soon, is
+// refused at once: sent on, it would be lost with the process.
+func TestARequestPastTheLastAnswersIsRefused(t *testing.T) {
+	w := standin.NewWorker(t, "s-1", nil)
+	n := standin.Start(t, nil, w)
+	c := standin.Dial(t, n.Front.Address())
+	text := fmt.Sprintf(whole, "id-1")
+	c.Say(text[:len(text)-1])
+	n.Eventually(func() (come bool) {
+		n.On(func() { _, unread, _ := n.Front.Clients(); come = unread == 1 })
+		return come
+	})
+	n.On(func() { n.Front.StopSince(n.Loop.Now()-3600*core.Millisecond, n.Loop.Stop) })
+	c.Say(text[len(text)-1:])
+	assert.Equal(t, 503, answered(t, c))
+	ended(t, c)
+	<-n.Ended
+	assert.Empty(t, w.Jobs())
+}
+
+// A connection that the poller has accepted, and of which the loop has not heard when it looks for the last time, is
+// served: the process does not end under it.
+func TestTheProcessDoesNotEndUnderAConnectionJustAccepted(t *testing.T) {
+	w := standin.NewWorker(t, "s-1", silent)
+	n := standin.Start(t, nil, w)
+	var c *standin.Raw
+	n.On(func() {
+		c = standin.Dial(t, n.Front.Address())
+		c.Say(fmt.Sprintf(whole, "id-1"))
+		meanwhile(t, func() bool { return n.Front.Accepted() == 1 })
+		n.Front.StopSince(n.Loop.Now()-2*core.Second, n.Loop.Stop) // the drain looks in this turn
+	})
+	n.Eventually(func() bool { return len(w.Jobs()) == 1 })
+	var since core.Time
+	n.On(func() { since = n.Loop.Now() })
+	for now := since; now < since+200*core.Millisecond; {
+		select {
+		case <-n.Ended:
+			t.Fatal("ended with a job in hand")
+		default:
+			n.Loop.Post(func() { now = max(now, n.Loop.Now()) })
+			n.On(func() {})
+		}
+	}
+	require.Equal(t, 204, w.Call("id-1", "done", map[string]any{"result": "x"}))
+	assert.Equal(t, 200, answered(t, c))
+	<-n.Ended
+}
+
+// SIGTERM with a request at every stage: held, dialling, written, accepted, and a client that came again on a kept
+// connection. Each gets one final answer before the kill, a refusal where it never left or may be repeated, and the
+// process ends.
+func TestSIGTERMWithRequestsAtEveryStage(t *testing.T) {
+	accepted := standin.NewWorker(t, "s-1", silent)
+	n := standin.Start(t, nil, accepted)
+	clients := map[string]*standin.Raw{}
+	send := func(class, id string) {
+		c := standin.Dial(t, n.Front.Address())
+		c.Say(fmt.Sprintf("POST /%s/k HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: %s\r\nX-Time-Left-Ms: 60000\r\n\r\n", class, id))
+		clients[id] = c
+	}
+	send("settle", "accepted")
+	n.Eventually(func() bool { return len(accepted.Jobs()) == 1 })
+	read := make(chan struct{}, 4)
+	mute := newScripted(t, "s-2", func(c net.Conn, r *bufio.Reader) { // reads a request and says nothing, as one that hangs
+		if _, err := http.ReadRequest(r); err == nil {
+			read <- struct{}{}
+		}
+	})
+	told(n, accepted.Entry("draining"), mute.entry("up"))
+	send("settle", "written")
+	next(t, read)
+	send("board-view", "repeatable")
+	next(t, read)
+	up, _ := hold(n) // never let go
+	send("settle", "dialling")
+	next(t, up)
+	told(n, mute.entry("draining"))
+	send("settle", "held")
+	n.Eventually(func() bool { return open(n) == 5 })
+	n.On(func() { n.Front.StopSince(n.Loop.Now()-3500*core.Millisecond, n.Loop.Stop) })
+	for id, want := range map[string]int{"accepted": 500, "written": 500, "repeatable": 503, "dialling": 503, "held": 503} {
+		assert.Equal(t, want, answered(t, clients[id]), id)
+		ended(t, clients[id])
+	}
+	<-n.Ended
+	n.Eventually(func() bool { return accepted.Deleted("accepted") })
+	assert.Len(t, accepted.Jobs(), 1)
+}
+
+// A worker that sends a second answer some milliseconds late, behind the next request on the connection: it is not
+// believed that the next was never begun, since that was said of the one before. It is accepted, and runs once.
+func TestASecondAnswerIsNotTakenForTheNextRequests(t *testing.T) {
+	type job struct {
+		id     string
+		goOn   chan string
+		answer chan error
+	}
+	jobs := make(chan job, 8)
+	a := newScripted(t, "s-1", func(c net.Conn, r *bufio.Reader) {
+		for {
+			q, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			j := job{q.Header.Get(platform.HeaderID), make(chan string), make(chan error)}
+			jobs <- j
+			_, err = io.WriteString(c, <-j.goOn)
+			j.answer <- err
+		}
+	})
+	n := standin.Start(t, nil)
+	told(n, a.entry("up"))
+	const unprocessed = "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
+	first := ask(n, "settle", "id-1")
+	j := next(t, jobs)
+	j.goOn <- unprocessed
+	require.NoError(t, next(t, j.answer))
+	n.Eventually(func() (idle bool) {
+		n.On(func() { idle = n.Front.Idle() == 1 })
+		return idle
+	})
+	n.On(n.Front.JustRested)
+	b := standin.NewWorker(t, "s-2", nil)
+	b.BackTo(n)
+	second := ask(n, "settle", "id-2")
+	j = next(t, jobs)
+	require.Equal(t, "id-2", j.id)
+	told(n, a.entry("up"), b.Entry("up"))
+	assert.Equal(t, standin.Answer{Status: 200, Body: "s-2 did id-1"}, next(t, first), "it never ran, and goes to another")
+	j.goOn <- unprocessed + "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n" // the first's again, and then its own
+	require.NoError(t, next(t, j.answer))
+	assert.Equal(t, 500, next(t, second).Status, "it may have run")
+	assert.Len(t, b.Jobs(), 1, "and does not run again")
+}
+
+// An answer of a worker that stops in the middle and never ends, or breaks off, proves nothing: a once request that it
+// may have begun is not sent again, a call-back still serves it.
+func TestHalfAnAnswerProvesNothing(t *testing.T) {
+	const half = "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 9\r\n\r\nhalf"
+	for _, breaks := range []bool{false, true} {
+		t.Run(fmt.Sprint("breaks off: ", breaks), func(t *testing.T) {
+			jobs := make(chan string, 8)
+			a := newScripted(t, "s-1", func(c net.Conn, r *bufio.Reader) {
+				if _, err := http.ReadRequest(r); err != nil {
+					return
+				}
+				io.WriteString(c, half)
+				if breaks {
+					c.Close()
+				}
+				jobs <- "it"
+			})
+			b := standin.NewWorker(t, "s-2", nil)
+			n := standin.Start(t, nil)
+			b.BackTo(n)
+			told(n, a.entry("up"))
+			got := ask(n, "settle", "id-1")
+			next(t, jobs)
+			told(n, b.Entry("up"))
+			if breaks {
+				assert.Equal(t, 500, next(t, got).Status)
+			} else {
+				require.Equal(t, 204, standin.Event(n.URL(platform.PathEvents), map[string]any{"id": "id-1", "from": "s-1", "state": "done", "result": "r"}))
+				assert.Equal(t, standin.Answer{Status: 200, Body: "r"}, next(t, got))
+			}
+			assert.Empty(t, b.Jobs())
+		})
+	}
+}
--- a/internal/platform/export_test.go
+++ b/internal/platform/export_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/cloudwego/netpoll"
 	"golang.org/x/sys/unix"
+
+	"cobaltflow/internal/core"
 )
 
 // HoldDials has each connection to a worker wait, once it is up, until the test lets it go. It is called on the loop.
@@ -46,5 +48,35 @@
 	return n
 }
 
+// JustRested has the idle connections to workers count as used a moment ago. It is called on the loop.
+func (f *Front) JustRested() {
+	for _, w := range f.pool.workers {
+		for _, l := range w.idle {
+			l.since = f.loop.Now() + core.Second
+		}
+	}
+}
+
+// Crossing has a function called between the last look at a client's resting connection and its end. It is called on the loop.
+func (f *Front) Crossing(between func()) { f.crossing = between }
+
+// Clients gives how many accepted connections the loop knows of, how many hold unread bytes, and on how many a whole
+// message waits. It is called on the loop.
+func (f *Front) Clients() (known, unread, inHand int) {
+	f.agents.Each(func(_ core.Ref, a *agentLink) {
+		known++
+		if a.NC.Reader().Len() > 0 {
+			unread++
+		}
+		if a.InHand() {
+			inHand++
+		}
+	})
+	return known, unread, inHand
+}
+
+// Accepted is the number of connections that the poller has accepted, those too that the loop has not heard of.
+func (f *Front) Accepted() int { return int(f.accepted.Load()) }
+
 // Dials is the number of connections to workers that are not up yet.
 func (f *Front) Dials() int { return f.pool.dials }
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -106,6 +106,7 @@
 	drained  core.Time // an operator asked for a drain then; 0: none is on
 	handing  bool      // a successor serves at our address: SIGTERM ends us as soon as may be
 	shut     bool      // the listener is closed
+	crossing func()    // for tests: called between the last look at a resting connection and its end
 	relayed  uint64    // requests written whole to the workers
 	foreign  uint64    // call-backs of ids never seen here, sent to try again elsewhere
 }
@@ -312,7 +313,7 @@
 			victim, best = a, rank
 		}
 	})
-	if over > 0 {
+	if over > 0 && !(victim == newest && newest.InHand()) { // whose request has come whole is served: the poller's bound holds
 		victim.Close(link.OverBudget)
 	}
 }
@@ -323,8 +324,8 @@
 	unread := a.NC.Reader().Len()
 	silent := a.Count == 0 && unread == 0
 	switch {
-	case a.in != nil || a.callsBack && unread > 0:
-		return busy
+	case a.in != nil || a.InHand() || !a.IdleWriter() || a.callsBack && unread > 0:
+		return busy // it owes an answer, or has not given it whole
 	case a.Reason != "" || silent && a.front.loop.Now()-a.Opened > firstUse:
 		return 0
 	case a.jobs == 0 && !a.callsBack && !silent:
@@ -369,10 +370,11 @@
 	}
 	path := string(q.Path)
 	r, fixed := routes[path]
-	if !fixed && f.handing && f.loop.Now() > f.stopping+f.ending.takeLast {
-		// Its job could not end before we do: the client tries again, and its new connection may reach
-		// the successor. Refused at once, as the rule on given-up requests wants.
+	if !fixed && f.endsSoon() {
+		// Its job could not end before we do: the client tries again elsewhere. Refused at once, as the rule on
+		// given-up requests wants.
 		a.Reason = link.ShutDown
+		a.Discard()
 		f.reply(a, 503, []byte("this process ends; try again\n"), false, "Retry-After", "0")
 		a.Release()
 		return
@@ -389,6 +391,13 @@
 	a.Release()
 }
 
+// endsSoon tells that a job that comes now could not end before we do: all that is open was answered already, or a
+// successor at our address has the time that we have not.
+func (f *Front) endsSoon() bool {
+	since := f.loop.Now() - f.stopping
+	return f.stopping > 0 && (since >= f.ending.answerBy || f.handing && since > f.ending.takeLast)
+}
+
 type route struct {
 	method string
 	handle func(f *Front, a *agentLink, q *http1.Request)
@@ -438,7 +447,7 @@
 	a.Reason = reason
 	a.Discard()
 	message := http1.AppendResponse(nil, status, false, []byte(text), extra...)
-	a.Send(f.loop, link.Outgoing{Message: message, Last: true, Linger: true})
+	a.Send(f.loop, link.Outgoing{Message: message, Last: true})
 }
 
 // open turns a request into a transaction; what can't be one is answered and reaches no worker.
@@ -489,6 +498,10 @@
 	if string(a.request.Method) == "HEAD" {
 		body = nil
 	}
+	if !keepAlive && a.Reason == "" { // nothing behind this request is taken any more
+		a.Reason = link.Answered
+		a.Discard()
+	}
 	message := http1.AppendResponse(make([]byte, 0, 160+len(body)), status, keepAlive, body, extra...)
 	a.Send(f.loop, link.Outgoing{Message: message, Last: !keepAlive})
 }
@@ -534,7 +547,7 @@
 		case a.begun > 0 && now-a.begun > messageTime:
 			f.turnAway(a, link.SlowInput, 408, "no whole request came in time\n")
 		case a.begun == 0 && a.jobs == 0 && !a.callsBack && now-a.last > messageTime:
-			a.Close(link.IdleOut)
+			a.letGo(link.IdleOut)
 		}
 	})
 	if all > f.conf.Limits.MemoryMB<<20/8 {
@@ -566,6 +579,9 @@
 	}
 }
 
+// AnswersWithin is how long after SIGTERM all that is open is answered at the latest.
+func (f *Front) AnswersWithin() core.Time { return f.ending.answerBy }
+
 // HandOver has SIGTERM end the front as soon as may be: a successor serves at the same address. Clients are
 // drained at once, jobs that come after takeLast are refused, and the listener closes at answerBy.
 func (f *Front) HandOver() {
@@ -602,8 +618,8 @@
 // nothing to write. A new one is given the moment in which its first request comes with it.
 func (f *Front) letGo(now core.Time) {
 	f.agents.Each(func(_ core.Ref, a *agentLink) {
-		if !a.callsBack && !a.Closed && !a.fresh(now) && a.holdsNothing() {
-			a.Close(link.ShutDown)
+		if !a.callsBack && !a.fresh(now) {
+			a.letGo(link.ShutDown)
 		}
 	})
 }
@@ -611,45 +627,55 @@
 // fresh tells of a connection whose first request may still be on its way.
 func (a *agentLink) fresh(now core.Time) bool { return a.Count == 0 && now-a.Opened < firstUse }
 
-// holdsNothing tells of a connection that may be closed between requests: no job, nothing unread or to write.
-func (a *agentLink) holdsNothing() bool {
-	return a.in == nil && a.NC.Reader().Len() == 0 && a.IdleWriter()
+// letGo ends our side of a connection that holds nothing: no job, nothing unread or to write. What arrives between the
+// look and the end is never taken.
+func (a *agentLink) letGo(reason string) {
+	if a.in != nil || a.NC.Reader().Len() > 0 || !a.IdleWriter() {
+		return
+	}
+	if a.front.crossing != nil {
+		a.front.crossing()
+	}
+	a.Shut(a.front.loop, reason)
 }
 
+// drain looks, from acceptOn after SIGTERM on, whether anything is still owed, and ends the front when nothing is. The
+// listener is closed first and all is looked at once more: what was accepted until then is served too.
 func (f *Front) drain() {
-	agents, open := 0, f.core.Open()
-	// With a successor, the listener closes at answerBy whatever is open: what comes later could not end in
-	// time. A connection that is closed under a request unread is the client's to send again, to the successor.
-	late := f.handing && f.loop.Now() >= f.stopping+f.ending.answerBy
-	if late && !f.shut {
-		f.shut = true
-		f.listener.Close()
-	}
+	now, owed := f.loop.Now(), 0
+	over := now >= f.stopping+f.ending.answerBy
 	f.agents.Each(func(_ core.Ref, a *agentLink) {
-		if a.callsBack {
-			return
-		}
-		if a.fresh(f.loop.Now()) && !late {
-			agents++
-			return // its first request may be on its way
-		}
-		if agents++; a.holdsNothing() {
-			a.Close(link.ShutDown)
+		switch {
+		case a.callsBack:
+		case a.IsShut():
+			if !over { // else only its peer's end is to come
+				owed++
+			}
+		case a.fresh(now) && !(f.handing && over): // its first request may be on its way
+			owed++
+		default:
+			owed++
+			a.letGo(link.ShutDown)
 		}
 	})
-	if open == 0 && agents == 0 && f.pool.writing() == 0 {
+	owed += f.core.Open() + f.pool.writing()
+	owed += int(f.accepted.Load()) - f.agents.Len() // accepted, and not heard of yet
+	// With a successor, the listener closes at answerBy whatever is open: what comes later could not end in
+	// time. A connection that is closed under a request unread is the client's to send again, to the successor.
+	if owed == 0 && f.shut {
 		f.log.Info("stopped taking", "foreign_call_backs", f.foreign)
-		if !f.shut {
-			f.listener.Close()
-		}
 		f.agents.Each(func(_ core.Ref, a *agentLink) { a.Close(link.ShutDown) })
 		f.pool.close()
 		f.watch.stop()
 		if f.peers != nil {
 			f.peers.close()
 		}
-		f.loop.At(f.loop.Now()+20*core.Millisecond, f.stopped)
+		f.loop.At(now+20*core.Millisecond, f.stopped)
 		return
 	}
-	f.loop.At(f.loop.Now()+20*core.Millisecond, f.drain)
+	if !f.shut && (owed == 0 || f.handing && over) {
+		f.shut = true
+		f.listener.Close()
+	}
+	f.loop.At(now+20*core.Millisecond, f.drain)
 }
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -17,6 +17,9 @@
 const (
 	probeTime  = 200 * core.Millisecond
 	deleteTime = 2 * core.Second
+	// A worker may send a second answer to a request some milliseconds late: behind the next request on the connection
+	// it would be taken for that one's. What may be repeated anyhow does not mind.
+	secondAnswer = 50 * core.Millisecond
 )
 
 // passState is how far a carried pass has come.
@@ -83,6 +86,7 @@
 	still   func() bool // whether it is wanted yet; nil: it is
 	may     func() bool // whether it may begin now, asked as its first byte is about to leave; nil: it may
 	waits   func()      // it waits for a new connection, nothing of it has left
+	doubted bool        // its answer may be a second one to the request before
 	written bool
 	gone    bool // the connection went while the writer was still at it
 }
@@ -160,7 +164,7 @@
 		switch {
 		case r.Status == 202:
 			c.state = accepted
-		case (r.Status == 503 || r.Status == 504) && string(r.Get(HeaderUnprocessed)) == "1":
+		case (r.Status == 503 || r.Status == 504) && string(r.Get(HeaderUnprocessed)) == "1" && !k.doubted:
 			f.core.Ended(ref, rules.Refused, nil, load)
 		case r.Status >= 500:
 			f.core.Ended(ref, rules.Error, nil, load)
@@ -365,6 +369,7 @@
 	l.call = k
 	now := l.f.loop.Now()
 	l.rested, l.since = now-l.since, now
+	k.doubted = l.Count > 0 && l.rested < secondAnswer
 	l.Count++
 	k.begin(l)
 	l.Send(l.f.loop, link.Outgoing{Message: k.message, Done: func(err error) {
