--- a/internal/platform/ending_test.go
+++ b/internal/platform/ending_test.go
@@ -301,3 +301,61 @@
 		})
 	}
 }
+
+// A worker that resets its connection behind the 202 has the job all the same: its call-back serves it.
+func TestAResetBehindThe202ChangesNothing(t *testing.T) {
+	jobs := make(chan string, 8)
+	a := newScripted(t, "s-1", func(c net.Conn, r *bufio.Reader) {
+		id := took(c, r)
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+		jobs <- id
+	})
+	n := standin.Start(t, nil)
+	told(n, a.entry("up"))
+	got := ask(n, "settle", "id-1")
+	require.Equal(t, "id-1", next(t, jobs))
+	n.Eventually(func() bool { return n.Logged("party=worker peer=" + a.Addr().String()) })
+	require.Equal(t, 1, open(n))
+	require.Equal(t, 204, standin.Event(n.URL(platform.PathEvents), map[string]any{"id": "id-1", "from": "s-1", "state": "done", "result": "r"}))
+	assert.Equal(t, standin.Answer{Status: 200, Body: "r"}, next(t, got))
+}
+
+// An answer that is there in the turn in which the time of its request ends is given: the end comes after it.
+func TestAnAnswerInTheTurnOfTheDeadlineIsGiven(t *testing.T) {
+	w := standin.NewWorker(t, "s-1", silent)
+	n := standin.Start(t, nil, w)
+	got := make(chan standin.Answer, 1)
+	go func() { got <- n.Ask("move", "k", "id-1", 500, "") }()
+	n.Eventually(func() bool { return len(w.Jobs()) == 1 })
+	c := standin.Dial(t, n.Front.Address())
+	n.Eventually(func() (both bool) {
+		n.On(func() { known, _, _ := n.Front.Clients(); both = known == 2 })
+		return both
+	})
+	n.On(func() {
+		late := time.Now().Add(600 * time.Millisecond)
+		body := `{"id":"id-1","from":"s-1","state":"done","result":"just"}`
+		c.Say(fmt.Sprintf("POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", platform.PathEvents, len(body), body))
+		meanwhile(t, func() bool { _, _, inHand := n.Front.Clients(); return inHand == 2 && time.Now().After(late) })
+	})
+	assert.Equal(t, standin.Answer{Status: 200, Body: "just"}, next(t, got))
+}
+
+// However a client leaves, by the end of its side, of both or by a reset, its request is given up.
+func TestEachWayOfLeavingIsLeaving(t *testing.T) {
+	for name, leave := range map[string]func(c *net.TCPConn){
+		"close": func(c *net.TCPConn) { c.Close() },
+		"half":  func(c *net.TCPConn) { c.CloseWrite() },
+		"reset": func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := standin.Start(t, nil) // with no worker the request is held
+			c := standin.Dial(t, n.Front.Address())
+			c.Say(fmt.Sprintf(whole, "id-1"))
+			n.Eventually(func() bool { return open(n) == 1 })
+			leave(c.Conn.(*net.TCPConn))
+			n.Eventually(func() bool { return open(n) == 0 })
+		})
+	}
+}
