Believe a doubted word that a request was not begun once nothing else has followed it

HTTP/1.1 answers in order, so that a second answer to the request before is followed by this one's own: it is waited for, for 50 ms. What follows counts; where nothing follows the word is believed, and where the connection ends nothing is proved (pool.go, doubt).

--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -18,7 +18,8 @@
 	probeTime  = 200 * core.Millisecond
 	deleteTime = 2 * core.Second
 	// A worker may send a second answer to a request some milliseconds late: behind the next request on the connection
-	// it would be taken for that one's. What may be repeated anyhow does not mind.
+	// it would be taken for that one's. Within this time of the answer before, a word that a request was never begun is
+	// believed only when no other answer has followed it for as long.
 	secondAnswer = 50 * core.Millisecond
 )
 
@@ -79,6 +80,7 @@
 	begin   func(l *workerLink)                   // a connection was found, the message is being written
 	wrote   func(err error)                       // it has been written, or could not be
 	got     func(r *http1.Response)               // the answer came
+	refused func(load rules.Load)                 // the answer was that it is not begun; nil: got is told that too
 	broken  func(reason string, mayHaveRead bool) // there will be none
 	limit   *core.Deadline
 	safe    bool        // it may be sent twice
@@ -164,7 +166,7 @@
 		switch {
 		case r.Status == 202:
 			c.state = accepted
-		case (r.Status == 503 || r.Status == 504) && string(r.Get(HeaderUnprocessed)) == "1" && !k.doubted:
+		case notBegun(r):
 			f.core.Ended(ref, rules.Refused, nil, load)
 		case r.Status >= 500:
 			f.core.Ended(ref, rules.Error, nil, load)
@@ -172,6 +174,11 @@
 			f.core.Ended(ref, rules.Unknown, nil, load)
 		}
 	}
+	k.refused = func(load rules.Load) {
+		c.link = nil
+		f.core.Answered(w.name)
+		f.core.Ended(ref, rules.Refused, nil, load)
+	}
 	k.broken = func(reason string, mayHaveRead bool) {
 		c.link = nil
 		f.noAnswer(w, reason)
@@ -190,6 +197,11 @@
 	k.wanted(f, w)
 }
 
+// notBegun tells of an answer that proves that the request was not begun.
+func notBegun(r *http1.Response) bool {
+	return (r.Status == 503 || r.Status == 504) && string(r.Get(HeaderUnprocessed)) == "1"
+}
+
 // TellsSigns implements core.Signs: a table worker answers each request at once, whenever its job may run.
 func (f *Front) TellsSigns() {}
 
@@ -425,6 +437,10 @@
 		l.Close(link.BadInput) // an answer that can't be read, or one that nobody waits for
 		return
 	}
+	if k.doubted && k.refused != nil && notBegun(&l.response) {
+		l.doubt(k)
+		return
+	}
 	l.call = nil
 	l.f.loop.Drop(k.limit)
 	if l.response.KeepAlive {
@@ -435,6 +451,25 @@
 	k.got(&l.response)
 }
 
+// doubt waits whether another answer follows one that may be the second to the request before. Where the connection
+// ends meanwhile nothing is proved.
+func (l *workerLink) doubt(k *call) {
+	k.doubted = false
+	load, keep := parseLoad(l.response.Get(HeaderLoad)), l.response.KeepAlive
+	k.limit = l.f.loop.At(l.f.loop.Now()+secondAnswer, func() {
+		if l.call != k || l.Ended || l.Reason != "" {
+			return
+		}
+		l.call = nil
+		if keep {
+			l.rest()
+		} else {
+			l.Close(link.Answered)
+		}
+		k.refused(load)
+	})
+}
+
 // rest puts the connection with the idle ones, unless the worker has another address by now.
 func (l *workerLink) rest() {
 	if l.Peer != l.worker.address {
