Free a client's connection with its answer, and end an attempt that may not be cancelled in time

Seen by reading, for deployments that allow second copies and forbid cancelling (none of those at hand does): a request served by its second copy kept its connection for as long as the first was out (front.go: the buffer was given back in Released, which core.settle calls when no pass is out). A worker that never says a word kept it for ever, since close drops the transaction's deadline: the client's next request on the connection was not read, and lost at the latest when the process ended.

Ruled out: deployments with cancelling, where the pass ends in the next turn.

Change: the connection is free with the answer (each attempt has a copy of its message); settle ends what is out at the request's deadline. The test fails with either taken out (tried).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -51,7 +51,8 @@
 	// Answer gives the final answer, once.
 	Answer(t *Transaction, a Answer)
 	// Released tells that no carrier holds the transaction's work any more. It comes after Answer or
-	// the hang-up, once, and from then on Work.Body may be overwritten.
+	// the hang-up, once, and from then on Work.Body may be overwritten; an agent may take it away with Answer, from when
+	// on no pass begins.
 	Released(t *Transaction)
 }
 
@@ -398,9 +399,17 @@
 	t.deadline = nil
 }
 
-// settle lets go of a transaction that has its answer and no pass out.
+// settle lets go of a transaction that has its answer and no pass out. A pass that is out still, since it may not be
+// cancelled, is ended at the transaction's deadline: its worker may never say a word.
 func (c *Core) settle(t *Transaction) {
-	if t.closed && len(t.out) == 0 && c.transactions.Free(t.ref) {
+	switch {
+	case !t.closed:
+	case len(t.out) > 0:
+		if t.deadline == nil {
+			t.deadline = c.Loop.At(max(t.Deadline, c.Loop.now), func() { c.TimeOut(t) })
+		}
+	case c.transactions.Free(t.ref):
+		c.Loop.Drop(t.deadline)
 		delete(c.byID, t.ID)
 		t.Agent.Released(t)
 	}
--- a/internal/platform/ending_test.go
+++ b/internal/platform/ending_test.go
@@ -379,3 +379,45 @@
 		})
 	}
 }
+
+// Where a second copy may be sent and none may be cancelled, a request may be answered with an attempt still out, at a
+// worker that never says a word. Its connection takes the next request all the same, and the attempt ends with its time.
+func TestAnAttemptThatIsStillOutHoldsNoConnectionUp(t *testing.T) {
+	jobs := make(chan string, 16)
+	a := newScripted(t, "s-1", func(c net.Conn, r *bufio.Reader) {
+		for {
+			q, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			id := q.Header.Get(platform.HeaderID)
+			if id == "id-1" {
+				io.WriteString(c, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+			} else {
+				io.WriteString(c, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n")
+			}
+			jobs <- id
+		}
+	})
+	n := standin.Start(t, func(c *config.Config) { c.Settings.MayCancel, c.Settings.MaySecondCopy = false, true })
+	told(n, a.entry("up"))
+	c := standin.Dial(t, n.Front.Address())
+	c.Say("POST /board-view/k HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: id-1\r\nX-Time-Left-Ms: 4500\r\n\r\n")
+	require.Equal(t, "id-1", next(t, jobs))
+	for i := range 8 { // it fails others, again and again, so that it is avoided for seconds
+		require.Equal(t, 500, n.Ask("move", "k", fmt.Sprint("bad-", i), 5000, "").Status)
+	}
+	b := standin.NewWorker(t, "s-2", nil)
+	b.BackTo(n)
+	told(n, b.Entry("up"))
+	require.Equal(t, 200, answered(t, c), "by the second copy")
+	require.Len(t, b.Jobs(), 1)
+	n.On(func() { assert.Equal(t, 1, n.Core.Passes(), "the first is out") })
+	c.Say(fmt.Sprintf(whole, "id-2"))
+	require.Equal(t, 200, answered(t, c))
+	n.On(func() { assert.Equal(t, 1, n.Core.Passes(), "and still is") })
+	n.Eventually(func() (none bool) {
+		n.On(func() { none = n.Core.Passes() == 0 })
+		return none
+	})
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -469,22 +469,32 @@
 	return true
 }
 
-// Answer implements core.UserAgent.
+// Answer implements core.UserAgent. With it the connection is free for the next request: an attempt that may still be out,
+// where attempts may not be cancelled, has a copy of what it carries.
 func (a *agentLink) Answer(t *core.Transaction, answer core.Answer) {
 	r := a.front.desk.ReplyTo(answer)
 	if r.RetryAfter != "" {
 		a.front.reply(a, r.Status, r.Body, a.request.KeepAlive, "Retry-After", r.RetryAfter)
-		return
+	} else {
+		a.front.reply(a, r.Status, r.Body, a.request.KeepAlive)
 	}
-	a.front.reply(a, r.Status, r.Body, a.request.KeepAlive)
+	t.Work.Body = nil
+	a.free(t)
 }
 
-// Released implements core.UserAgent: no pass needs the request's bytes any more.
+// Released implements core.UserAgent: the client has left, or was answered before.
 func (a *agentLink) Released(t *core.Transaction) {
 	a.front.desk.Released(t)
-	a.in = nil
-	a.last = a.front.loop.Now()
-	a.Release()
+	a.free(t)
+}
+
+// free gives the buffer of a request back, which its transaction held.
+func (a *agentLink) free(t *core.Transaction) {
+	if a.in == t {
+		a.in = nil
+		a.last = a.front.loop.Now()
+		a.Release()
+	}
 }
 
 // reply queues an answer. The message is put together anew, since it outlives the turn and with it
