Test on sockets where a by_key request that may have run is repeated, by its group

A first attempt whose connection breaks before the 202, with another worker in the same or another zone or cell: repeated at once where the group allows it, else failed when its window is over. Found no fault; the test fails with the zone's or the cell's condition of rules.mayRepeat taken out (tried).

--- a/internal/platform/ending_test.go
+++ b/internal/platform/ending_test.go
@@ -16,6 +16,7 @@
 	"cobaltflow/internal/core"
 	"cobaltflow/internal/platform"
 	"cobaltflow/internal/standin"
+	"cobaltflow/rules"
 )
 
 // Ends of clients' connections and of the process, each crossed by what the other side does in that instant: the loop
@@ -421,3 +422,48 @@
 		return none
 	})
 }
+
+// A by_key request whose first attempt may have run, since its connection broke before the 202, is repeated within its
+// window at workers of its group, and nowhere else: there its key is not known, and it would run twice.
+func TestRepeatsOfByKeyStayInTheirGroup(t *testing.T) {
+	for name, c := range map[string]struct {
+		class string // move is made by_key, settle is once
+		group rules.Group
+		key   string // of the second worker's entry, and what it is there
+		is    any
+		want  int
+	}{
+		"all, another zone":  {"move", rules.GroupAll, "zone", "lautoka", 200},
+		"zone, the same":     {"move", rules.GroupZone, "group", 1, 200},
+		"zone, another":      {"move", rules.GroupZone, "zone", "lautoka", 500},
+		"cell, the same":     {"move", rules.GroupCell, "group", 0, 200},
+		"cell, another":      {"move", rules.GroupCell, "group", 1, 500},
+		"all, another cell":  {"move", rules.GroupAll, "group", 1, 200},
+		"once, another zone": {"settle", 0, "zone", "lautoka", 500},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			read, breaks := make(chan struct{}, 4), make(chan struct{})
+			a := newScripted(t, "s-1", func(c net.Conn, r *bufio.Reader) {
+				if _, err := http.ReadRequest(r); err == nil {
+					read <- struct{}{}
+					<-breaks
+					c.Close()
+				}
+			})
+			b := standin.NewWorker(t, "s-2", nil)
+			n := standin.Start(t, func(conf *config.Config) {
+				move := &conf.Settings.Classes[1]
+				move.Effect, move.Group, move.Window = rules.Keyed, c.group, 2*core.Second
+			})
+			b.BackTo(n)
+			told(n, a.entry("up"))
+			got := ask(n, c.class, "id-1")
+			next(t, read)
+			told(n, a.entry("draining"), with(b.Entry("up"), c.key, c.is))
+			close(breaks)
+			assert.Equal(t, c.want, next(t, got).Status)
+			assert.Len(t, b.Jobs(), map[int]int{200: 1, 500: 0}[c.want])
+		})
+	}
+}
