Share the tests' listener, list entry and wait on the loop, which stood in two or more places

Read again: the silent discovery of the tests was the scripted worker's accept loop once more, its list entry the stand-in's, and a dozen waits put the same question to the loop in four lines each; two tests kept a count of open requests beside the shared one. No assertion is changed. In front.go a comment on the listener's end stood over another condition and moves; no line of the program is touched.

--- a/internal/platform/crossing_test.go
+++ b/internal/platform/crossing_test.go
@@ -35,6 +35,15 @@
 	return open
 }
 
+// onLoop waits for a condition that only the loop may look at.
+func onLoop(n *standin.Node, is func() bool) {
+	n.T.Helper()
+	n.Eventually(func() (yes bool) {
+		n.On(func() { yes = is() })
+		return yes
+	})
+}
+
 func with(entry map[string]any, key string, value any) map[string]any {
 	entry[key] = value
 	return entry
@@ -94,8 +103,7 @@
 }
 
 func (s *scripted) entry(status string) map[string]any {
-	return map[string]any{"name": s.name, "address": s.Addr().String(), "zone": "suva", "type": "gen1", "group": 0,
-		"status": status, "weight": 1.0, "since_ms": 0}
+	return standin.Entry(s.name, s.Addr().String(), status)
 }
 
 // took reads a request and answers that it was taken.
@@ -119,10 +127,7 @@
 	require.Equal(t, "id-0", next(t, jobs))
 	require.Equal(t, 204, standin.Event(n.URL(platform.PathEvents), map[string]any{"id": "id-0", "from": "s-1", "state": "done"}))
 	require.Equal(t, 200, next(t, got).Status)
-	n.Eventually(func() (idle bool) {
-		n.On(func() { idle = n.Front.Idle() == 1 })
-		return idle
-	})
+	onLoop(n, func() bool { return n.Front.Idle() == 1 })
 	n.On(func() { n.Front.BreakIdle(t) })
 	return n, a, jobs
 }
@@ -156,10 +161,7 @@
 	n.Eventually(func() bool { return n.Logged("party=worker peer=" + a.Addr().String() + " reason=not-reading") }) // the first
 	assert.Equal(t, 503, next(t, got).Status)
 	letGo <- struct{}{}
-	n.Eventually(func() (none bool) {
-		n.On(func() { none = n.Front.Dials() == 0 })
-		return none
-	})
+	onLoop(n, func() bool { return n.Front.Dials() == 0 })
 	assert.Empty(t, jobs)
 }
 
@@ -183,10 +185,7 @@
 				c.Close()
 				n.Eventually(func() bool { return open(n) == 0 })
 				letGo <- struct{}{}
-				n.Eventually(func() (none bool) {
-					n.On(func() { none = n.Core.Passes() == 0 && n.Front.Dials() == 0 })
-					return none
-				})
+				onLoop(n, func() bool { return n.Core.Passes() == 0 && n.Front.Dials() == 0 })
 				assert.Equal(t, before, len(a.Jobs())+len(b.Jobs()))
 			})
 		}
@@ -222,10 +221,7 @@
 		left(n)
 		require.Equal(t, a.Address(), next(t, up), "the probe's")
 		letGo <- struct{}{}
-		n.Eventually(func() (none bool) {
-			n.On(func() { none = n.Front.Dials() == 0 })
-			return none
-		})
+		onLoop(n, func() bool { return n.Front.Dials() == 0 })
 		got := ask(n, "move", "id-2")
 		letGo <- struct{}{} // should it need a connection of its own
 		require.Equal(t, 200, next(t, got).Status)
@@ -256,10 +252,7 @@
 			next(t, up)
 			letGo <- struct{}{}
 			next(t, up) // of the repeat
-			n.Eventually(func() (over bool) {
-				n.On(func() { over = n.Loop.Now() > first.Load()+window })
-				return over
-			})
+			onLoop(n, func() bool { return n.Loop.Now() > first.Load()+window })
 			letGo <- struct{}{}
 			assert.Equal(t, want, next(t, got).Status, "no worker may be sent it any more")
 			assert.Equal(t, 1, len(a.Jobs())+len(b.Jobs()))
--- a/internal/platform/ending_test.go
+++ b/internal/platform/ending_test.go
@@ -114,10 +114,7 @@
 	for range budget {
 		usual = append(usual, standin.Dial(t, n.Front.Address()))
 	}
-	n.Eventually(func() (all bool) {
-		n.On(func() { known, _, _ := n.Front.Clients(); all = known == budget })
-		return all
-	})
+	onLoop(n, func() bool { known, _, _ := n.Front.Clients(); return known == budget })
 	n.On(func() {
 		standin.Dial(t, n.Front.Address())
 		meanwhile(t, func() bool { return n.Front.Accepted() == budget+1 }) // and its place is asked for first
@@ -140,10 +137,7 @@
 	c := standin.Dial(t, n.Front.Address())
 	text := fmt.Sprintf(whole, "id-1")
 	c.Say(text[:len(text)-1])
-	n.Eventually(func() (come bool) {
-		n.On(func() { _, unread, _ := n.Front.Clients(); come = unread == 1 })
-		return come
-	})
+	onLoop(n, func() bool { _, unread, _ := n.Front.Clients(); return unread == 1 })
 	n.On(func() { n.Front.StopSince(n.Loop.Now()-3600*core.Millisecond, n.Loop.Stop) })
 	c.Say(text[len(text)-1:])
 	assert.Equal(t, 503, answered(t, c))
@@ -194,10 +188,7 @@
 		clients[id] = c
 	}
 	send("settle", "accepted")
-	n.Eventually(func() (taken bool) { // its 202 has been read
-		n.On(func() { taken = len(accepted.Jobs()) == 1 && n.Front.Idle() == 1 })
-		return taken
-	})
+	onLoop(n, func() bool { return len(accepted.Jobs()) == 1 && n.Front.Idle() == 1 }) // its 202 has been read
 	read := make(chan struct{}, 4)
 	mute := newScripted(t, "s-2", func(c net.Conn, r *bufio.Reader) { // reads a request and says nothing, as one that hangs
 		if _, err := http.ReadRequest(r); err == nil {
@@ -262,10 +253,7 @@
 			j := next(t, jobs)
 			j.goOn <- unprocessed
 			require.NoError(t, next(t, j.answer))
-			n.Eventually(func() (idle bool) {
-				n.On(func() { idle = n.Front.Idle() == 1 })
-				return idle
-			})
+			onLoop(n, func() bool { return n.Front.Idle() == 1 })
 			n.On(n.Front.JustRested)
 			b := standin.NewWorker(t, "s-2", nil)
 			b.BackTo(n)
@@ -280,10 +268,7 @@
 				assert.Equal(t, standin.Answer{Status: 200, Body: "s-2 did id-2"}, next(t, second))
 				return
 			}
-			n.Eventually(func() (taken bool) { // both connections rest
-				n.On(func() { taken = n.Front.Idle() == 2 })
-				return taken
-			})
+			onLoop(n, func() bool { return n.Front.Idle() == 2 }) // both connections rest
 			require.Equal(t, 204, standin.Event(n.URL(platform.PathEvents), map[string]any{"id": "id-2", "from": "s-1", "state": "done", "result": "r"}))
 			assert.Equal(t, standin.Answer{Status: 200, Body: "r"}, next(t, second))
 			assert.Len(t, b.Jobs(), 1, "it runs once")
@@ -353,10 +338,7 @@
 	go func() { got <- n.Ask("move", "k", "id-1", 500, "") }()
 	n.Eventually(func() bool { return len(w.Jobs()) == 1 })
 	c := standin.Dial(t, n.Front.Address())
-	n.Eventually(func() (both bool) {
-		n.On(func() { known, _, _ := n.Front.Clients(); both = known == 2 })
-		return both
-	})
+	onLoop(n, func() bool { known, _, _ := n.Front.Clients(); return known == 2 })
 	n.On(func() {
 		late := time.Now().Add(600 * time.Millisecond)
 		body := `{"id":"id-1","from":"s-1","state":"done","result":"just"}`
@@ -420,10 +402,7 @@
 	c.Say(fmt.Sprintf(whole, "id-2"))
 	require.Equal(t, 200, answered(t, c))
 	n.On(func() { assert.Equal(t, 1, n.Core.Passes(), "and still is") })
-	n.Eventually(func() (none bool) {
-		n.On(func() { none = n.Core.Passes() == 0 })
-		return none
-	})
+	onLoop(n, func() bool { return n.Core.Passes() == 0 })
 }
 
 // A by_key request whose first attempt may have run, since its connection broke before the 202, is repeated within its
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -670,8 +670,6 @@
 	})
 	owed += f.core.Open() + f.pool.writing()
 	owed += int(f.accepted.Load()) - f.agents.Len() // accepted, and not heard of yet
-	// With a successor, the listener closes at answerBy whatever is open: what comes later could not end in
-	// time. A connection that is closed under a request unread is the client's to send again, to the successor.
 	if owed == 0 && f.shut {
 		f.log.Info("stopped taking", "foreign_call_backs", f.foreign)
 		f.agents.Each(func(_ core.Ref, a *agentLink) { a.Close(link.ShutDown) })
@@ -683,6 +681,8 @@
 		f.loop.At(now+20*core.Millisecond, f.stopped)
 		return
 	}
+	// With a successor, the listener closes at answerBy whatever is open: what comes later could not end in
+	// time. A connection that is closed under a request unread is the client's to send again, to the successor.
 	if !f.shut && (owed == 0 || f.handing && over) {
 		f.shut = true
 		f.listener.Close()
--- a/internal/platform/rules_test.go
+++ b/internal/platform/rules_test.go
@@ -282,15 +282,11 @@
 		standin.Dial(t, n.Front.Address()).Say(fmt.Sprintf("POST /board-view/k%d HTTP/1.1\r\nHost: x\r\n"+
 			"X-Correlation-Id: id-%d\r\nX-Time-Left-Ms: 9000\r\n\r\n", i, i))
 	}
-	open := func() (open int) {
-		n.On(func() { open = n.Core.Open() })
-		return open
-	}
-	n.Eventually(func() bool { return open() == busy })
+	n.Eventually(func() bool { return open(n) == busy })
 	_, err := standin.Dial(t, n.Front.Address()).R.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
 	n.Eventually(func() bool { return n.Logged("reason=over-budget") })
-	assert.Equal(t, busy, open())
+	assert.Equal(t, busy, open(n))
 }
 
 // A connection that is cut off with a request in hand has it hung up before its buffer is given back:
@@ -340,13 +336,9 @@
 	n.Farm.Say("no list") // logged after what came before has been taken
 	n.Eventually(func() bool { return n.Logged("bad line kept out") })
 	go func() { settle <- n.Ask("settle", "k", "id-3", 60_000, "") }()
-	open := func() (open int) {
-		n.On(func() { open = n.Core.Open() })
-		return open
-	}
-	n.Eventually(func() bool { return open() == 3 })
+	n.Eventually(func() bool { return open(n) == 3 })
 	n.On(func() { n.Front.Stop(n.Loop.Stop) })
-	n.Eventually(func() bool { return open() == 0 })
+	n.Eventually(func() bool { return open(n) == 0 })
 	got := <-view
 	assert.Equal(t, 503, got.Status)
 	assert.NotEmpty(t, got.RetryAfter)
--- a/internal/platform/silence_test.go
+++ b/internal/platform/silence_test.go
@@ -31,28 +31,16 @@
 }
 
 func newSilentDiscovery(t *testing.T) *discovery {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	d := &discovery{ln, make(chan call, 64)}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
+	d := &discovery{calls: make(chan call, 64)}
+	d.Listener = newScripted(t, "", func(c net.Conn, r *bufio.Reader) {
 		for {
-			c, err := ln.Accept()
+			q, err := http.ReadRequest(r)
 			if err != nil {
 				return
 			}
-			t.Cleanup(func() { c.Close() })
-			go func() {
-				for r := bufio.NewReader(c); ; {
-					q, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					d.calls <- call{c, q.URL.RequestURI()}
-				}
-			}()
+			d.calls <- call{c, q.URL.RequestURI()}
 		}
-	}()
+	}).Listener
 	return d
 }
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -373,8 +373,11 @@
 func (w *Worker) Address() string { return w.server.Listener.Addr().String() }
 
 // Entry is the worker's entry of the list.
-func (w *Worker) Entry(status string) map[string]any {
-	return map[string]any{"name": w.Name, "address": w.Address(), "zone": "suva", "type": "gen1", "group": 0,
+func (w *Worker) Entry(status string) map[string]any { return Entry(w.Name, w.Address(), status) }
+
+// Entry is the entry of the list of a worker at an address.
+func Entry(name, address, status string) map[string]any {
+	return map[string]any{"name": name, "address": address, "zone": "suva", "type": "gen1", "group": 0,
 		"status": status, "weight": 1.0, "since_ms": 0}
 }
 
