Say once how a use of a worker's connection ends, and where the last answer ends the reading

Read again: the end of a doubted refusal repeated the refusal of got and the end of a connection's use in take; both stand once now (refused, answered). reply has what is behind a last answer read over in each case, which the refusal near the end did by itself. No behaviour changes.

--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -374,7 +374,6 @@
 		// Its job could not end before we do: the client tries again elsewhere. Refused at once, as the rule on
 		// given-up requests wants.
 		a.Reason = link.ShutDown
-		a.Discard()
 		f.reply(a, 503, []byte("this process ends; try again\n"), false, "Retry-After", "0")
 		a.Release()
 		return
@@ -508,8 +507,10 @@
 	if string(a.request.Method) == "HEAD" {
 		body = nil
 	}
-	if !keepAlive && a.Reason == "" { // nothing behind this request is taken any more
-		a.Reason = link.Answered
+	if !keepAlive { // nothing behind this request is taken any more
+		if a.Reason == "" {
+			a.Reason = link.Answered
+		}
 		a.Discard()
 	}
 	message := http1.AppendResponse(make([]byte, 0, 160+len(body)), status, keepAlive, body, extra...)
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -159,26 +159,28 @@
 			c.state = sent
 		}
 	}
-	k.got = func(r *http1.Response) {
+	k.refused = func(load rules.Load) {
 		c.link = nil
 		f.core.Answered(w.name)
+		f.core.Ended(ref, rules.Refused, nil, load)
+	}
+	k.got = func(r *http1.Response) {
 		load := parseLoad(r.Get(HeaderLoad))
+		if notBegun(r) {
+			k.refused(load)
+			return
+		}
+		c.link = nil
+		f.core.Answered(w.name)
 		switch {
 		case r.Status == 202:
 			c.state = accepted
-		case notBegun(r):
-			f.core.Ended(ref, rules.Refused, nil, load)
 		case r.Status >= 500:
 			f.core.Ended(ref, rules.Error, nil, load)
 		default:
 			f.core.Ended(ref, rules.Unknown, nil, load)
 		}
 	}
-	k.refused = func(load rules.Load) {
-		c.link = nil
-		f.core.Answered(w.name)
-		f.core.Ended(ref, rules.Refused, nil, load)
-	}
 	k.broken = func(reason string, mayHaveRead bool) {
 		c.link = nil
 		f.noAnswer(w, reason)
@@ -441,14 +443,19 @@
 		l.doubt(k)
 		return
 	}
-	l.call = nil
 	l.f.loop.Drop(k.limit)
-	if l.response.KeepAlive {
+	l.answered(l.response.KeepAlive)
+	k.got(&l.response)
+}
+
+// answered ends the use of the connection by a call that has its answer.
+func (l *workerLink) answered(keepAlive bool) {
+	l.call = nil
+	if keepAlive {
 		l.rest()
 	} else {
 		l.Close(link.Answered)
 	}
-	k.got(&l.response)
 }
 
 // doubt waits whether another answer follows one that may be the second to the request before. Where the connection
@@ -460,12 +467,7 @@
 		if l.call != k || l.Ended || l.Reason != "" {
 			return
 		}
-		l.call = nil
-		if keep {
-			l.rest()
-		} else {
-			l.Close(link.Answered)
-		}
+		l.answered(keep)
 		k.refused(load)
 	})
 }
