--- a/cmd/cobaltflow/process_test.go
+++ b/cmd/cobaltflow/process_test.go
@@ -33,7 +33,8 @@
 	t      *testing.T
 	binary string
 	conf   string
-	limit  int // of its descriptors
+	limit  int      // of its descriptors
+	env    []string // beside the test's own
 	cmd    *exec.Cmd
 
 	mu  sync.Mutex
@@ -55,7 +56,7 @@
 // start starts the process; it is killed when the test ends.
 func (p *program) start() {
 	p.cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d && exec %s serve", p.limit, p.binary))
-	p.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+p.conf)
+	p.cmd.Env = append(append(os.Environ(), "RELAY_CONFIG="+p.conf), p.env...)
 	p.cmd.Stdout, p.cmd.Stderr = p, p
 	require.NoError(p.t, p.cmd.Start())
 	cmd := p.cmd
