Have what operators tell one process in force in all processes of the scheduler

Cause: who is out by hand, and whether clients are sent away, stood in the memory of the process that heard the call (`held` of internal/front/admin, `drained` of internal/platform). The other process of an upgrade read one file, once, at its start, and each process wrote its whole set over the other's. So the first process, which takes jobs for 2 s after SIGTERM, went on sending to a worker that its successor had been told to leave alone. Seen with two real processes: the process that heard the call sent nothing, the other sent on until its end. Ruled out: the second process losing the call, an attempt chosen before the call, a retry (docs/incidents).

Change: directives are versioned registers (internal/directive), carried between the scheduler's processes by one file for each (internal/replica). A yes is given when the file of the called process holds the change and every other process that lives has taken it over; 503 otherwise. Who lives is told by a lock, not by a process id. A successor's failed start no longer counts as a successor, and an operator's `resume` no longer takes clients back to a process that is handing over.

--- a/cmd/cobaltflow/process_test.go
+++ b/cmd/cobaltflow/process_test.go
@@ -69,10 +69,32 @@
 	p.cmd.Wait()
 }
 
-func build(t *testing.T) string {
-	binary := filepath.Join(t.TempDir(), "cobaltflow")
+// binaries is the folder of the program as it is built for these tests.
+var binaries string
+
+func TestMain(m *testing.M) {
+	var err error
+	if binaries, err = os.MkdirTemp("", "cobaltflow-test-"); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	os.RemoveAll(binaries)
+	os.Exit(code)
+}
+
+var buildOnce = sync.OnceValues(func() (string, error) {
+	binary := filepath.Join(binaries, "cobaltflow")
 	out, err := exec.Command("go", "build", "-o", binary, "cobaltflow/cmd/cobaltflow").CombinedOutput()
-	require.NoError(t, err, string(out))
+	if err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return binary, nil
+})
+
+// build gives the path of the program, built once for all tests.
+func build(t *testing.T) string {
+	binary, err := buildOnce()
+	require.NoError(t, err)
 	return binary
 }
 
--- /dev/null
+++ b/cmd/cobaltflow/upgrade_directives_test.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// attemptsAfter is how many attempts each process makes, after a call, for a worker that is out to be seen to get none.
+const attemptsAfter = 60
+
+func (i *instance) enable(worker string) int {
+	return i.call("POST", "/-/table-workers/"+worker+"/enable")
+}
+
+// answersOfReadiness asks for readiness at the clients' address, each time on a connection of its own, which the kernel
+// gives to either process, and counts the answers with yes.
+func (rig *upgradeRig) answersOfReadiness(times int) (yes int) {
+	for range times {
+		if ready(rig.listen) {
+			yes++
+		}
+	}
+	return yes
+}
+
+// keepsOut has the processes send jobs and holds that none came to a worker later than the grace after the yes.
+func (rig *upgradeRig) keepsOut(worker int, yes time.Time, by ...*instance) {
+	rig.t.Helper()
+	rig.sendUntil(func() bool { return time.Since(yes) > drainGrace })
+	rig.sends(attemptsAfter, by...)
+	assert.Zero(rig.t, rig.workers[worker].after(yes.Add(drainGrace)), "jobs came to %s", rig.workers[worker].Name)
+}
+
+func TestWhatEitherProcessIsToldIsInForceInBoth(t *testing.T) {
+	t.Run("disable at the new process, while both serve", func(t *testing.T) {
+		rig := newUpgradeRig(t, "s-1", "s-2")
+		old, fresh := rig.start(), rig.start()
+		rig.sends(4, old, fresh)
+		require.Equal(t, 200, fresh.disable("s-1"))
+		rig.keepsOut(0, time.Now(), old, fresh)
+	})
+	t.Run("disable at the old process once the new one is ready, and after it has ended", func(t *testing.T) {
+		rig := newUpgradeRig(t, "s-1", "s-2")
+		old, fresh := rig.start(), rig.start()
+		rig.sends(4, old, fresh)
+		require.Equal(t, 200, old.disable("s-1"))
+		yes := time.Now()
+		rig.keepsOut(0, yes, old, fresh)
+		old.terminate()
+		old.cmd.Wait()
+		rig.keepsOut(0, yes, fresh)
+	})
+	t.Run("one worker at the old process, another at the new one, then a third process", func(t *testing.T) {
+		rig := newUpgradeRig(t, "s-1", "s-2", "s-3")
+		old, fresh := rig.start(), rig.start()
+		require.Equal(t, 200, old.disable("s-1"))
+		require.Equal(t, 200, fresh.disable("s-2"))
+		yes := time.Now()
+		old.terminate()
+		old.cmd.Wait()
+		third := rig.start()
+		fresh.terminate()
+		fresh.cmd.Wait()
+		rig.keepsOut(0, yes, third)
+		rig.keepsOut(1, yes, third)
+	})
+	t.Run("disable at the old process, enable at the new one, then a third process", func(t *testing.T) {
+		rig := newUpgradeRig(t, "s-1", "s-2")
+		old, fresh := rig.start(), rig.start()
+		require.Equal(t, 200, old.disable("s-1"))
+		require.Equal(t, 200, fresh.enable("s-1"))
+		back := time.Now()
+		old.terminate()
+		old.cmd.Wait()
+		third := rig.start()
+		fresh.terminate()
+		fresh.cmd.Wait()
+		rig.sends(attemptsAfter, third)
+		assert.NotZero(t, rig.workers[0].after(back), "the operator's last word was yes")
+	})
+	t.Run("disable, yes, a kill at once, and a new start", func(t *testing.T) {
+		rig := newUpgradeRig(t, "s-1", "s-2")
+		only := rig.start()
+		for range 5 {
+			require.Equal(t, 200, only.disable("s-1"))
+			yes := time.Now()
+			only.kill()
+			only = rig.start()
+			rig.keepsOut(0, yes, only)
+			require.Equal(t, 200, only.enable("s-1"))
+		}
+	})
+	t.Run("the folder is away while disable is called", func(t *testing.T) {
+		rig := newUpgradeRig(t, "s-1", "s-2")
+		only := rig.start()
+		away := filepath.Join(t.TempDir(), "away")
+		require.NoError(t, os.Rename(rig.state, away))
+		called := time.Now()
+		require.Equal(t, 503, only.disable("s-1"), "nothing that a kill would lose is answered with yes")
+		rig.keepsOut(0, called.Add(time.Second), only)
+		require.NoError(t, os.Rename(away, rig.state))
+		until(t, func() bool { return only.logged("can be used again") })
+		require.Equal(t, 200, only.disable("s-1"))
+		yes := time.Now()
+		only.kill()
+		rig.keepsOut(0, yes, rig.start())
+	})
+	t.Run("drain at the old process, resume at the new one", func(t *testing.T) {
+		const times = 20
+		rig := newUpgradeRig(t, "s-1")
+		old, fresh := rig.start(), rig.start()
+		require.Equal(t, 200, old.call("POST", "/-/drain"))
+		assert.Zero(t, rig.answersOfReadiness(times), "readiness after a drain")
+		require.Equal(t, 200, fresh.call("POST", "/-/resume"))
+		assert.Equal(t, times, rig.answersOfReadiness(times), "readiness after the call back")
+	})
+	t.Run("drain, then an upgrade", func(t *testing.T) {
+		rig := newUpgradeRig(t, "s-1")
+		old := rig.start()
+		require.Equal(t, 200, old.call("POST", "/-/drain"))
+		fresh := rig.launch()
+		until(t, func() bool { return fresh.call("GET", "/-/ready") != 0 })
+		until(t, func() bool { return fresh.logged("admin: serves") })
+		assert.Zero(t, rig.answersOfReadiness(20), "readiness after a drain")
+		old.terminate()
+		old.cmd.Wait()
+		assert.Equal(t, 503, fresh.call("GET", "/-/ready"))
+		require.Equal(t, 200, fresh.call("POST", "/-/resume"))
+		assert.Equal(t, 200, fresh.call("GET", "/-/ready"))
+	})
+	t.Run("resume while the old process ends", func(t *testing.T) {
+		rig := newUpgradeRig(t, "s-1")
+		old, fresh := rig.start(), rig.start()
+		require.Equal(t, 200, old.call("POST", "/-/drain"))
+		old.terminate()
+		until(t, func() bool { return old.logged("a successor serves") })
+		require.Equal(t, 200, fresh.call("POST", "/-/resume"))
+		assert.Equal(t, 503, old.call("GET", "/-/ready"), "the old process takes no clients again")
+		assert.Equal(t, 200, fresh.call("GET", "/-/ready"))
+	})
+}
+
+// A second upgrade begins before the first has ended: each of three processes keeps to what any of them is told.
+func TestASecondUpgradeBeforeTheFirstHasEnded(t *testing.T) {
+	rig := newUpgradeRig(t, "s-1", "s-2", "s-3", "s-4")
+	all := []*instance{rig.start(), rig.start(), rig.start()}
+	all[0].terminate()
+	until(t, func() bool { return all[0].logged("a successor serves") })
+	for i, process := range all {
+		require.Equal(t, 200, process.disable(rig.workers[i].Name))
+	}
+	yes := time.Now()
+	all[1].terminate()
+	until(t, func() bool { return all[1].logged("a successor serves") })
+	for i := range all {
+		rig.keepsOut(i, yes, all[2])
+	}
+	require.Equal(t, 200, all[2].enable("s-1"))
+	back := time.Now()
+	rig.sends(attemptsAfter, all[2])
+	assert.NotZero(t, rig.workers[0].after(back))
+}
+
+// A process that its successor's start has failed for ends as one without a successor.
+func TestAProcessThatCannotServeIsNoSuccessor(t *testing.T) {
+	rig := newUpgradeRig(t, "s-1")
+	old := rig.start()
+	failed := rig.launchAt(old.admin + "0") // no address
+	failed.cmd.Wait()
+	old.terminate()
+	old.cmd.Wait()
+	assert.False(t, old.logged("a successor serves"))
+}
+
+// Workers out by hand that an older version of the program kept, a name a line, stay out; once taken over they can be
+// called back for good.
+func TestWhatAnOlderVersionKeptIsTakenOver(t *testing.T) {
+	rig := newUpgradeRig(t, "s-1", "s-2")
+	kept := filepath.Join(rig.state, "cobaltflow-held-n1-"+fileName(rig.listen))
+	require.NoError(t, os.WriteFile(kept, []byte("s-1\n"), 0o600))
+	only := rig.start()
+	rig.keepsOut(0, time.Now().Add(-drainGrace), only)
+	require.Equal(t, 200, only.enable("s-1"))
+	back := time.Now()
+	only.kill()
+	only = rig.start()
+	rig.sends(attemptsAfter, only)
+	assert.NotZero(t, rig.workers[0].after(back))
+}
--- a/cmd/cobaltflow/upgrade_test.go
+++ b/cmd/cobaltflow/upgrade_test.go
@@ -109,8 +109,12 @@
 }
 
 // launch starts a process of the scheduler.
-func (rig *upgradeRig) launch() *instance {
-	i := &instance{program: &program{t: rig.t, binary: rig.binary, limit: 1024, conf: filepath.Join(rig.t.TempDir(), "config.json")}, admin: freeAddress(rig.t)}
+func (rig *upgradeRig) launch() *instance { return rig.launchAt(freeAddress(rig.t)) }
+
+// launchAt starts a process of the scheduler with that operators' address.
+func (rig *upgradeRig) launchAt(admin string) *instance {
+	program := &program{t: rig.t, binary: rig.binary, limit: 1024, conf: filepath.Join(rig.t.TempDir(), "config.json")}
+	i := &instance{program: program, admin: admin}
 	i.env = []string{"TMPDIR=" + rig.state}
 	require.NoError(rig.t, os.WriteFile(i.conf, fmt.Appendf(nil, `{"name":"n1","listen":%q,"discovery":%q,"admin":%q,
 		"limits":{"sockets":256},"known":{"index":0,"snapshot":true,"endpoints":[]},
@@ -172,6 +176,9 @@
 	all.Wait()
 }
 
+// fileName is an address as it stands in the name of a file.
+func fileName(address string) string { return strings.ReplaceAll(address, ":", "_") }
+
 // sends has clients send jobs until each of the processes has written so many more to workers.
 func (rig *upgradeRig) sends(attempts int, by ...*instance) {
 	began := time.Now()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -51,6 +51,10 @@
 	Log       log.Settings
 	Notes     []string // what was read otherwise than it may seem; for the log
 
+	// StateFolder is where files stand that this scheduler's processes share; empty: the system's folder for temporary
+	// files ($TMPDIR).
+	StateFolder string
+
 	file string // the project's own
 }
 
--- a/internal/core/farm.go
+++ b/internal/core/farm.go
@@ -133,6 +133,9 @@
 	return told || c.main.farm.workers[worker] != nil // one of another scheduler's share may become ours
 }
 
+// Lists tells whether a worker of the main pool is listed.
+func (c *Core) Lists(worker string) bool { return c.main.farm.workers[worker] != nil }
+
 // Avoided is the number of listed workers of the main pool that get nothing new now, by hand or by choice.
 func (c *Core) Avoided() int { return c.main.dispatcher.Avoided(c.Loop.now) }
 
--- a/internal/front/admin/admin.go
+++ b/internal/front/admin/admin.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"log/slog"
-	"strconv"
 	"strings"
 	"time"
 
@@ -13,6 +12,7 @@
 
 	"cobaltflow/internal/config"
 	"cobaltflow/internal/core"
+	"cobaltflow/internal/directive"
 	"cobaltflow/internal/http1"
 	"cobaltflow/internal/link"
 )
@@ -25,8 +25,13 @@
 	// CallTime is how long a connection has to bring its whole call; then it gets 408 and is closed.
 	CallTime = 900 * core.Millisecond
 	readTime = time.Second // netpoll's own bound on a read that has begun, behind CallTime
+	// answerMargin of a connection's CallTime is left for the way of a call that could not be carried out in time.
+	answerMargin = 50 * core.Millisecond
 )
 
+// MostHeld bounds the table workers that may be out by hand at once; a disable over it is refused with 409.
+const MostHeld = directive.MostOn
+
 // Clients is what the admin address drives of the clients' front.
 type Clients interface {
 	Ready() bool
@@ -35,14 +40,26 @@
 	Relayed() uint64
 }
 
+// Directives is where the front hands what operators tell, to be in force in all processes of this scheduler. All of it
+// is the loop's.
+type Directives interface {
+	// Change tells a directive. answer is called once, on the loop, within the time: with nil when the directive is in
+	// force in, and kept by, every process of this scheduler.
+	Change(key directive.Key, on bool, within time.Duration, answer func(error))
+	// Known tells whether a table worker is listed, or out by hand.
+	Known(worker string) bool
+	// Failures counts how often the directives could not be read or written.
+	Failures() uint64
+}
+
 // Front serves the operators' calls, one a connection, on the loop.
 type Front struct {
-	loop    *core.Loop
-	core    *core.Core
-	conf    *config.Config
-	clients Clients
-	log     *slog.Logger
-	held    *Held
+	loop       *core.Loop
+	core       *core.Core
+	conf       *config.Config
+	clients    Clients
+	directives Directives
+	log        *slog.Logger
 
 	listener netpoll.Listener
 	server   netpoll.EventLoop
@@ -54,24 +71,20 @@
 	link.Link
 	ref      core.Ref
 	request  http1.Request
+	taken    bool // its whole call is in hand
 	answered bool
 	limit    *core.Deadline
 }
 
 type callKey struct{}
 
-// New makes the front; Start opens it. held keeps the workers taken out across a restart; nil: nowhere.
-func New(c *core.Core, conf *config.Config, clients Clients, held *Held, log *slog.Logger) *Front {
-	return &Front{loop: c.Loop, core: c, conf: conf, clients: clients, held: held, log: log}
+// New makes the front; Start opens it.
+func New(c *core.Core, conf *config.Config, clients Clients, directives Directives, log *slog.Logger) *Front {
+	return &Front{loop: c.Loop, core: c, conf: conf, clients: clients, directives: directives, log: log}
 }
 
-// Start hands the decisions the workers that were taken out before a restart, and listens. It is called
-// before the loop runs, after the clients' front has told the core its first list.
+// Start listens. It is called before the loop runs.
 func (f *Front) Start() error {
-	for _, name := range f.held.Names() {
-		listed := f.core.Hold(name, true)
-		f.log.Info("admin: a table worker stays out, as before the restart", "worker", name, "listed", listed)
-	}
 	ln, err := link.Listen(f.conf.Admin)
 	if err != nil {
 		return &config.Error{Key: "admin", Text: err.Error()}
@@ -110,7 +123,11 @@
 		k.Opened = f.loop.Now()
 		k.ref = f.calls.Add(k)
 		k.limit = f.loop.At(k.Opened+CallTime, func() {
-			if !k.answered && !k.Closed {
+			switch {
+			case k.answered || k.Closed:
+			case k.taken:
+				f.answer(k, link.NoAnswer, 503, "in force here, but not confirmed in time; ask again\n")
+			default:
 				f.answer(k, link.SlowInput, 408, "no whole call came within 900 ms\n")
 			}
 		})
@@ -147,14 +164,19 @@
 func (f *Front) take(k *call, fault *http1.Error) {
 	defer k.Release()
 	k.Count++
-	if k.Ended || k.Closed || k.answered {
+	if k.Ended || k.Closed || k.answered || k.taken {
 		return
 	}
+	k.taken = true
 	if fault != nil {
 		f.answer(k, link.BadInput, fault.Status, fault.Text+"\n")
 		return
 	}
 	method, path := string(k.request.Method), string(k.request.Path)
+	if d, ok := f.directiveOf(method, path); ok {
+		f.tell(k, d)
+		return
+	}
 	status, body := f.serve(method, path)
 	reason, extra := link.Answered, []string(nil)
 	if status >= 400 {
@@ -215,15 +237,9 @@
 		}
 		return 503, "not ready: starting, draining or ending\n"
 	case PathMetrics:
-		return 200, string(Figures(f.core, f.clients, f.conf.Names.Classes))
-	case PathDrain:
-		f.clients.Drain()
-		return 200, "draining: the clients are sent away\n"
-	case PathResume:
-		f.clients.Resume()
-		return 200, "serving\n"
+		return 200, string(Figures(f.core, f.clients, f.directives, f.conf.Names.Classes))
 	}
-	return f.worker(strings.TrimPrefix(path, PathWorkers))
+	return f.unknownWorker(strings.TrimPrefix(path, PathWorkers))
 }
 
 // wanted is the method of a call.
@@ -233,32 +249,3 @@
 	}
 	return "POST"
 }
-
-// worker takes a table worker out (disable) or lets it back in (enable). Out twice is out once; one enable
-// undoes both. A worker that is not listed is owed a no, and is not held.
-func (f *Front) worker(rest string) (int, string) {
-	id, verb, ok := strings.Cut(rest, "/")
-	if !ok || id == "" || verb != "disable" && verb != "enable" {
-		return 404, "no such call: /-/table-workers/" + rest + "; want /-/table-workers/ID/disable or /enable\n"
-	}
-	out := verb == "disable"
-	if out && f.held.Full() && !f.held.names[id] {
-		return 409, "no more than " + strconv.Itoa(MostHeld) + " table workers may be out by hand at once\n"
-	}
-	if !f.core.Hold(id, out) {
-		if out { // the decisions keep a hold of a worker not yet listed, for a restart: a refused one is taken back
-			f.core.Hold(id, false)
-		}
-		f.held.Set(id, false)
-		return 404, "no table worker " + id + " is listed\n"
-	}
-	f.held.Set(id, out)
-	f.log.Info("admin: table worker "+verb+"d", "worker", id, "out_of_rotation", f.core.Avoided())
-	if out {
-		return 200, "out of rotation: " + id + "\n"
-	}
-	return 200, "in rotation: " + id + "\n"
-}
-
-// Held is the set of workers out by hand, as kept for a restart.
-func (f *Front) Held() *Held { return f.held }
--- a/internal/front/admin/admin_test.go
+++ b/internal/front/admin/admin_test.go
@@ -18,10 +18,15 @@
 	"cobaltflow/internal/standin"
 )
 
-// start runs a node with an operators' address, keeping its held workers in a folder of the test's own.
+// start runs a node with an operators' address, keeping what operators tell it in a folder of the test's own.
 func start(t *testing.T, tmp string, workers ...*standin.Worker) *standin.Node {
-	t.Setenv("TMPDIR", tmp)
-	return standin.Start(t, func(c *config.Config) { c.Admin = "127.0.0.1:0" }, workers...)
+	return startAt(t, tmp, "127.0.0.1:0", workers...)
+}
+
+func startAt(t *testing.T, tmp, listen string, workers ...*standin.Worker) *standin.Node {
+	return standin.Start(t, func(c *config.Config) {
+		c.Admin, c.Listen, c.StateFolder = "127.0.0.1:0", listen, tmp
+	}, workers...)
 }
 
 // call sends raw text to the operators' address and gives status and body; the connection must be closed after.
@@ -96,12 +101,16 @@
 func TestWorkersStayOutAcrossARestart(t *testing.T) {
 	tmp := t.TempDir()
 	a, b := standin.NewWorker(t, "s-1", nil), standin.NewWorker(t, "s-2", nil)
-	first := start(t, tmp, a, b)
-	written := first.Gateway.Admin.Held().Written()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := ln.Addr().String()
+	ln.Close()
+	first := startAt(t, tmp, address, a, b)
 	status, _ := ask(t, first, "POST", "/-/table-workers/s-2/disable")
 	require.Equal(t, 200, status)
-	<-written
-	second := start(t, tmp, a, b)
+	first.Gateway.Stop()
+	<-first.Ended
+	second := startAt(t, tmp, address, a, b)
 	_, figures := ask(t, second, "GET", "/-/metrics")
 	assert.Contains(t, figures, "edge_relay.out_of_rotation:1|g\n")
 	for i := range 10 {
--- /dev/null
+++ b/internal/gateway/directives.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"log/slog"
+	"os"
+	"strings"
+	"time"
+
+	"cobaltflow/internal/config"
+	"cobaltflow/internal/core"
+	"cobaltflow/internal/directive"
+	"cobaltflow/internal/platform"
+	"cobaltflow/internal/replica"
+)
+
+// directives carries out what operators have told any process of this scheduler: package replica tells of it, the
+// decisions and the clients' front go by it. Its methods are the loop's.
+type directives struct {
+	replica *replica.Replica
+	core    *core.Core
+	front   *platform.Front
+	log     *slog.Logger
+	out     map[string]bool // table workers that are out by hand
+}
+
+// openDirectives joins the scheduler's other processes. A folder that can't be used is told in the log and tried again.
+func openDirectives(conf *config.Config, c *core.Core, front *platform.Front, log *slog.Logger) *directives {
+	d := &directives{core: c, front: front, log: log, out: map[string]bool{}}
+	period := replica.WithCalls
+	if conf.Admin == "" {
+		period = replica.WithoutCalls
+	}
+	var err error
+	d.replica, err = replica.Open(replica.Options{
+		Folder: stateFile(conf, "directives"),
+		Period: period,
+		Log:    log,
+		Apply:  func(entries []directive.Entry) { c.Loop.Post(func() { d.apply(entries) }) },
+	})
+	if err == nil {
+		err = importHeld(d.replica, stateFile(conf, "held"))
+	}
+	if err != nil {
+		log.Warn("directive: the folder can't be used, it is tried again", "error", err)
+	}
+	return d
+}
+
+// importHeld takes over the workers out by hand that an older version of the program kept, a name a line, and removes
+// its file, whose names would otherwise come back at each start.
+func importHeld(r *replica.Replica, path string) error {
+	text, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	var keys []directive.Key
+	for _, name := range strings.Split(string(text), "\n") {
+		if name = strings.TrimSpace(name); name != "" {
+			keys = append(keys, directive.WorkerOut(name))
+		}
+	}
+	if err := r.Import(keys); err != nil {
+		return err
+	}
+	return os.Remove(path)
+}
+
+// resume puts in force what was told before this process was started. It is called before the loop runs, when the core
+// has its first list.
+func (d *directives) resume() {
+	for _, e := range d.replica.Set() {
+		d.log.Info("directive: in force from the start", "key", string(e.Key), "version", e.Version)
+	}
+	d.apply(d.replica.Set())
+}
+
+// apply puts entries in force in this process.
+func (d *directives) apply(entries []directive.Entry) {
+	for _, e := range entries {
+		worker, isWorker := e.Key.Worker()
+		switch {
+		case isWorker:
+			d.hold(worker, e.On)
+		case e.Key == directive.Drain && e.On:
+			d.front.Drain()
+		case e.Key == directive.Drain:
+			d.front.Resume()
+		}
+	}
+}
+
+func (d *directives) hold(worker string, out bool) (listed bool) {
+	if out {
+		d.out[worker] = true
+	} else {
+		delete(d.out, worker)
+	}
+	return d.core.Hold(worker, out)
+}
+
+// Change implements admin.Directives. What keeps work away is in force in this process at once, whatever the folder
+// does; what lets it back in, once the other processes' files were looked at.
+func (d *directives) Change(key directive.Key, on bool, within time.Duration, answer func(error)) {
+	if on {
+		d.apply([]directive.Entry{{Key: key, On: true}})
+	}
+	d.replica.Change(key, on, within, func(err error) { d.core.Loop.Post(func() { answer(err) }) })
+}
+
+// Known implements admin.Directives: a worker that discovery lists, or that is out by hand.
+func (d *directives) Known(worker string) bool { return d.out[worker] || d.core.Lists(worker) }
+
+// Failures implements admin.Directives.
+func (d *directives) Failures() uint64 { return d.replica.Failures() }
+
+// hasSuccessor tells whether a later process of this scheduler lives and listens. It reads files: not for the loop.
+func (d *directives) hasSuccessor() bool { return d.replica.Successor() }
+
+// generation names this process in the log.
+func (d *directives) generation() string { return fmt.Sprintf("%08d", d.replica.Generation()) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,8 @@
 	Admin   *admin.Front   // nil: there is no operators' address
 	log     *slog.Logger
 	ending  int
+
+	directives *directives
 }
 
 // New makes a gateway; Start opens it.
@@ -62,16 +64,15 @@
 	for _, note := range g.Conf.Notes {
 		g.log.Info("configuration", "note", note)
 	}
+	g.directives = openDirectives(g.Conf, g.Core, g.Front, g.log)
 	if err := g.Front.Start(); err != nil {
 		return err
 	}
-	g.log.Info("serves", "name", g.Conf.Name, "address", g.Front.Address(), "workers", g.Core.FarmSize())
+	g.directives.resume()
+	g.log.Info("serves", "name", g.Conf.Name, "address", g.Front.Address(), "workers", g.Core.FarmSize(), "generation",
+		g.directives.generation())
 	if g.Conf.Admin != "" {
-		held, err := admin.OpenHeld(stateFile("held", g.Conf.Name, g.Conf.Listen))
-		if err != nil {
-			g.log.Warn("admin: the workers held before can't be read; none is", "error", err)
-		}
-		g.Admin = admin.New(g.Core, g.Conf, g.Front, held, g.log)
+		g.Admin = admin.New(g.Core, g.Conf, g.Front, g.directives, g.log)
 		if err := g.Admin.Start(); err != nil {
 			return err
 		}
@@ -89,15 +90,18 @@
 		}
 		g.log.Info("faktory: serves", "address", g.Faktory.Address())
 	}
-	if err := writePIDFile(g.Conf.Name, g.Conf.Listen); err != nil {
-		g.log.Warn("a successor will not know of this process", "error", err)
+	if err := writePIDFile(g.Conf); err != nil {
+		g.log.Warn("a predecessor of an older version will not know of this process", "error", err)
 	}
+	g.directives.replica.Serving()
+	g.directives.replica.Run()
 	return nil
 }
 
 // Run turns the loop until Stop has come to its end.
 func (g *Gateway) Run() {
 	g.Loop.Run()
+	g.directives.replica.Close()
 	n := g.Core.Counts
 	g.log.Info("ended", "taken", n.Taken, "served", n.Served, "refused", n.Refused, "failed", n.Failed, "hung_up", n.HungUp,
 		"passes", n.Passes, "probes", n.Probes)
@@ -118,7 +122,7 @@
 // Stop has the gateway end in order: what was taken is answered first. It may be called from any goroutine.
 func (g *Gateway) Stop() {
 	// Read before the loop is asked: the loop does no I/O of its own.
-	handOver := hasSuccessor(g.Conf.Name, g.Conf.Listen)
+	handOver := g.directives.hasSuccessor()
 	g.Loop.Post(func() {
 		if handOver {
 			g.log.Info("a successor serves at the same address: the clients are sent over")
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -68,9 +68,9 @@
 	}
 }
 
-// Resume takes clients again after a drain.
+// Resume takes clients again after a drain; not in a process that its successor has taken over from.
 func (f *Front) Resume() {
-	if f.drained > 0 {
+	if f.drained > 0 && !f.handing {
 		f.drained = 0
 		f.log.Info("drain: over, clients are taken again")
 	}
--- /dev/null
+++ b/internal/replica/format.go
@@ -0,0 +1,116 @@
+package replica
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"strconv"
+	"strings"
+
+	"cobaltflow/internal/directive"
+)
+
+// The file of one process:
+//
+//	cobaltflow-directives 1
+//	0badcafe process serving
+//	0badcafe clock 12
+//	0badcafe entry 7 on "worker/s-5be2a07c"
+//	0badcafe end 1
+//
+// Each line but the first begins with a checksum (CRC-32C) of what follows, so a line that was written by half, or
+// spoilt later, is known and left out; the others stand.
+const magic = "cobaltflow-directives 1"
+
+var errOtherFormat = errors.New("not a file of directives in a form known here")
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// snapshot is what a process's file says.
+type snapshot struct {
+	serving bool // it listens at the scheduler's addresses
+	set     directive.Set
+	bad     int  // lines that were spoilt, or entries over the bound, and left out
+	whole   bool // the file came to its end
+}
+
+func encode(serving bool, set *directive.Set) []byte {
+	var b bytes.Buffer
+	line := func(format string, args ...any) {
+		text := fmt.Sprintf(format, args...)
+		fmt.Fprintf(&b, "%08x %s\n", crc32.Checksum([]byte(text), castagnoli), text)
+	}
+	fmt.Fprintln(&b, magic)
+	if serving {
+		line("process serving")
+	} else {
+		line("process starting")
+	}
+	line("clock %d", set.Clock())
+	entries := set.Entries()
+	for _, e := range entries {
+		state := "off"
+		if e.On {
+			state = "on"
+		}
+		line("entry %d %s %q", e.Version, state, e.Key)
+	}
+	line("end %d", len(entries))
+	return b.Bytes()
+}
+
+// decode reads a file. The error is errOtherFormat; spoilt lines are counted and left out.
+func decode(text []byte) (*snapshot, error) {
+	head, rest, _ := strings.Cut(string(text), "\n")
+	if head != magic {
+		return nil, errOtherFormat
+	}
+	s := &snapshot{}
+	for line := range strings.Lines(rest) {
+		if !s.take(strings.TrimSuffix(line, "\n")) {
+			s.bad++
+		}
+	}
+	return s, nil
+}
+
+// take reads one line and tells whether it was good.
+func (s *snapshot) take(line string) bool {
+	sum, text, _ := strings.Cut(line, " ")
+	if want, err := strconv.ParseUint(sum, 16, 32); err != nil || len(sum) != 8 || uint32(want) != crc32.Checksum([]byte(text), castagnoli) {
+		return false
+	}
+	kind, value, _ := strings.Cut(text, " ")
+	switch kind {
+	case "process":
+		s.serving = value == "serving"
+		return true
+	case "clock":
+		clock, err := strconv.ParseUint(value, 10, 64)
+		s.set.Observe(clock)
+		return err == nil
+	case "entry":
+		return s.takeEntry(value)
+	case "end":
+		s.whole = value == strconv.Itoa(s.set.Len())
+		return s.whole
+	}
+	return false
+}
+
+func (s *snapshot) takeEntry(value string) bool {
+	fields := strings.SplitN(value, " ", 3)
+	if len(fields) != 3 {
+		return false
+	}
+	version, err := strconv.ParseUint(fields[0], 10, 64)
+	if err != nil {
+		return false
+	}
+	key, err := strconv.Unquote(fields[2])
+	if err != nil {
+		return false
+	}
+	return s.set.Merge(directive.Entry{Key: directive.Key(key), Version: version, On: fields[1] == "on"})
+}
--- /dev/null
+++ b/internal/replica/names.go
@@ -0,0 +1,47 @@
+package replica
+
+import (
+	"fmt"
+	"path/filepath"
+	"strconv"
+	"strings"
+)
+
+// Files of a generation: NUMBER.lock, which its process holds locked, NUMBER.set, and NUMBER.tmp while that is written.
+const (
+	lockExtension      = ".lock"
+	setExtension       = ".set"
+	temporaryExtension = ".tmp"
+)
+
+// What files a generation has.
+const (
+	hasLock = 1 << iota
+	hasSet
+	hasTemporary
+)
+
+func (r *Replica) path(generation int, extension string) string {
+	return filepath.Join(r.Folder, fmt.Sprintf("%08d%s", generation, extension))
+}
+
+// generations finds whose files are in the folder. Other names are let be.
+func generations(names []string) map[int]int {
+	found := map[int]int{}
+	for _, name := range names {
+		extension := filepath.Ext(name)
+		generation, err := strconv.Atoi(strings.TrimSuffix(name, extension))
+		if err != nil || generation <= 0 {
+			continue
+		}
+		switch extension {
+		case lockExtension:
+			found[generation] |= hasLock
+		case setExtension:
+			found[generation] |= hasSet
+		case temporaryExtension:
+			found[generation] |= hasTemporary
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/replica/peers.go
@@ -0,0 +1,168 @@
+package replica
+
+import (
+	"bytes"
+	"errors"
+	"io/fs"
+	"maps"
+	"slices"
+
+	"cobaltflow/internal/directive"
+)
+
+// peer is another process of the scheduler, alive or dead, as its files show it.
+type peer struct {
+	alive bool
+	text  []byte
+	snap  *snapshot // nil: it has no file that can be read yet
+}
+
+// look reads the other processes' files and gives the directives that they changed. vanished tells that one went away
+// meanwhile: what it held stands in another, which may have been read before.
+func (r *Replica) look() (news []directive.Entry, vanished bool, err error) {
+	found, err := r.list()
+	if err != nil {
+		return nil, false, err
+	}
+	delete(found, r.generation)
+	maps.DeleteFunc(r.peers, func(generation int, _ *peer) bool { return found[generation] == 0 })
+	for _, generation := range slices.Sorted(maps.Keys(found)) {
+		changed, err := r.read(generation)
+		if errors.Is(err, fs.ErrNotExist) {
+			vanished = vanished || found[generation]&hasSet != 0
+			continue
+		}
+		if err != nil {
+			return news, vanished, err
+		}
+		news = append(news, changed...)
+	}
+	r.alone = len(found) == 0
+	return news, vanished, nil
+}
+
+// list gives the generations in the folder. Where it lacks our own lock, or has been made anew, we register again.
+func (r *Replica) list() (map[int]int, error) {
+	names, err := r.Files.List(r.Folder)
+	if err == nil && r.lock != nil && generations(names)[r.generation]&hasLock != 0 {
+		found := generations(names)
+		r.dirty = r.dirty || found[r.generation]&hasSet == 0
+		return found, nil
+	}
+	if errors.Is(err, fs.ErrNotExist) {
+		err = r.Files.MakeFolder(r.Folder)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if err := r.register(); err != nil {
+		return nil, err
+	}
+	names, err = r.Files.List(r.Folder)
+	return generations(names), err
+}
+
+// read takes over what another process's file says anew.
+func (r *Replica) read(generation int) (news []directive.Entry, err error) {
+	p := r.peers[generation]
+	if p == nil {
+		p = &peer{}
+		r.peers[generation] = p
+	}
+	if p.alive, err = r.Files.Locked(r.path(generation, lockExtension)); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, err
+	}
+	text, err := r.Files.Read(r.path(generation, setExtension))
+	if err != nil || bytes.Equal(text, p.text) {
+		return nil, err
+	}
+	snap, err := decode(text)
+	if err != nil || snap.bad > 0 || !snap.whole {
+		r.noteStrange(generation, snap, err)
+	}
+	if err != nil {
+		return nil, nil
+	}
+	p.text, p.snap = text, snap
+	r.set.Observe(snap.set.Clock())
+	for _, e := range snap.set.Entries() {
+		if r.set.Merge(e) {
+			news = append(news, e)
+			r.dirty = true
+			r.Log.Info("directive: taken over", "key", string(e.Key), "on", e.On, "version", e.Version, "from", generation,
+				"generation", r.generation)
+		}
+	}
+	return news, nil
+}
+
+// noteStrange logs a file that is not as a process writes it, once for each process.
+func (r *Replica) noteStrange(generation int, snap *snapshot, err error) {
+	if r.strange[generation] {
+		return
+	}
+	r.strange[generation] = true
+	if err != nil {
+		r.Log.Warn("directive: a file is let be", "of", generation, "error", err)
+		return
+	}
+	r.Log.Warn("directive: a file is spoilt, its good lines are taken", "of", generation, "bad_lines", snap.bad, "whole", snap.whole)
+}
+
+// confirmed tells whether every other process that lives has an entry, or one that stands against it, in its file.
+func (r *Replica) confirmed(e directive.Entry) bool {
+	for _, p := range r.peers {
+		if p.alive && (p.snap == nil || !p.snap.set.Holds(e)) {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Replica) heldElsewhere(e directive.Entry) bool {
+	for _, p := range r.peers {
+		if p.alive && p.snap != nil && p.snap.set.Holds(e) {
+			return true
+		}
+	}
+	return false
+}
+
+// removeDead removes the files of processes that have ended, once ours holds what they held. A file in a form that is
+// not known here stays: a later version of the program may need it.
+func (r *Replica) removeDead() {
+	for generation, p := range r.peers {
+		if !p.alive && !(p.snap == nil && r.strange[generation]) {
+			r.remove(generation)
+		}
+	}
+}
+
+// remove removes the files of a process that has ended. What can't be removed now is tried again at the next look.
+func (r *Replica) remove(generation int) {
+	r.Files.RemoveUnlocked(r.path(generation, lockExtension), r.path(generation, setExtension), r.path(generation, temporaryExtension))
+}
+
+// Successor tells whether a process of the scheduler that was started later lives and listens.
+func (r *Replica) Successor() bool {
+	names, err := r.Files.List(r.Folder)
+	if err != nil {
+		return false
+	}
+	for generation := range generations(names) {
+		if generation <= r.generation {
+			continue
+		}
+		if alive, err := r.Files.Locked(r.path(generation, lockExtension)); err != nil || !alive {
+			continue
+		}
+		text, err := r.Files.Read(r.path(generation, setExtension))
+		if err != nil {
+			continue
+		}
+		if snap, err := decode(text); err == nil && snap.serving {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -63,7 +63,7 @@
 				{Aim: 500_000, Deadline: 5_000_000, Worth: 3, Effect: rules.Repeatable, Kind: -1},
 				{Aim: 1_000_000, Deadline: 10_000_000, Worth: 2, Kind: -1},
 				{Aim: 1_200_000, Deadline: 20_000_000, Worth: 10, Kind: -1}}},
-		Faktory: config.DefaultFaktory(), HTTP2: config.DefaultHTTP2(),
+		Faktory: config.DefaultFaktory(), HTTP2: config.DefaultHTTP2(), StateFolder: t.TempDir(),
 	}
 	n.Conf.Known = n.Farm.Tell(true, entries("up", workers)...)
 	n.Farm.Whole(n.Conf.Known)
