Divide a cold worker's budget into parts that hold without hearing anybody

Cause: where all dispatchers tell of their jobs each filled the whole bucket of a cold worker and took off what it heard of the others (`share` of coldAllows); heard 100 ms late and later all filled it alike.

Change: a worker bears its budget N and a slack of some whole jobs (2 roots of N and 2; under 30, 3 and 3). So as many dispatchers as that slack have jobs get a part, in an order drawn for each start of a worker by rendezvous hashing of ranks, which all know without a word. A process that is younger than the worker's start begins with an empty bucket, and one that has a successor sends the worker nothing. A worker that comes back as it was keeps its bucket.

The limits on descriptors and memory, too, count for a scheduler: processes side by side divide them, and a SIGHUP to one reaches the others by a directive.

--- a/cmd/cobaltflow/process_test.go
+++ b/cmd/cobaltflow/process_test.go
@@ -47,6 +47,12 @@
 	return p.log.Write(text)
 }
 
+func (p *program) times(text string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return bytes.Count(p.log.Bytes(), []byte(text))
+}
+
 func (p *program) logged(text string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/cmd/cobaltflow/serve.go
+++ b/cmd/cobaltflow/serve.go
@@ -21,6 +21,7 @@
 			// Caught from the first moment: left to the runtime, SIGHUP ends the process. One that waits is
 			// enough, since the file is read after it was taken.
 			reloads, ends := make(chan os.Signal, 1), make(chan os.Signal, 2)
+			told := make(chan struct{}, 1) // another process of this scheduler was asked to reload
 			signal.Notify(reloads, syscall.SIGHUP)
 			conf, err := load()
 			if err != nil {
@@ -33,11 +34,22 @@
 			}
 			defer lines.Close()
 			g := gateway.New(conf, logger)
+			g.OnReload(func() {
+				select {
+				case told <- struct{}{}:
+				default: // one that waits is enough
+				}
+			})
 			if err := g.Start(); err != nil {
 				return err
 			}
 			go func() {
-				for range reloads {
+				for {
+					select {
+					case <-reloads:
+						g.TellReload()
+					case <-told:
+					}
 					if next, err := conf.Reload(os.Getenv); err != nil {
 						g.ReloadFailed(err)
 					} else {
--- a/cmd/cobaltflow/upgrade_directives_test.go
+++ b/cmd/cobaltflow/upgrade_directives_test.go
@@ -3,11 +3,14 @@
 import (
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"cobaltflow/internal/procfs"
 )
 
 // attemptsAfter is how many attempts each process makes, after a call, for a worker that is out to be seen to get none.
@@ -192,3 +195,46 @@
 	rig.sends(attemptsAfter, only)
 	assert.NotZero(t, rig.workers[0].after(back))
 }
+
+// descriptors is how many the process holds; 0: it has ended.
+func (i *instance) descriptors() int {
+	n, _ := procfs.Descriptors(i.cmd.Process.Pid)
+	return n
+}
+
+// Two processes of a scheduler count as one for the limit on descriptors: beside its successor each keeps to a part, however many
+// idle clients crowd in, and alone again it may use the whole.
+func TestTwoProcessesTogetherKeepToTheLimitOnDescriptors(t *testing.T) {
+	rig := newUpgradeRig(t, "s-1")
+	old := rig.start()
+	leave := crowd(t, rig.listen)
+	until(t, func() bool { return old.descriptors() > sockets/2 })
+	alone := old.descriptors()
+	fresh := rig.start()
+	until(t, func() bool { return old.logged("alive=1") && old.descriptors()+fresh.descriptors() <= sockets })
+	for range 50 {
+		assert.LessOrEqual(t, old.descriptors()+fresh.descriptors(), sockets)
+		require.Equal(t, 200, fresh.call("GET", "/-/ready"))
+	}
+	old.kill()
+	until(t, func() bool { return fresh.descriptors() >= alone*9/10 })
+	assert.LessOrEqual(t, fresh.descriptors(), sockets)
+	leave()
+}
+
+// A SIGHUP to one process of a scheduler has the others read their configuration again too, once each.
+func TestAReloadAtOneProcessIsOneAtBoth(t *testing.T) {
+	rig := newUpgradeRig(t, "s-1")
+	all := []*instance{rig.start(), rig.start()}
+	const reloaded = "reload: taken over"
+	for i, process := range all {
+		require.NoError(t, process.cmd.Process.Signal(syscall.SIGHUP))
+		until(t, func() bool { return all[0].times(reloaded) == i+1 && all[1].times(reloaded) == i+1 })
+	}
+	require.Equal(t, 200, all[0].disable("s-1"), "all that was told before has come round")
+	for _, process := range all {
+		assert.Equal(t, 2, process.times(reloaded))
+	}
+	third := rig.start()
+	assert.Zero(t, third.times(reloaded))
+}
--- a/internal/core/farm.go
+++ b/internal/core/farm.go
@@ -136,6 +136,9 @@
 // Lists tells whether a worker of the main pool is listed.
 func (c *Core) Lists(worker string) bool { return c.main.farm.workers[worker] != nil }
 
+// ColdElsewhere tells the decisions whether a later process of this scheduler has its slow-start budgets.
+func (c *Core) ColdElsewhere(elsewhere bool) { c.main.dispatcher.ColdElsewhere(elsewhere) }
+
 // Avoided is the number of listed workers of the main pool that get nothing new now, by hand or by choice.
 func (c *Core) Avoided() int { return c.main.dispatcher.Avoided(c.Loop.now) }
 
--- a/internal/directive/directive.go
+++ b/internal/directive/directive.go
@@ -17,6 +17,9 @@
 // Drain is the directive that sends the clients away while it is on.
 const Drain Key = "drain"
 
+// Reload is told each time a process was asked to read its configuration again; it is never on.
+const Reload Key = "reload"
+
 const workerPrefix = "worker/"
 
 // WorkerOut is the directive that keeps a table worker out while it is on.
--- a/internal/gateway/directives.go
+++ b/internal/gateway/directives.go
@@ -24,6 +24,10 @@
 	front   *platform.Front
 	log     *slog.Logger
 	out     map[string]bool // table workers that are out by hand
+	// reload has the configuration read again; nil: nobody can. asked counts the reloads that this process told of itself
+	// and that have not come round to it yet.
+	reload func()
+	asked  int
 }
 
 // openDirectives joins the scheduler's other processes. A folder that can't be used is told in the log and tried again.
@@ -39,6 +43,7 @@
 		Period: period,
 		Log:    log,
 		Apply:  func(entries []directive.Entry) { c.Loop.Post(func() { d.apply(entries) }) },
+		Others: func(others replica.Others) { c.Loop.Post(func() { d.share(others) }) },
 	})
 	if err == nil {
 		err = importHeld(d.replica, stateFile(conf, "held"))
@@ -91,10 +96,31 @@
 			d.front.Drain()
 		case e.Key == directive.Drain:
 			d.front.Resume()
+		case e.Key == directive.Reload:
+			d.reloadAsTold()
 		}
 	}
 }
 
+// tellReload has the scheduler's other processes read their configuration again too.
+func (d *directives) tellReload() {
+	const within = time.Second // to be counted as failed; it is tried on
+	d.asked++
+	d.replica.Change(directive.Reload, false, within, func(error) {})
+}
+
+// reloadAsTold reads the configuration again where another process was asked to.
+func (d *directives) reloadAsTold() {
+	if d.asked > 0 {
+		d.asked--
+		return
+	}
+	d.log.Info("reload: as another process of this scheduler was asked to")
+	if d.reload != nil {
+		d.reload()
+	}
+}
+
 func (d *directives) hold(worker string, out bool) (listed bool) {
 	if out {
 		d.out[worker] = true
@@ -104,6 +130,15 @@
 	return d.core.Hold(worker, out)
 }
 
+// share has this process take its part of what the rules and the platform count for the scheduler: descriptors and memory
+// are divided among the processes that live, and the slow-start budgets are the latest one's.
+func (d *directives) share(others replica.Others) {
+	d.log.Info("other processes of this scheduler", "alive", others.Alive, "successor", others.Successor)
+	d.front.ShareLimits(1 + others.Alive)
+	KeepWithin(d.front.Limits())
+	d.core.ColdElsewhere(others.Successor)
+}
+
 // Change implements admin.Directives. What keeps work away is in force in this process at once, whatever the folder
 // does; what lets it back in, once the other processes' files were looked at.
 func (d *directives) Change(key directive.Key, on bool, within time.Duration, answer func(error)) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,7 @@
 	ending  int
 
 	directives *directives
+	onReload   func()
 }
 
 // New makes a gateway; Start opens it.
@@ -65,6 +66,7 @@
 		g.log.Info("configuration", "note", note)
 	}
 	g.directives = openDirectives(g.Conf, g.Core, g.Front, g.log)
+	g.directives.reload = g.onReload
 	if err := g.Front.Start(); err != nil {
 		return err
 	}
@@ -107,10 +109,20 @@
 		"passes", n.Passes, "probes", n.Probes)
 }
 
+// OnReload sets what is called, on the loop, when another process of this scheduler was asked to read its configuration
+// again; it must not block. It is called before Start.
+func (g *Gateway) OnReload(reload func()) { g.onReload = reload }
+
+// TellReload tells the scheduler's other processes that this one was asked to read its configuration again. It may be
+// called from any goroutine.
+func (g *Gateway) TellReload() { g.Loop.Post(g.directives.tellReload) }
+
 // Reload takes a new configuration over; it may be called from any goroutine.
 func (g *Gateway) Reload(next *config.Config) {
-	KeepWithin(next.Limits)
-	g.Loop.Post(func() { g.Front.Reload(next) })
+	g.Loop.Post(func() {
+		g.Front.Reload(next)
+		KeepWithin(g.Front.Limits())
+	})
 }
 
 // ReloadFailed logs why the old configuration stands.
--- a/internal/platform/accept.go
+++ b/internal/platform/accept.go
@@ -6,6 +6,7 @@
 
 	"github.com/cloudwego/netpoll"
 
+	"cobaltflow/internal/config"
 	"cobaltflow/internal/core"
 	"cobaltflow/internal/front/admin"
 	"cobaltflow/internal/link"
@@ -36,19 +37,34 @@
 	return n
 }
 
-// shareOut sets the budgets by the limits. The loop keeps the clients' one.
+// shareOut sets the budgets by the limits, and by how many processes share them. The loop keeps the clients' one.
 func (f *Front) shareOut() {
 	f.budget = share(f.conf.Limits.Sockets, f.others())
+	f.spare = f.conf.Limits.Sockets - f.budget.clients - f.budget.workers
+	f.budget.clients /= f.processes
+	f.budget.workers /= f.processes
 	f.bound()
 }
 
+// ShareLimits divides the limits among so many processes of this scheduler, which the platform counts as one.
+func (f *Front) ShareLimits(processes int) {
+	f.processes = processes
+	f.shareOut()
+}
+
+// Limits are the configured ones with this process's part of the memory.
+func (f *Front) Limits() config.Limits {
+	limits := f.conf.Limits
+	limits.MemoryMB /= f.processes
+	return limits
+}
+
 // bound sets what the poller lets in: all that the workers leave free at present, but for half of the spare
 // part. A burst, which the loop brings back to the budget as it turns, costs no usual client its place then.
 func (f *Front) bound() {
-	spare := f.conf.Limits.Sockets - f.budget.clients - f.budget.workers
-	second := f.others()
+	free := (f.spare - f.others()) / 2 / f.processes
 	used := f.pool.links.Len() + f.pool.dials
-	f.most.Store(int64(f.conf.Limits.Sockets - second - (spare-second)/2 - used))
+	f.most.Store(int64(f.budget.clients + f.budget.workers + free - used))
 }
 
 type linkKey struct{}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -67,6 +67,7 @@
 	server   netpoll.EventLoop
 	clients  core.Table[*clientLink]
 	budget   budget
+	spare    int          // descriptors in no budget
 	accepted atomic.Int64 // connections, also those the loop has not heard of yet
 	most     atomic.Int64 // of them: past it a new one is closed by the poller
 
@@ -85,7 +86,9 @@
 	shut     bool      // the listener is closed
 	crossing func()    // for tests: called between the last look at a resting connection and its end
 	relayed  uint64    // requests written whole to the workers
-	foreign  uint64    // call-backs of ids never seen here, sent to try again elsewhere
+	// processes is how many of this scheduler live, this one among them: the limits are divided among them.
+	processes int
+	foreign   uint64 // call-backs of ids never seen here, sent to try again elsewhere
 }
 
 // notUp logs a connection that never came up: at a peer's first failure, then at growing intervals with a
@@ -118,7 +121,7 @@
 
 // New makes the front; Start opens it.
 func New(c *core.Core, conf *config.Config, controller *admission.Controller, logger *slog.Logger) *Front {
-	f := &Front{loop: c.Loop, core: c, conf: conf, admission: controller, log: logger, listLimits: discovery.DefaultLimits, ending: endingOf(conf.Settings.Classes)}
+	f := &Front{loop: c.Loop, core: c, conf: conf, admission: controller, log: logger, listLimits: discovery.DefaultLimits, processes: 1, ending: endingOf(conf.Settings.Classes)}
 	f.pool = newPool(f)
 	f.shareOut()
 	return f
@@ -216,7 +219,7 @@
 			a.letGo(link.IdleOut)
 		}
 	})
-	if all > f.conf.Limits.MemoryMB<<20/8 {
+	if all > f.Limits().MemoryMB<<20/8 {
 		largest.Close(link.Flooding)
 	}
 	if f.drained > 0 {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -55,6 +55,15 @@
 	// Apply takes over directives that were changed here or elsewhere. It is called from the replica's goroutine, before
 	// the change is written or answered, and must not block.
 	Apply func([]directive.Entry)
+	// Others is called from the replica's goroutine when other processes of the scheduler have come or gone; nil: nobody
+	// wants to know.
+	Others func(Others)
+}
+
+// Others are the scheduler's other processes that live.
+type Others struct {
+	Alive     int
+	Successor bool // one of them was started later, and listens
 }
 
 // Replica is this process's copy of the directives. Its methods may be called from any goroutine.
@@ -71,6 +80,7 @@
 	lock       Lock
 	set        directive.Set
 	peers      map[int]*peer
+	others     Others
 	alone      bool // the last look found no other generation
 	dirty      bool // the file lacks something of the set
 	wasServing bool // as the file says
@@ -249,10 +259,28 @@
 	if looked && !r.dirty {
 		r.removeDead()
 	}
+	if looked {
+		r.tellOthers()
+	}
 	r.note(err)
 	r.answerChanges(looked)
 }
 
+// tellOthers tells of the other processes when that has changed.
+func (r *Replica) tellOthers() {
+	var now Others
+	for generation, p := range r.peers {
+		if p.alive {
+			now.Alive++
+			now.Successor = now.Successor || generation > r.generation && p.snap != nil && p.snap.serving
+		}
+	}
+	if now != r.others && r.Others != nil {
+		r.Others(now)
+	}
+	r.others = now
+}
+
 // makeChanges gives a version to the changes that have none yet. It comes after a look, so that the version is over all
 // that was told at another process before.
 func (r *Replica) makeChanges() (news []directive.Entry) {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -31,6 +31,13 @@
 	mu    sync.Mutex
 	log   bytes.Buffer
 	force map[directive.Key]bool
+	seen  Others
+}
+
+func (p *process) sees(o Others) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.seen == o
 }
 
 func (p *process) Write(line []byte) (int, error) {
@@ -61,6 +68,10 @@
 			for _, e := range entries {
 				p.force[e.Key] = e.On
 			}
+		}, Others: func(o Others) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.seen = o
 		}})
 	if files == nil {
 		require.NoError(t, err)
@@ -468,6 +479,21 @@
 	assert.False(t, old.Successor())
 }
 
+// Each process is told who else there is, by the lock that the kernel lets go with a process.
+func TestProcessesSeeOneAnotherComeAndGo(t *testing.T) {
+	folder := folderOf(t)
+	old, fresh := start(t, folder, nil), start(t, folder, nil)
+	eventually(t, func() bool { return old.sees(Others{Alive: 1}) && fresh.sees(Others{Alive: 1}) })
+	fresh.Serving()
+	eventually(t, func() bool { return old.sees(Others{Alive: 1, Successor: true}) })
+	third := start(t, folder, nil)
+	eventually(t, func() bool { return old.sees(Others{Alive: 2, Successor: true}) && fresh.sees(Others{Alive: 2}) })
+	fresh.kill()
+	eventually(t, func() bool { return old.sees(Others{Alive: 1}) && third.sees(Others{Alive: 1}) })
+	third.kill()
+	eventually(t, func() bool { return old.sees(Others{}) })
+}
+
 // At the end nothing is left where nothing is in force; what is in force stays.
 func TestWhatIsLeftAtTheEnd(t *testing.T) {
 	folder := folderOf(t)
--- a/rules/attempts.go
+++ b/rules/attempts.go
@@ -81,7 +81,7 @@
 		w.tokens -= d.jobCost(r)
 	}
 	d.act.Send(r.ID, 0, w.id)
-	if d.worthTelling(r) || d.cold(now, w) { // or the peers' shared budget would not know of it
+	if d.worthTelling(r) || d.cold(now, w) { // few send it jobs, and the others know its load by them alone
 		r.attempts[len(r.attempts)-1].told = true
 		d.talk.tell(now, newRecord(toldSent, w, r), d.act)
 	}
--- a/rules/cold.go
+++ b/rules/cold.go
@@ -1,5 +1,7 @@
 package rules
 
+import "math"
+
 // The cold budget. All dispatchers together must not send a worker that has just started more than a
 // multiple of what it can do; each keeps within its own part, in slot-time, by the expected size of jobs.
 
@@ -32,26 +34,81 @@
 }
 
 // coldAllows fills the worker's bucket and tells whether the job fits. The bucket starts at a
-// random part of one job, so that dispatchers that learn of a worker at the same moment and whose
-// parts are each below one job do not open with a burst.
+// random part of one job, so that dispatchers that learn of a worker at the same moment do not all
+// open with one; it starts empty where the worker was started before this dispatcher, whose process
+// before may have sent it some already.
 func (d *Dispatcher) coldAllows(now Time, w *worker, r *request) bool {
 	if !d.cold(now, w) {
 		return true
 	}
+	if d.coldElsewhere {
+		return false
+	}
 	cost := d.jobCost(r)
-	slots := 1.0 // nothing learned yet: as little as a worker can have
-	if w.cap.n > 0 || d.kind(w.Kind).cap.n > 0 || d.capAll.n > 0 {
-		slots = d.slots(w)
+	allowed := d.coldRate(now, w)
+	leases := d.coldLeases(w, allowed*float64(d.set.TipAfter)/d.usualRun(r.Class))
+	if d.coldPlace(w) >= leases {
+		return false
 	}
-	// What peers that tell have sent is taken off the same bucket: their parts are shared with them.
-	share := min(1, (1+d.tellers)/d.kind(w.Kind).senders)
-	rate := coldMargin * d.set.OverloadFactor * slots * d.warmth(now, w) * share
+	rate := coldMargin * allowed / leases
 	if w.tokensAt == 0 {
-		w.tokens += d.rng.Float64() * cost
 		w.tokensAt = now
+		if w.StartedAt >= d.bornAt {
+			w.tokens += d.rng.Float64() * cost
+		}
 	}
 	deep := max(cost, rate*float64(d.set.TipAfter)/2)
 	w.tokens = min(w.tokens+rate*float64(now-w.tokensAt), max(deep, w.tokens))
 	w.tokensAt = now
 	return w.tokens >= cost
 }
+
+// coldRate is the slot-time a unit of time that the settings allow a cold worker by now, from all
+// dispatchers together.
+func (d *Dispatcher) coldRate(now Time, w *worker) float64 {
+	slots := 1.0 // nothing learned yet: as little as a worker can have
+	if w.cap.n > 0 || d.kind(w.Kind).cap.n > 0 || d.capAll.n > 0 {
+		slots = d.slots(w)
+	}
+	return d.set.OverloadFactor * slots * d.warmth(now, w)
+}
+
+// usualRun is the mean running time of all jobs; of the class's, as long as no job has ended.
+func (d *Dispatcher) usualRun(class int) float64 {
+	if d.meanRun.n > 0 {
+		return max(1, d.meanRun.v)
+	}
+	return max(1, d.runOf(class))
+}
+
+// coldLeases is the number of dispatchers among which a cold worker's budget of so many jobs in
+// TipAfter is divided. Each may send it one whole job whatever the others do, and none hears of the
+// others in time; so as many have a part as the worker bears jobs over its budget.
+func (d *Dispatcher) coldLeases(w *worker, jobs float64) float64 {
+	slack := 2*math.Sqrt(jobs) + 2
+	if jobs < fewColdJobs {
+		slack = 3*math.Sqrt(jobs) + 3
+	}
+	return min(math.Floor(slack), d.kind(w.Kind).senders)
+}
+
+// coldPlace is this dispatcher's place in the order in which those that may send to a worker get a
+// part of its cold budget. The order is drawn anew for each start of a worker (rendezvous hashing by
+// rank): all know it without a word, and over many workers the parts are spread evenly.
+func (d *Dispatcher) coldPlace(w *worker) float64 {
+	if w.placeFor != w.StartedAt {
+		seed := mix(hashID(w.id) ^ uint64(w.StartedAt))
+		mine := mix(seed + uint64(d.set.Rank))
+		w.place, w.placeFor = 0, w.StartedAt
+		for rank := range d.set.GroupSize {
+			if mix(seed+uint64(rank)) > mine {
+				w.place++
+			}
+		}
+	}
+	return math.Floor(float64(w.place) * d.kind(w.Kind).senders / float64(d.set.GroupSize))
+}
+
+// ColdElsewhere tells whether another process of this dispatcher, started later, has its parts of
+// the cold budgets: the rules count both as one.
+func (d *Dispatcher) ColdElsewhere(elsewhere bool) { d.coldElsewhere = elsewhere }
--- a/rules/health.go
+++ b/rules/health.go
@@ -21,7 +21,9 @@
 		w.errors, w.quietSince, w.benchUntil, w.benchFor, w.slowN, w.slowSum, w.faults.n = 0, 0, 0, 0, 0, 0, 0
 		w.others, w.othersLast, w.running = mean{}, 0, w.running[:0]
 		w.peers, w.told = w.peers[:0], 0
-		w.tokens, w.tokensAt = 0, 0
+		if e.StartedAt != w.StartedAt { // else it came back as it was, and what it was sent still counts
+			w.tokens, w.tokensAt = 0, 0
+		}
 		if d.kind(e.Kind).foreign < 1 {
 			w.probedAt = 0
 		}
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -43,18 +43,20 @@
 	faultShy   = 0.3 // failed jobs past which a worker gets only jobs that may be repeated
 	distrust   = 0.5 // part of the fleet that may be in bad health before health is disregarded
 
-	crossCost  = 12.0  // a worker in another zone counts as dearer by this multiple of the price of crossing
-	coldMargin = 0.5   // part of its share of the cold budget that a dispatcher uses
-	holdPart   = 25    // a request waits for probes for this part of its aim at most
-	probeAge   = 0.25  // running times after which a worker is asked again
-	waitAge    = 2.0   // and from which a request waits for the answer
-	probePay   = 0.006 // service worth spending on probes
-	probeMost  = 3.0   // probes for a request in a round
-	probeLeast = 0.1   // part of them that is still asked where all peers tell of their jobs
-	probeOwn   = 0.02  // and part of these where no other scheduler sends to our workers
-	queueLeast = 3.0   // a scan goes on where the best of its sample has so many times its slots taken
-	tellPart   = 0.3   // part of the slot-time that has to be told to be of use
-	tellLeast  = 14.0  // a job is told the peers if its part of the slot-time is this multiple of the price
+	crossCost  = 12.0 // a worker in another zone counts as dearer by this multiple of the price of crossing
+	coldMargin = 0.5  // part of its share of the cold budget that a dispatcher uses
+	// The settings' rule on cold workers leaves more slack under so many jobs in TipAfter.
+	fewColdJobs = 30
+	holdPart    = 25    // a request waits for probes for this part of its aim at most
+	probeAge    = 0.25  // running times after which a worker is asked again
+	waitAge     = 2.0   // and from which a request waits for the answer
+	probePay    = 0.006 // service worth spending on probes
+	probeMost   = 3.0   // probes for a request in a round
+	probeLeast  = 0.1   // part of them that is still asked where all peers tell of their jobs
+	probeOwn    = 0.02  // and part of these where no other scheduler sends to our workers
+	queueLeast  = 3.0   // a scan goes on where the best of its sample has so many times its slots taken
+	tellPart    = 0.3   // part of the slot-time that has to be told to be of use
+	tellLeast   = 14.0  // a job is told the peers if its part of the slot-time is this multiple of the price
 
 	retryRuns = 0.5  // running times after which a client that is refused may return
 	waitPart  = 0.5  // a job is shed when its wait would take this part of the time it can spare
@@ -71,7 +73,7 @@
 func New(s Settings, seed uint64, now Time, act Actions) *Dispatcher {
 	s = s.withDefaults()
 	d := &Dispatcher{
-		set: s, act: act, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+		set: s, act: act, bornAt: now, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		registry: newRegistry(s.Kinds, s.WeightsAreSize), requests: map[RequestID]*request{},
 		out:   [holders]map[WorkerID]WorkerState{{}, {}},
 		table: entries{byKey: map[uint64]*entry{}},
--- a/rules/structs.go
+++ b/rules/structs.go
@@ -175,6 +175,9 @@
 	tellers float64 // peers that tell
 	endLost mean    // part of the words of their jobs' ends that is lost
 
+	bornAt        Time // when this dispatcher was made
+	coldElsewhere bool // another process of ours has our parts of the cold budgets
+
 	heap          wakes
 	wakeAt, askAt Time
 	watching      bool
--- a/rules/tell.go
+++ b/rules/tell.go
@@ -39,9 +39,6 @@
 			if rec.what == toldSent {
 				w.peerSent(peerJob{from: from, record: rec, sent: now})
 				w.triedAt = now // by a peer
-				if d.cold(now, w) {
-					w.tokens -= d.runOf(class) * rec.slots()
-				}
 				continue
 			}
 			if w.peerEnded(from, rec) {
--- a/rules/worker.go
+++ b/rules/worker.go
@@ -48,6 +48,8 @@
 	sampled  uint64  // the last sample that it is in
 	tokens   float64 // cold budget, in slot-microseconds
 	tokensAt Time
+	place    int // ours among those that share the budget of the start placeFor
+	placeFor Time
 }
 
 // smoothOwn brings ownMean up to now; own is about to change.
