--- a/rules/rules.go
+++ b/rules/rules.go
@@ -44,7 +44,7 @@
 	distrust   = 0.5 // part of the fleet that may be in bad health before health is disregarded
 
 	crossCost  = 12.0 // a worker in another zone counts as dearer by this multiple of the price of crossing
-	coldMargin = 0.5  // part of its share of the cold budget that a dispatcher uses
+	coldMargin = 0.7  // part of its share of the cold budget that a dispatcher uses
 	// The settings' rule on cold workers leaves more slack under so many jobs in TipAfter.
 	fewColdJobs = 30
 	holdPart    = 25    // a request waits for probes for this part of its aim at most
