Tell a worker's restart by its date's change, and take no failed accept for the listener's end

Cause: a start's date was turned into the loop's time by the two clocks as they were when the loop began (Loop.FromUnix), so after a step of either wall clock a worker just restarted counted as warm for an hour, or as cold for one. Now the date is only compared with the one told before (discovery.Starts): the same date is no restart, another one is a restart now. Only the first list after our own start is read by the wall clock, and no start lies ahead. Dates that Faktory clients name, and those told them, count from the present wall clock.

Cause: netpoll takes a listener off its poller for up to a second where descriptors are short and asks again at full speed after ENOBUFS and ENOMEM.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"log/slog"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"cobaltflow/internal/clock"
 	"cobaltflow/rules"
 )
 
@@ -182,3 +184,20 @@
 	assert.Less(t, over, nobody)
 	assert.Equal(t, within, nobody)
 }
+
+// A step of the wall clock, forward or back, moves no deadline and no date that was named: each is a span from now.
+func TestAStepOfTheWallClockMovesNoSpan(t *testing.T) {
+	for _, by := range []time.Duration{time.Hour, -time.Hour, 3 * time.Second} {
+		l := NewLoop()
+		l.turn(nil)
+		before := l.now
+		clock.StepWall(by)
+		l.turn(nil)
+		assert.Less(t, l.now-before, Second, "the loop's time")
+		in := l.FromWall(clock.Wall().Add(10*time.Second)) - l.now
+		assert.InDelta(t, 10*Second, in, float64(Second), "a date named after the step")
+		assert.InDelta(t, 10, l.Wall(l.now+10*Second).Sub(clock.Wall()).Seconds(), 1, "a date told after the step")
+		assert.Equal(t, l.FromUnix(1_700_000_000_000), l.FromUnix(1_700_000_000_000))
+		clock.StepWall(-by)
+	}
+}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"cobaltflow/internal/clock"
 	"cobaltflow/rules"
 )
 
@@ -31,8 +32,8 @@
 	wake    chan struct{}
 	stopped bool
 
-	start     time.Time
-	startUnix int64 // wall clock at start, in microseconds
+	start     time.Duration // the monotonic clock at start
+	startUnix int64         // the wall clock at start, in Unix microseconds
 	now       Time
 	deadlines deadlineHeap
 	due       []*Deadline
@@ -43,8 +44,7 @@
 
 // NewLoop makes a loop whose clock starts now.
 func NewLoop() *Loop {
-	t := time.Now()
-	return &Loop{wake: make(chan struct{}, 1), start: t, startUnix: t.UnixMicro(), now: clockBase}
+	return &Loop{wake: make(chan struct{}, 1), start: clock.Monotonic(), startUnix: clock.Wall().UnixMicro(), now: clockBase}
 }
 
 // Post puts an event into the mailbox. It never blocks and may be called from any goroutine.
@@ -61,9 +61,8 @@
 // Now is the time of the turn; for the loop goroutine only.
 func (l *Loop) Now() Time { return l.now }
 
-// FromUnix turns a wall-clock time in milliseconds into the loop's. The two clocks are compared once,
-// at start: a worker's start time must read the same in every list, or the decisions would take
-// each list for a fresh start.
+// FromUnix turns a wall-clock time in milliseconds into the loop's, by the two clocks as they were at the loop's start:
+// what happened before it is read so, whatever has been done to the wall clock since.
 func (l *Loop) FromUnix(ms int64) Time { return clockBase + ms*Millisecond - l.startUnix }
 
 // Deadline is an entry of the loop's ordered deadlines.
@@ -98,11 +97,14 @@
 // AfterTurn has a function called at the end of each turn, when all that was decided is carried out.
 func (l *Loop) AfterTurn(f func()) { l.after = append(l.after, f) }
 
-// FromWall turns a wall-clock time into the loop's; it may be called from any goroutine.
-func (l *Loop) FromWall(t time.Time) Time { return clockBase + t.UnixMicro() - l.startUnix }
+// FromWall turns a date that somebody names into the loop's time: as long from now as it is by the wall clock now. It may
+// be called from any goroutine.
+func (l *Loop) FromWall(t time.Time) Time { return l.clock() + t.Sub(clock.Wall()).Microseconds() }
 
-// Wall turns a time of the loop into the wall clock's.
-func (l *Loop) Wall(at Time) time.Time { return time.UnixMicro(at - clockBase + l.startUnix) }
+// Wall turns a time of the loop into a date: as long from the wall clock's present date as it is from now.
+func (l *Loop) Wall(at Time) time.Time {
+	return clock.Wall().Add(time.Duration(at-l.clock()) * time.Microsecond)
+}
 
 // Stop ends Run after the present turn.
 func (l *Loop) Stop() { l.stopped = true }
@@ -133,7 +135,7 @@
 	}
 }
 
-func (l *Loop) clock() Time { return clockBase + time.Since(l.start).Microseconds() }
+func (l *Loop) clock() Time { return clockBase + (clock.Monotonic() - l.start).Microseconds() }
 
 func (l *Loop) turn(batch []func()) {
 	l.now = l.clock()
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -19,6 +19,7 @@
 	Whole     bool
 	Workers   []core.FarmWorker
 	Addresses []string // of the workers, in their order; empty: the worker has gone
+	SinceMS   []int64  // their starts as dates of discovery's clock, in Unix milliseconds; 0: long ago
 }
 
 // listFields are the fields of a list on the wire.
@@ -96,5 +97,6 @@
 	}
 	u.Workers = append(u.Workers, w)
 	u.Addresses = append(u.Addresses, address)
+	u.SinceMS = append(u.SinceMS, max(0, e.SinceMS))
 	return nil
 }
--- /dev/null
+++ b/internal/discovery/starts_test.go
@@ -0,0 +1,54 @@
+package discovery
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"cobaltflow/internal/core"
+	"cobaltflow/rules"
+)
+
+// told is an update of one worker whose date reads as a time of the loop.
+func told(name string, sinceMS int64, reads core.Time) *Update {
+	return &Update{Workers: []core.FarmWorker{{Name: name, State: rules.Ready, StartedAt: reads}}, SinceMS: []int64{sinceMS}}
+}
+
+func settled(s *Starts, u *Update, now core.Time, first bool) core.Time {
+	s.Settle(u, now, first)
+	return u.Workers[0].StartedAt
+}
+
+// The dates are those of a clock that runs an hour before or behind ours, or right.
+func TestARestartThatIsToldIsARestartNow(t *testing.T) {
+	const hour, now = 3600 * core.Second, 1 << 42
+	for _, off := range []core.Time{-hour, -5 * core.Second, 0, 5 * core.Second, hour} {
+		t.Run(fmt.Sprint(off/core.Second), func(t *testing.T) {
+			s := &Starts{}
+			before := settled(s, told("w", 1000, now-20*core.Second+off), now, true)
+			assert.LessOrEqual(t, before, core.Time(now), "no start lies ahead")
+			assert.Equal(t, before, settled(s, told("w", 1000, now-20*core.Second+off), now+core.Second, false), "the same date: no restart")
+			assert.Equal(t, core.Time(now+2*core.Second), settled(s, told("w", 2000, now+off), now+2*core.Second, false), "another date: a restart")
+			assert.Equal(t, core.Time(now+2*core.Second), settled(s, told("w", 2000, now+off), now+9*core.Second, false))
+			assert.Equal(t, core.Time(now+9*core.Second), settled(s, told("new", 1500, now+off), now+9*core.Second, false), "one not met before")
+		})
+	}
+	assert.Zero(t, settled(&Starts{}, told("w", 0, 0), now, false), "no date: long ago")
+}
+
+// A worker that leaves the list and comes back with the same date was not restarted.
+func TestAWorkerThatComesBackWasNotRestarted(t *testing.T) {
+	s := &Starts{}
+	first := settled(s, told("w", 1000, 500), 1000, true)
+	gone := told("w", 1000, 500)
+	gone.Workers[0].State = rules.Gone
+	s.Settle(gone, 2000, false)
+	assert.Equal(t, first, settled(s, told("w", 1000, 500), 3000, false))
+	for i := range mostDeparted + 10 {
+		u := told(fmt.Sprint("x", i), 1, 1)
+		u.Workers[0].State = rules.Gone
+		s.Settle(u, 4000, false)
+	}
+	assert.LessOrEqual(t, len(s.known), mostDeparted+1, "those that have gone are bounded")
+}
--- a/internal/faktory/front.go
+++ b/internal/faktory/front.go
@@ -19,6 +19,7 @@
 
 	"github.com/cloudwego/netpoll"
 
+	"cobaltflow/internal/clock"
 	"cobaltflow/internal/config"
 	"cobaltflow/internal/core"
 	"cobaltflow/internal/jobs"
@@ -67,7 +68,7 @@
 	closed   bool
 	quiet    bool // the program is to end: nothing new is taken
 	state    string
-	began    time.Time
+	began    time.Duration
 	commands uint64
 	turned   map[string]uint64 // what was turned away, by the bound
 }
@@ -79,7 +80,7 @@
 func New(c *core.Core, conf *config.Config, log *slog.Logger) *Front {
 	k := &conf.Faktory
 	f := &Front{loop: c.Loop, core: c, conf: conf, log: log, workers: map[string]*worker{}, pools: map[string]*core.Pool{},
-		tries: map[*jobs.Job]*try{}, waits: map[uint64]*session{}, began: time.Now(), turned: map[string]uint64{},
+		tries: map[*jobs.Job]*try{}, waits: map[uint64]*session{}, began: clock.Monotonic(), turned: map[string]uint64{},
 		inputMost: int64(k.MaxInputMB) << 20, longest: k.MaxCommandKB << 10}
 	set := jobs.Settings{Reserve: core.Time(k.ReserveS) * core.Second, MaxHeld: k.MaxHeldJobs, MaxHeldBytes: k.MaxHeldMB << 20,
 		MaxQueue: k.MaxQueueJobs, MaxClient: k.MaxClientJobs, MaxClientBytes: k.MaxClientMB << 20, MaxScheduled: k.MaxScheduled,
--- a/internal/faktory/operate.go
+++ b/internal/faktory/operate.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"cobaltflow/internal/clock"
 	"cobaltflow/internal/core"
 	"cobaltflow/internal/jobs"
 )
@@ -279,8 +280,8 @@
 	}
 	k := &f.conf.Faktory
 	text, _ := json.Marshal(map[string]any{
-		"now":             time.Now().UTC().Format(time.RFC3339Nano),
-		"server_utc_time": time.Now().UTC().Format("15:04:05 UTC"),
+		"now":             clock.Wall().UTC().Format(time.RFC3339Nano),
+		"server_utc_time": clock.Wall().UTC().Format("15:04:05 UTC"),
 		"faktory": map[string]any{
 			"total_enqueued": n.Enqueued, "total_processed": t.Served + t.Failures, "total_failures": t.Failures,
 			"total_queues": n.Queues, "queues": queues, "default_size": queues[k.Queue],
@@ -288,7 +289,7 @@
 				"Working": size(n.Working), "Enqueued": size(n.Enqueued)},
 		},
 		"server": map[string]any{"description": "cobaltflow", "faktory_version": "1.9.0",
-			"uptime": int(time.Since(f.began).Seconds()), "connections": f.sessions.Len(), "command_count": f.commands},
+			"uptime": int((clock.Monotonic() - f.began).Seconds()), "connections": f.sessions.Len(), "command_count": f.commands},
 		"cobaltflow": map[string]any{
 			"held": n.Held, "max_held_jobs": k.MaxHeldJobs, "held_bytes": n.HeldBytes, "max_held_bytes": k.MaxHeldMB << 20,
 			"scheduled": n.Scheduled, "max_scheduled": k.MaxScheduled, "retries": n.Retries, "max_retries": k.MaxRetries,
--- a/internal/faktory/payload.go
+++ b/internal/faktory/payload.go
@@ -13,6 +13,7 @@
 
 	"github.com/tidwall/gjson"
 
+	"cobaltflow/internal/clock"
 	"cobaltflow/internal/core"
 	"cobaltflow/internal/front/admission"
 	"cobaltflow/internal/jobs"
@@ -264,7 +265,7 @@
 	b, err := json.Marshal(map[string]any{
 		"jid": t.ID, "jobtype": f.conf.Names.Classes[t.Work.Class], "queue": f.conf.Faktory.Queue,
 		"args": []any{request}, "retry": 0, "reserve_for": (left + 999) / 1000,
-		"created_at": time.Now().UTC().Format(time.RFC3339Nano),
+		"created_at": clock.Wall().UTC().Format(time.RFC3339Nano),
 		"custom":     map[string]any{"time_left_ms": left},
 	})
 	if err != nil {
--- a/internal/front/admin/figures.go
+++ b/internal/front/admin/figures.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	"cobaltflow/internal/core"
+	"cobaltflow/internal/link"
 )
 
 // Prefix stands before every figure's name.
@@ -15,7 +16,7 @@
 // (registry_entries) and those of them that get nothing new now, by hand or by choice (out_of_rotation), as
 // gauges. Where sites are watched, for each its state (0 whole, 1 suspect, 2 lost, 3 cut off, 4 returning) and how many
 // of its workers get nothing new for that, as gauges. How often the folder of the operators' directives could not be used
-// (directive_failures) is a counter. Each is read where it is kept, on the loop, at the moment of the
+// (directive_failures) is a counter, and so is how many accepts failed (accept_failures). Each is read where it is kept, on the loop, at the moment of the
 // call.
 func Figures(c *core.Core, clients Clients, directives Directives, classes []string) []byte {
 	b := make([]byte, 0, 96*len(classes)+160)
@@ -30,6 +31,7 @@
 	}
 	b = figure(b, "relayed", clients.Relayed(), 'c')
 	b = figure(b, "directive_failures", directives.Failures(), 'c')
+	b = figure(b, "accept_failures", link.AcceptFailures(), 'c')
 	b = figure(b, "open_requests", uint64(c.Open()), 'g')
 	b = figure(b, "registry_entries", uint64(c.FarmSize()), 'g')
 	b = figure(b, "out_of_rotation", uint64(c.Avoided()), 'g')
--- /dev/null
+++ b/internal/link/accept_test.go
@@ -0,0 +1,77 @@
+package link
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Whatever accept fails with for a while, connections are served as soon as it succeeds, and the listener goes on.
+func TestAcceptsThatFailForAWhile(t *testing.T) {
+	const failures = 20
+	for _, fault := range []syscall.Errno{syscall.ECONNABORTED, syscall.EINTR, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+		syscall.EPROTO, syscall.ENETDOWN, syscall.ENETUNREACH, syscall.EHOSTUNREACH, syscall.ETIMEDOUT, syscall.EPERM, syscall.ENOPROTOOPT} {
+		t.Run(fault.Error(), func(t *testing.T) {
+			ln, err := Listen("127.0.0.1:0")
+			require.NoError(t, err)
+			faulty := ln.(tolerant)
+			var mu sync.Mutex
+			left, before := failures, AcceptFailures()
+			faulty.accept = func() (net.Conn, error) {
+				mu.Lock()
+				defer mu.Unlock()
+				if left > 0 {
+					left--
+					return nil, fault
+				}
+				return ln.(tolerant).Listener.Accept()
+			}
+			server, err := netpoll.NewEventLoop(func(_ context.Context, c netpoll.Connection) error {
+				_, err := c.Writer().WriteString("here")
+				c.Reader().Skip(c.Reader().Len())
+				return firstOf(err, c.Writer().Flush())
+			})
+			require.NoError(t, err)
+			go server.Serve(faulty)
+			defer server.Shutdown(context.Background())
+			for range 2 {
+				c, err := net.Dial("tcp", ln.Addr().String())
+				require.NoError(t, err)
+				defer c.Close()
+				c.SetDeadline(time.Now().Add(10 * time.Second))
+				_, err = io.WriteString(c, "?")
+				require.NoError(t, err)
+				answer := make([]byte, 4)
+				_, err = io.ReadFull(c, answer)
+				require.NoError(t, err)
+			}
+			assert.GreaterOrEqual(t, AcceptFailures()-before, uint64(failures))
+		})
+	}
+}
+
+func firstOf(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// The end of a listener is no failure that passes.
+func TestTheEndOfAListenerIsTold(t *testing.T) {
+	for _, end := range []error{net.ErrClosed, syscall.EBADF, syscall.EINVAL} {
+		l := tolerant{accept: func() (net.Conn, error) { return nil, end }}
+		_, err := l.Accept()
+		assert.ErrorIs(t, err, end)
+	}
+}
--- a/internal/link/listen.go
+++ b/internal/link/listen.go
@@ -33,7 +33,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return netpoll.ConvertListener(ln)
+	converted, err := netpoll.ConvertListener(ln)
+	if err != nil {
+		return nil, err
+	}
+	return newTolerant(converted), nil
 }
 
 // ListenUDP opens a UDP socket at address (host:port), shared in the same way: datagrams are spread over
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -75,7 +75,9 @@
 	watch  *watch
 	ending ending
 
-	listLimits discovery.Limits // of what discovery sends
+	listLimits   discovery.Limits // of what discovery sends
+	starts       discovery.Starts // of the workers
+	informedOnce bool             // discovery has told what there was before we ran
 
 	peers *peers // nil: there are none to talk to
 
@@ -136,6 +138,7 @@
 		}
 		list = &discovery.Update{}
 	}
+	f.starts.Settle(list, f.loop.Now(), true)
 	f.pool.addresses(list)
 	f.core.Farm(f, rules.ListCached, list.Workers)
 	f.watch = newWatch(f, f.conf.Discovery, list.Version)
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -309,6 +309,8 @@
 		return false
 	}
 	w.version, w.whole = update.Version, false
+	w.f.starts.Settle(update, w.f.loop.Now(), !w.f.informedOnce)
+	w.f.informedOnce = true
 	w.f.pool.addresses(update)
 	form := rules.ListDelta
 	if update.Whole {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -18,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"cobaltflow/internal/clock"
 	"cobaltflow/internal/directive"
 )
 
@@ -85,7 +86,8 @@
 	dirty      bool // the file lacks something of the set
 	wasServing bool // as the file says
 	waiting    []*change
-	failingAt  time.Time // the first of the failures at hand, or when they were last logged
+	failing    bool
+	failingAt  time.Duration // the first of the failures at hand, or when they were last logged
 	strange    map[int]bool
 }
 
@@ -96,7 +98,7 @@
 	entry  directive.Entry
 	taken  bool
 	kept   bool
-	until  time.Time
+	until  time.Duration // by the monotonic clock; 0: it was refused
 	answer func(error)
 }
 
@@ -194,7 +196,7 @@
 // kept by, every process of the scheduler, or with the reason why that is not known within the time. It is not called
 // after Close.
 func (r *Replica) Change(key directive.Key, on bool, within time.Duration, answer func(error)) {
-	c := &change{key: key, on: on, until: time.Now().Add(within), answer: answer}
+	c := &change{key: key, on: on, until: clock.Monotonic() + within, answer: answer}
 	select {
 	case r.changes <- c:
 	default:
@@ -293,13 +295,13 @@
 		news = append(news, entry) // after an error: what stood before stands
 		if err != nil {
 			c.answer(err)
-			c.until = time.Time{}
+			c.until = 0
 			continue
 		}
 		c.entry, r.dirty = entry, true
 		r.Log.Info("directive: changed", "key", string(c.key), "on", c.on, "version", entry.Version, "generation", r.generation)
 	}
-	r.waiting = slices.DeleteFunc(r.waiting, func(c *change) bool { return c.until.IsZero() })
+	r.waiting = slices.DeleteFunc(r.waiting, func(c *change) bool { return c.until == 0 })
 	return news
 }
 
@@ -321,12 +323,12 @@
 
 // answerChanges answers the changes that all processes have, and those whose time is over.
 func (r *Replica) answerChanges(looked bool) {
-	now := time.Now()
+	now := clock.Monotonic()
 	r.waiting = slices.DeleteFunc(r.waiting, func(c *change) bool {
 		switch {
 		case looked && c.kept && r.confirmed(c.entry):
 			c.answer(nil)
-		case now.Before(c.until):
+		case now < c.until:
 			return false
 		case !c.kept:
 			c.answer(ErrNotKept)
@@ -354,14 +356,14 @@
 // note counts a failure of the folder, and logs the first and then one each quietFailures; and the end of them.
 func (r *Replica) note(err error) {
 	switch {
-	case err == nil && !r.failingAt.IsZero():
+	case err == nil && r.failing:
 		r.Log.Info("directive: the folder can be used again", "failures", r.failures.Load())
-		r.failingAt = time.Time{}
+		r.failing = false
 	case err != nil:
 		n := r.failures.Add(1)
-		if r.failingAt.IsZero() || time.Since(r.failingAt) > quietFailures {
+		if now := clock.Monotonic(); !r.failing || now-r.failingAt > quietFailures {
 			r.Log.Warn("directive: the folder can't be used, it is tried again", "error", err, "failures", n)
-			r.failingAt = time.Now()
+			r.failing, r.failingAt = true, now
 		}
 	}
 }
