Have the rig upgrade, end, hold and crowd schedulers, and make operators' calls at either process

The rig's scheduler is one scheduler as the platform counts it, with as many processes as an upgrade needs, one folder for all of them and an operators' address for each. New faults: end-schedulers (SIGTERM, the kill as soon as the platform may), upgrade-schedulers, reload-schedulers, hold-schedulers, lose-folder, crowd, disable-workers, drain-clients; clients may leave early, classes be by_key, the grace of drains be set.

The judge no longer excuses what a scheduler leaves unanswered between SIGTERM and its end, and holds five more rules: workers out by hand, readiness in a drain, attempts for clients that have gone, time told to workers, one attempt at a worker at a time. Each has doubles in which it is broken, and such in which it is not. Two doubles of runs at one worker at a time, which are a break by the protocol, name different workers now; the release's event is called terminated.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync"
@@ -163,8 +164,13 @@
 	}
 	s := r.schedulers[t.Scheduler]
 	r.recorder.Sent(t)
-	ctx, cancel := context.WithDeadline(ctx, until.Add(60*time.Millisecond))
+	patience := until.Add(60 * time.Millisecond)
+	if q.Draw[6] < r.set.Clients.Leave {
+		patience = time.Now().Add(time.Duration(q.Draw[5] * float64(time.Until(until))))
+	}
+	ctx, cancel := context.WithDeadline(ctx, patience)
 	defer cancel()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { t.Reused = c.Reused }})
 	name := r.set.Classes[q.Class].Name
 	for again := false; ; again = true {
 		req, _ := http.NewRequestWithContext(ctx, "POST", fmt.Sprintf("http://%s/%s/k%d", s.listen, name, q.Key), strings.NewReader("{}"))
@@ -193,8 +199,8 @@
 			t.End = record.EndUnreachable
 		case ctx.Err() != nil:
 			t.End = record.EndLeft
-		case strings.Contains(err.Error(), "server closed idle connection") && !again:
-			continue // the close crossed the request: it is sent once more
+		case t.Reused && !again:
+			continue // the end of a kept connection crossed the request: it is sent once more
 		default:
 			t.End = record.EndBroken
 		}
--- a/internal/fleet/endpoints/gate.go
+++ b/internal/fleet/endpoints/gate.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -128,7 +129,11 @@
 		state.used = true
 		opening = time.Duration(w.set.ConnectMS * float64(time.Millisecond))
 	}
-	switch w.take(try, opening) {
+	left, err := strconv.ParseInt(r.Header.Get("X-Time-Left-Ms"), 10, 64)
+	if err != nil {
+		left = -1
+	}
+	switch w.take(try, opening, left) {
 	case took:
 		rw.WriteHeader(202)
 	case turnedAway:
--- a/internal/fleet/endpoints/worker.go
+++ b/internal/fleet/endpoints/worker.go
@@ -223,9 +223,9 @@
 )
 
 // take has a job join the queue.
-func (w *Worker) take(t record.Try, opening time.Duration) taken {
+func (w *Worker) take(t record.Try, opening time.Duration, leftMS int64) taken {
 	now := time.Now()
-	run := record.Run{ID: t.ID, Worker: int32(w.Number), Scheduler: t.Scheduler, ArrivedUS: w.recorder.Now()}
+	run := record.Run{ID: t.ID, Worker: int32(w.Number), Scheduler: t.Scheduler, ArrivedUS: w.recorder.Now(), LeftMS: leftMS}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	run.WaitingAt = int32(len(w.queue))
--- a/internal/fleet/faults.go
+++ b/internal/fleet/faults.go
@@ -56,6 +56,8 @@
 	}
 	in.onWorkers()
 	in.onSchedulers(ctx)
+	in.onProcesses(ctx)
+	in.onOperators(ctx)
 	in.onPaths()
 	in.onDiscovery()
 	return in.turns
@@ -144,8 +146,11 @@
 	case "release-schedulers":
 		for i, s := range in.schedulers() {
 			in.begin(float64(i)*f.StepS, func() {
+				p := s.latest()
 				r.kill([]*scheduler{s}, syscall.SIGTERM)
-				<-s.ended
+				if p != nil {
+					<-p.ended
+				}
 				r.restart(ctx, []*scheduler{s})
 			})
 		}
@@ -259,7 +264,11 @@
 func (r *rig) kill(ss []*scheduler, sig syscall.Signal) {
 	for _, s := range ss {
 		// Noted first: a client may see the end before the signal has returned.
-		r.note(record.Event{What: "killed", Text: fmt.Sprint(s.name(), " ", sig), Scheduler: int32(s.number), Worker: -1})
+		what := "killed"
+		if sig == syscall.SIGTERM {
+			what = "terminated"
+		}
+		r.note(record.Event{What: what, Text: fmt.Sprint(s.name(), " ", sig), Scheduler: int32(s.number), Worker: -1})
 		s.signal(sig)
 		r.gone(s)
 	}
@@ -281,6 +290,9 @@
 func (r *rig) restart(ctx context.Context, ss []*scheduler) {
 	for _, s := range ss {
 		go func() {
+			if s.latest() != nil {
+				r.note(record.Event{What: "killed", Text: s.name(), Scheduler: int32(s.number), Worker: -1})
+			}
 			s.end()
 			if ctx.Err() != nil {
 				return
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -97,7 +97,7 @@
 		}},
 		{"workers drain and schedulers are released", `{"at_s":0.5,"for_s":3,"what":"drain-workers","share":0.25},{"at_s":1,"what":"release-schedulers","count":2,"step_s":1}`,
 			func(t *testing.T, rec *record.Records) {
-				require.Equal(t, 2, count(rec.Events, event("killed")))
+				require.Equal(t, 2, count(rec.Events, event("terminated")))
 				require.Positive(t, count(rec.Told, func(x *record.Told) bool { return x.Status == "draining" }))
 			}},
 	} {
--- a/internal/fleet/judge/judge.go
+++ b/internal/fleet/judge/judge.go
@@ -22,8 +22,6 @@
 // machine adds.
 const slackUS = 150_000
 
-const graceUS = scenario.DrainGraceS * 1e6 // after which nothing new may go to a draining or gone worker
-
 // Judge checks the records of a run, and gives the analysis that its figures come from.
 func Judge(rec *record.Records) ([]Check, *Analysis, error) {
 	s := &scenario.Scenario{}
@@ -31,7 +29,8 @@
 		return nil, nil, err
 	}
 	analysis := Analyze(s, rec)
-	checks := []Check{answered(s, rec), right(rec), onceOnly(s, rec), drained(rec),
+	checks := []Check{answered(s, rec), right(rec), onceOnly(s, rec), drained(s, rec),
+		outOfHand(s, rec), sentAway(rec), afterTheClient(s, rec), timeLeft(s, rec), oneAtATime(rec),
 		pushedOver(s, rec), crashes(rec), check("messages within 256 bytes", int(rec.About.TooLong), nil)}
 	return append(checks, limits(s, analysis)...), analysis, nil
 }
@@ -54,7 +53,10 @@
 	for _, e := range rec.Events {
 		list := a[e.Scheduler]
 		switch e.What {
-		case "killed", "stopped", "crashed":
+		case "killed", "stopped", "crashed", "ended":
+			if n := len(list); n > 0 && list[n-1][1] == end {
+				continue // it is away already
+			}
 			if e.Scheduler >= 0 && e.Text != "" {
 				a[e.Scheduler] = append(list, [2]int64{e.AtUS, end})
 			}
@@ -73,8 +75,13 @@
 
 // cutOff tells whether the way of clients to schedulers was in trouble then: what they did not hear, nobody lost.
 func cutOff(s *scenario.Scenario, t *record.Try) bool {
+	return troubled(s, "client", t.SentUS, t.EndedUS)
+}
+
+// troubled tells whether a kind of path was in trouble at some time from one to another.
+func troubled(s *scenario.Scenario, path string, fromUS, toUS int64) bool {
 	for _, f := range s.Faults {
-		if !slices.Contains([]string{"cut", "lossy", "reset", "trickle", "delay"}, f.What) || len(f.Paths) > 0 && !slices.Contains(f.Paths, "client") {
+		if !slices.Contains([]string{"cut", "lossy", "reset", "trickle", "delay"}, f.What) || len(f.Paths) > 0 && !slices.Contains(f.Paths, path) {
 			continue
 		}
 		ends := f.AtS + f.ForS
@@ -82,7 +89,7 @@
 			ends = s.Seconds * 2
 		}
 		ends = max(ends, f.Until)
-		if float64(t.EndedUS)/1e6 >= f.AtS && float64(t.SentUS)/1e6 <= ends+1 {
+		if float64(toUS)/1e6 >= f.AtS && float64(fromUS)/1e6 <= ends+1 {
 			return true
 		}
 	}
@@ -91,6 +98,10 @@
 
 func answered(s *scenario.Scenario, rec *record.Records) Check {
 	gone := absences(rec)
+	sentOn := make(map[string]bool, len(rec.Runs))
+	for i := range rec.Runs {
+		sentOn[rec.Runs[i].ID] = true
+	}
 	var bad []string
 	for i := range rec.Tries {
 		t := &rec.Tries[i]
@@ -98,6 +109,12 @@
 			continue
 		}
 		late := t.EndedUS > t.SentUS+t.LeftMS*1000+slackUS
+		left := t.End == record.EndLeft && t.EndedUS < t.SentUS+t.LeftMS*1000
+		// The end of a connection that is in use again may cross a request that was not read; it was read if it was sent on.
+		crossed := t.End == record.EndBroken && t.Reused && !sentOn[t.ID]
+		if left || crossed {
+			continue
+		}
 		if t.End != record.EndAnswered || late {
 			bad = append(bad, fmt.Sprintf("%s of class %d at scheduler %d: %s after %.3f s of %.3f s", t.ID, t.Class, t.Scheduler, t.End,
 				float64(t.EndedUS-t.SentUS)/1e6, float64(t.LeftMS)/1e3))
@@ -124,15 +141,22 @@
 	for i := range rec.Tries {
 		request[rec.Tries[i].ID], class[rec.Tries[i].Request] = rec.Tries[i].Request, rec.Tries[i].Class
 	}
-	starts := map[int32]int{}
+	starts, first := map[int32]int{}, map[int32]int64{}
 	var bad []string
 	for i := range rec.Runs {
 		r := &rec.Runs[i]
 		q, known := request[r.ID]
-		if !known || r.StartedUS == 0 || s.Classes[class[q]].Effect != "once" {
+		if !known || r.StartedUS == 0 || s.Classes[class[q]].Effect == "repeatable" {
+			continue
+		}
+		if starts[q]++; starts[q] == 1 {
+			first[q] = r.ArrivedUS
+		}
+		// A repeat of a by_key class is dropped by its group of workers, as long as they remember the first.
+		if s.Classes[class[q]].Effect == "by_key" && r.ArrivedUS <= first[q]+scenario.WindowS*1e6+slackUS {
 			continue
 		}
-		if starts[q]++; starts[q] == 2 {
+		if starts[q] >= 2 {
 			bad = append(bad, fmt.Sprintf("%s, a %s, at table worker %d", r.ID, s.Classes[class[q]].Name, r.Worker))
 		}
 	}
@@ -140,7 +164,7 @@
 }
 
 // drained looks at what schedulers sent to workers of which they had been told that they drain or are gone.
-func drained(rec *record.Records) Check {
+func drained(s *scenario.Scenario, rec *record.Records) Check {
 	type pair struct{ scheduler, worker int32 }
 	told := map[pair][]record.Told{}
 	for _, t := range rec.Told {
@@ -155,7 +179,7 @@
 				last = t
 			}
 		}
-		if (last.Status == "draining" || last.Status == "removed") && r.ArrivedUS > last.AtUS+graceUS+slackUS {
+		if (last.Status == "draining" || last.Status == "removed") && r.ArrivedUS > last.AtUS+graceUS(s)+slackUS {
 			bad = append(bad, fmt.Sprintf("%s from scheduler %d to table worker %d, %.3f s after %q", r.ID, r.Scheduler, r.Worker,
 				float64(r.ArrivedUS-last.AtUS)/1e6, last.Status))
 		}
--- a/internal/fleet/judge/judge_test.go
+++ b/internal/fleet/judge/judge_test.go
@@ -66,10 +66,57 @@
 			r.Tries = append(r.Tries, record.Try{Request: 1, Number: 1, ID: "z", Class: 1, SentUS: 3e6, EndedUS: 3.2e6, LeftMS: 1000, Status: 200, End: record.EndAnswered, Right: true})
 			r.Runs = append(r.Runs, record.Run{ID: "z", ArrivedUS: 3.1e6, StartedUS: 3.1e6})
 		}, "no effect twice"},
-		{"a view started twice", func(r *record.Records) { r.Runs = append(r.Runs, r.Runs[0]) }, ""},
+		{"a view started twice", func(r *record.Records) {
+			again := r.Runs[0]
+			again.Worker = 1
+			r.Runs = append(r.Runs, again)
+		}, ""},
+		{"a view sent to a worker that still has it", func(r *record.Records) { r.Runs = append(r.Runs, r.Runs[0]) },
+			"one attempt of a request at a table worker at a time"},
+		{"a view sent to a worker that had it", func(r *record.Records) {
+			again := r.Runs[0]
+			again.ArrivedUS, again.EndedUS = again.EndedUS, again.EndedUS+1000
+			r.Runs = append(r.Runs, again)
+		}, ""},
+		{"a send to a worker that is out by hand", func(r *record.Records) {
+			r.Events = []record.Event{{AtUS: 1.8e6, What: "out", Scheduler: 0, Worker: 0}}
+		}, "nothing new to a table worker that an operator took out"},
+		{"a send to one that is out for another scheduler", func(r *record.Records) {
+			r.Events = []record.Event{{AtUS: 1.8e6, What: "out", Scheduler: 1, Worker: 0}}
+		}, ""},
+		{"a send to one that was called back", func(r *record.Records) {
+			r.Events = []record.Event{{AtUS: 1.5e6, What: "out", Scheduler: 0, Worker: 0}, {AtUS: 2.9e6, What: "back", Scheduler: 0, Worker: 0}}
+		}, ""},
+		{"a send of a scheduler that began anew", func(r *record.Records) {
+			r.Events = []record.Event{{AtUS: 1.5e6, What: "out", Scheduler: 0, Worker: 0}, {AtUS: 2e6, What: "killed", Text: "n0", Scheduler: 0, Worker: -1},
+				{AtUS: 2.5e6, What: "ready", Scheduler: 0, Worker: -1}}
+		}, ""},
+		{"a scheduler that says it is ready in a drain", func(r *record.Records) {
+			r.Events = []record.Event{{AtUS: 1e6, What: "still-ready", Text: "n0", Scheduler: 0, Worker: -1}}
+		}, "not ready while clients are sent away"},
+		{"an attempt for a client that has gone", func(r *record.Records) {
+			r.Tries[0].End, r.Tries[0].Status, r.Tries[0].EndedUS = record.EndLeft, 0, r.Tries[0].SentUS+100_000
+			r.Runs[0].ArrivedUS = r.Tries[0].EndedUS + 300_000
+			r.Runs[0].EndedUS = r.Runs[0].ArrivedUS + 100_000
+		}, "no attempt for a client that has gone"},
+		{"a client that left before its time was over", func(r *record.Records) {
+			r.Tries[0].End, r.Tries[0].Status, r.Tries[0].EndedUS = record.EndLeft, 0, r.Tries[0].SentUS+100_000
+		}, ""},
+		{"more time told than there is", func(r *record.Records) { r.Runs[0].LeftMS = 2400 }, "no attempt is told more time than its client has"},
+		{"a request sent on and broken off, on a kept connection", func(r *record.Records) {
+			r.Tries[0].Status, r.Tries[0].End, r.Tries[0].Reused = 0, record.EndBroken, true
+		}, "one final answer, in time, for all that was taken"},
+		{"a kept connection's end that crossed a request", func(r *record.Records) {
+			r.Tries[0].Status, r.Tries[0].End, r.Tries[0].Reused = 0, record.EndBroken, true
+			r.Runs = r.Runs[1:]
+		}, ""},
+		{"a request broken off after SIGTERM, while the process goes on", func(r *record.Records) {
+			r.Tries[0].Status, r.Tries[0].End = 0, record.EndBroken
+			r.Events = []record.Event{{AtUS: 1e6, What: "terminated", Text: "n0", Scheduler: 0, Worker: -1}, {AtUS: 2e6, What: "ended", Text: "n0", Scheduler: 0, Worker: -1}}
+		}, "one final answer, in time, for all that was taken"},
 		{"a settle that came twice and started once", func(r *record.Records) {
 			again := r.Runs[1]
-			again.StartedUS = 0
+			again.StartedUS, again.Worker = 0, 0
 			r.Runs = append(r.Runs, again)
 		}, ""},
 		{"a send after the grace", func(r *record.Records) {
--- /dev/null
+++ b/internal/fleet/judge/operators.go
@@ -0,0 +1,144 @@
+package judge
+
+import (
+	"fmt"
+	"slices"
+
+	"cobaltflow/internal/fleet/record"
+	"cobaltflow/internal/fleet/scenario"
+)
+
+// graceUS is the time after which nothing new may go to a worker that drains, is gone or was taken out.
+func graceUS(s *scenario.Scenario) int64 { return int64(s.DrainGraceS * 1e6) }
+
+// outage is a time in which a worker was out by hand, as one scheduler was told.
+type outage struct{ from, to int64 }
+
+type told struct{ scheduler, worker int32 }
+
+const never = int64(1) << 62
+
+// outages gives the times from an operator's yes to the call back. What a scheduler was told goes with its last process.
+func outages(rec *record.Records) map[told][]outage {
+	events := slices.Clone(rec.Events)
+	slices.SortStableFunc(events, func(a, b record.Event) int { return int(a.AtUS - b.AtUS) })
+	all := map[told][]outage{}
+	end := func(k told, at int64) {
+		if list := all[k]; len(list) > 0 && list[len(list)-1].to == never {
+			list[len(list)-1].to = at
+		}
+	}
+	for _, e := range events {
+		k := told{e.Scheduler, e.Worker}
+		switch e.What {
+		case "out":
+			end(k, e.AtUS)
+			all[k] = append(all[k], outage{e.AtUS, never})
+		case "back":
+			end(k, e.AtUS)
+		case "killed", "ended", "crashed":
+			for k := range all {
+				if k.scheduler == e.Scheduler {
+					end(k, e.AtUS)
+				}
+			}
+		}
+	}
+	return all
+}
+
+// outOfHand looks at what schedulers sent to workers that an operator had taken out, whichever process was told.
+func outOfHand(s *scenario.Scenario, rec *record.Records) Check {
+	all := outages(rec)
+	var bad []string
+	for i := range rec.Runs {
+		r := &rec.Runs[i]
+		for _, o := range all[told{r.Scheduler, r.Worker}] {
+			if r.ArrivedUS > o.from+graceUS(s)+slackUS && r.ArrivedUS < o.to {
+				bad = append(bad, fmt.Sprintf("%s from scheduler %d to table worker %d at %.3f s, out by hand since %.3f s", r.ID, r.Scheduler, r.Worker,
+					float64(r.ArrivedUS)/1e6, float64(o.from)/1e6))
+			}
+		}
+	}
+	return check("nothing new to a table worker that an operator took out", len(bad), func(i int) string { return bad[i] })
+}
+
+// sentAway looks at schedulers that said they were ready while an operator had them send their clients away.
+func sentAway(rec *record.Records) Check {
+	var bad []string
+	for _, e := range rec.Events {
+		if e.What == "still-ready" {
+			bad = append(bad, fmt.Sprintf("%s at %.3f s", e.Text, float64(e.AtUS)/1e6))
+		}
+	}
+	return check("not ready while clients are sent away", len(bad), func(i int) string { return bad[i] })
+}
+
+// goneUS is how long after its client's end an attempt may still begin.
+const goneUS = 100_000
+
+// afterTheClient looks at attempts that began when their client had gone.
+func afterTheClient(s *scenario.Scenario, rec *record.Records) Check {
+	gone := absences(rec)
+	left := map[string]int64{}
+	for i := range rec.Tries {
+		if t := &rec.Tries[i]; t.End == record.EndLeft {
+			left[t.ID] = t.EndedUS
+		}
+	}
+	var bad []string
+	for i := range rec.Runs {
+		r := &rec.Runs[i]
+		at, known := left[r.ID]
+		if !known || troubled(s, "client", at, r.ArrivedUS) || troubled(s, "job", at, r.ArrivedUS) || gone.between(r.Scheduler, at, r.ArrivedUS) {
+			continue // the word of its leaving, or the attempt, was on its way for longer
+		}
+		if r.ArrivedUS > at+goneUS+slackUS {
+			bad = append(bad, fmt.Sprintf("%s from scheduler %d, %.3f s after its client had gone", r.ID, r.Scheduler, float64(r.ArrivedUS-at)/1e6))
+		}
+	}
+	return check("no attempt for a client that has gone", len(bad), func(i int) string { return bad[i] })
+}
+
+// timeLeft looks at the time that attempts told their workers: at most what the client had left.
+func timeLeft(s *scenario.Scenario, rec *record.Records) Check {
+	gone := absences(rec)
+	tries := map[string]*record.Try{}
+	for i := range rec.Tries {
+		tries[rec.Tries[i].ID] = &rec.Tries[i]
+	}
+	var bad []string
+	for i := range rec.Runs {
+		r := &rec.Runs[i]
+		t := tries[r.ID]
+		if t == nil || r.LeftMS <= 0 || troubled(s, "client", t.SentUS, r.ArrivedUS) || troubled(s, "job", t.SentUS, r.ArrivedUS) ||
+			gone.between(r.Scheduler, t.SentUS, r.ArrivedUS) {
+			continue // it was on its way for longer than a word takes
+		}
+		if end := t.SentUS + t.LeftMS*1000; r.ArrivedUS+r.LeftMS*1000 > end+2*slackUS {
+			bad = append(bad, fmt.Sprintf("%s from scheduler %d, told %d ms with %d ms left", r.ID, r.Scheduler, r.LeftMS, (end-r.ArrivedUS)/1000))
+		}
+	}
+	return check("no attempt is told more time than its client has", len(bad), func(i int) string { return bad[i] })
+}
+
+// oneAtATime looks for a second attempt of an id at a worker that still had the first.
+func oneAtATime(rec *record.Records) Check {
+	type at struct {
+		id     string
+		worker int32
+	}
+	open := map[at]int64{}
+	runs := slices.Clone(rec.Runs)
+	slices.SortStableFunc(runs, func(a, b record.Run) int { return int(a.ArrivedUS - b.ArrivedUS) })
+	var bad []string
+	for i := range runs {
+		r := &runs[i]
+		k := at{r.ID, r.Worker}
+		if end, known := open[k]; known && r.ArrivedUS < end {
+			bad = append(bad, fmt.Sprintf("%s at table worker %d, at %.3f s", r.ID, r.Worker, float64(r.ArrivedUS)/1e6))
+		}
+		open[k] = max(open[k], r.EndedUS)
+	}
+	return check("one attempt of a request at a table worker at a time", len(bad), func(i int) string { return bad[i] })
+}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -11,15 +11,18 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"cobaltflow/internal/fleet/endpoints"
 	"cobaltflow/internal/fleet/record"
 	"cobaltflow/internal/fleet/scenario"
 )
 
-// scheduler is a process of the program, started and ended by its id.
+// scheduler is one scheduler as the platform counts it: a process of the program, and beside it, during an upgrade, those
+// that it takes over from. All share its addresses and its folder for temporary files.
 type scheduler struct {
 	rig    *rig
 	number int
@@ -28,18 +31,25 @@
 	peer   netip.AddrPort
 	dir    string
 
-	mu      sync.Mutex
+	mu        sync.Mutex
+	processes []*process // that have been started and have not been seen to end, the latest last
+	starts    int
+	temp      string // $TMPDIR of its processes
+}
+
+// process is one start of the program. Its fields are guarded by its scheduler's mutex.
+type process struct {
 	cmd     *exec.Cmd
-	starts  int
-	ended   chan struct{} // of this start
-	alive   bool          // started, and not told to end
-	stopped bool          // by SIGSTOP
-	wanted  bool          // an end of it is no crash
+	admin   netip.AddrPort
+	ended   chan struct{}
+	told    bool // to end: an end of it is no crash
+	stopped bool // by SIGSTOP
 }
 
 var (
 	schedulersAt = [4]byte{127, 0, 2, 1}
 	peersAt      = [4]byte{127, 0, 4, 1}
+	adminsAt     = [4]byte{127, 0, 5, 1}
 )
 
 // limits of one process. Over its memory it is ended by the runtime's own doing, slowly; the rig only bounds it.
@@ -49,83 +59,137 @@
 	readyFor = 30 * time.Second
 )
 
-// start runs the process and waits until it is ready.
+// start runs a process where none runs, with an empty folder, and waits until it is ready.
 func (s *scheduler) start(ctx context.Context) error {
 	s.mu.Lock()
+	s.temp = filepath.Join(s.dir, fmt.Sprint("tmp", s.starts))
+	err := os.Mkdir(s.temp, 0o700)
+	s.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	p, err := s.launch()
+	if err != nil {
+		return err
+	}
+	if err := s.ready(ctx, p, s.listen); err != nil {
+		return s.withLog(err)
+	}
+	s.rig.front.set(s.number, true)
+	return nil
+}
+
+// upgrade starts a second process beside the one that runs. When it is ready the other is told to end, and killed as soon
+// as the platform may.
+func (s *scheduler) upgrade(ctx context.Context) error {
+	old := s.latest()
+	if old == nil {
+		return nil // it is down just now
+	}
+	p, err := s.launch()
+	if err != nil {
+		return err
+	}
+	if err := s.ready(ctx, p, p.admin); err != nil {
+		return s.withLog(err)
+	}
+	s.rig.note(record.Event{What: "upgraded", Text: s.name(), Scheduler: int32(s.number), Worker: -1})
+	s.endInOrder(old)
+	return nil
+}
+
+// endInOrder has a process end by SIGTERM, and kills it as soon as the platform may.
+func (s *scheduler) endInOrder(p *process) {
+	s.signalTo(p, syscall.SIGTERM)
+	time.AfterFunc(s.rig.killAfter(), func() { s.signalTo(p, syscall.SIGKILL) })
+}
+
+// killAfter is how soon after SIGTERM the platform may kill: the longest deadline, 3 s at most, and 0.7 s.
+func (r *rig) killAfter() time.Duration {
+	const most, later = 3.0, 0.7
+	longest := 0.0
+	for _, c := range r.set.Classes {
+		longest = max(longest, c.DeadlineS)
+	}
+	return time.Duration((min(longest, most) + later) * float64(time.Second))
+}
+
+func (s *scheduler) withLog(err error) error {
+	text, _ := os.ReadFile(filepath.Join(s.dir, "log"))
+	return fmt.Errorf("%s: %w\n%s", s.name(), err, text)
+}
+
+// launch starts a process.
+func (s *scheduler) launch() (*process, error) {
+	admin, err := endpoints.Ports(adminsAt, 1, false)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.starts++
-	path := filepath.Join(s.dir, "config.json")
-	text, err := json.Marshal(s.config())
+	p := &process{admin: admin[0], ended: make(chan struct{})}
+	path := filepath.Join(s.dir, fmt.Sprintf("config%d.json", s.starts))
+	text, err := json.Marshal(s.config(p.admin))
 	if err == nil {
 		err = os.WriteFile(path, text, 0o600)
 	}
-	var log *os.File
-	if err == nil {
-		log, err = os.OpenFile(filepath.Join(s.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
 	}
+	log, err := os.OpenFile(filepath.Join(s.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		s.mu.Unlock()
-		return err
+		return nil, err
 	}
 	defer log.Close()
-	temp := filepath.Join(s.dir, fmt.Sprint("tmp", s.starts))
-	os.Mkdir(temp, 0o700)
-	s.cmd = exec.Command(s.rig.build.Binary, "serve", "--config", s.rig.own)
-	s.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+path, "TMPDIR="+temp)
-	s.cmd.Stdout, s.cmd.Stderr = log, log
+	p.cmd = exec.Command(s.rig.build.Binary, "serve", "--config", s.rig.own)
+	p.cmd.Env = append(os.Environ(), "RELAY_CONFIG="+path, "TMPDIR="+s.temp)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
 	// A process of the rig never outlives it, whatever ends the rig.
-	s.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := s.rig.spawn(s.cmd); err != nil {
-		s.mu.Unlock()
-		return err
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := s.rig.spawn(p.cmd); err != nil {
+		return nil, err
 	}
-	cmd, ended := s.cmd, make(chan struct{})
-	s.ended, s.alive, s.wanted, s.stopped = ended, true, false, false
+	s.processes = append(s.processes, p)
+	go s.await(p)
+	return p, nil
+}
+
+// await notes the end of a process.
+func (s *scheduler) await(p *process) {
+	p.cmd.Wait()
+	s.mu.Lock()
+	s.processes = slices.DeleteFunc(s.processes, func(other *process) bool { return other == p })
+	crashed, last := !p.told, len(s.processes) == 0
 	s.mu.Unlock()
-	go func() {
-		cmd.Wait()
-		s.mu.Lock()
-		crashed := !s.wanted && s.cmd == cmd
-		if s.cmd == cmd {
-			s.alive = false
-		}
-		s.mu.Unlock()
-		if crashed {
-			s.rig.note(record.Event{What: "crashed", Text: s.name() + ": " + cmd.ProcessState.String(), Scheduler: int32(s.number), Worker: -1})
-		}
-		close(ended)
-	}()
-	if err := s.ready(ctx, ended); err != nil {
-		text, _ := os.ReadFile(filepath.Join(s.dir, "log"))
-		return fmt.Errorf("%s: %w\n%s", s.name(), err, text)
+	if crashed {
+		s.rig.note(record.Event{What: "crashed", Text: s.name() + ": " + p.cmd.ProcessState.String(), Scheduler: int32(s.number), Worker: -1})
+	} else if last {
+		s.rig.note(record.Event{What: "ended", Text: s.name(), Scheduler: int32(s.number), Worker: -1})
 	}
-	s.rig.front.set(s.number, true)
-	return nil
+	close(p.ended)
 }
 
 func (s *scheduler) name() string { return fmt.Sprint("n", s.number) }
 
-func (s *scheduler) ready(ctx context.Context, ended chan struct{}) error {
+// ready waits until a process says at an address of its own that it is.
+func (s *scheduler) ready(ctx context.Context, p *process, at netip.AddrPort) error {
 	ctx, cancel := context.WithTimeout(ctx, readyFor)
 	defer cancel()
 	tick := time.NewTicker(20 * time.Millisecond)
 	defer tick.Stop()
 	var last error
 	for {
-		q, _ := http.NewRequestWithContext(ctx, "GET", "http://"+s.listen.String()+"/-/ready", nil)
-		q.Close = true
-		r, err := http.DefaultClient.Do(q)
-		if err == nil {
-			io.Copy(io.Discard, r.Body)
-			r.Body.Close()
-			if r.StatusCode == 200 {
-				return nil
-			}
-			err = fmt.Errorf("ready: %s", r.Status)
+		status, err := ask(ctx, "GET", at, "/-/ready")
+		if status == http.StatusOK {
+			return nil
+		}
+		if last = err; err == nil {
+			last = fmt.Errorf("ready: status %d", status)
 		}
-		last = err
 		select {
 		case <-tick.C:
-		case <-ended:
+		case <-p.ended:
 			return fmt.Errorf("ended before it was ready")
 		case <-ctx.Done():
 			return fmt.Errorf("not ready: %w", last)
@@ -133,52 +197,84 @@
 	}
 }
 
-// signal sends a signal to the process that runs now.
-func (s *scheduler) signal(sig syscall.Signal) {
+// ask makes a call on a connection of its own.
+func ask(ctx context.Context, method string, at netip.AddrPort, path string) (status int, err error) {
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+at.String()+path, nil)
+	if err != nil {
+		return 0, err
+	}
+	q.Close = true
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0, err
+	}
+	io.Copy(io.Discard, r.Body)
+	return r.StatusCode, r.Body.Close()
+}
+
+// latest is the process that was started last; nil: none runs.
+func (s *scheduler) latest() *process {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.cmd == nil || s.cmd.Process == nil {
-		return
+	if len(s.processes) == 0 {
+		return nil
 	}
+	return s.processes[len(s.processes)-1]
+}
+
+// all are the processes that run, the latest last.
+func (s *scheduler) all() []*process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.processes)
+}
+
+// signal sends a signal to all processes of the scheduler.
+func (s *scheduler) signal(sig syscall.Signal) {
+	for _, p := range s.all() {
+		s.signalTo(p, sig)
+	}
+}
+
+func (s *scheduler) signalTo(p *process, sig syscall.Signal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	select {
-	case <-s.ended:
+	case <-p.ended:
 		return
 	default:
 	}
 	switch sig {
 	case syscall.SIGKILL, syscall.SIGTERM:
-		s.wanted, s.alive = true, false
+		p.told = true
 	case syscall.SIGSTOP:
-		s.stopped = true
+		p.stopped = true
 	case syscall.SIGCONT:
-		s.stopped = false
+		p.stopped = false
 	}
-	s.cmd.Process.Signal(sig)
+	p.cmd.Process.Signal(sig)
 }
 
-// live tells whether the process runs and may act.
+// live tells whether a process runs that takes clients.
 func (s *scheduler) live() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.alive && !s.stopped
+	return slices.ContainsFunc(s.processes, func(p *process) bool { return !p.told && !p.stopped })
 }
 
-// end kills the process and waits for its end.
+// end kills all processes and waits for their ends.
 func (s *scheduler) end() {
-	s.signal(syscall.SIGKILL)
-	s.mu.Lock()
-	ended := s.ended
-	s.mu.Unlock()
-	if ended != nil {
-		<-ended
+	for _, p := range s.all() {
+		s.signalTo(p, syscall.SIGKILL)
+		<-p.ended
 	}
 }
 
 // config is the platform's file for a scheduler.
-func (s *scheduler) config() map[string]any {
+func (s *scheduler) config(admin netip.AddrPort) map[string]any {
 	r, sc := s.rig, s.rig.set
 	conf := map[string]any{
-		"name": s.name(), "listen": s.listen.String(), "discovery": r.discovery.Address(s.number),
+		"name": s.name(), "listen": s.listen.String(), "admin": admin.String(), "discovery": r.discovery.Address(s.number),
 		"seed":   fmt.Sprintf("%016x", r.seed*1_000_003+uint64(s.number)*1009+uint64(s.starts)),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets},
 		"known":  r.discovery.Known(s.number), "settings": settings(sc, s.number, s.site),
@@ -204,7 +300,7 @@
 	var kind, priority, stretch []any
 	for _, c := range sc.Classes {
 		classes = append(classes, map[string]any{"name": c.Name, "effect": c.Effect, "aimUs": us(c.AimMS / 1000), "deadlineUs": us(c.DeadlineS),
-			"worth": c.Worth, "lateWorth": c.LateWorth, "group": "all", "windowUs": us(5)})
+			"worth": c.Worth, "lateWorth": c.LateWorth, "group": "all", "windowUs": us(scenario.WindowS)})
 		kind, priority, stretch = append(kind, -1), append(priority, c.Priority), append(stretch, c.Stretch)
 	}
 	w := sc.Workers
@@ -215,7 +311,7 @@
 		"classes": classes, "dcs": zones, "kinds": kinds, "locality": site, "discovery": sc.Discovery.Mode,
 		"domainType": "jobs", "groupSize": len(sc.Schedulers()), "rank": rank,
 		"report": map[string]any{"fields": []string{"waiting", "avg_ms", "active", "x0"}, "how": map[bool]string{true: "probe", false: "none"}[w.Probes]},
-		"rules": map[string]any{"answerSlackUs": us(0.016), "askWithinUs": us(10), "coldFrom": w.ColdFrom, "drainGraceUs": us(scenario.DrainGraceS),
+		"rules": map[string]any{"answerSlackUs": us(0.016), "askWithinUs": us(10), "coldFrom": w.ColdFrom, "drainGraceUs": us(sc.DrainGraceS),
 			"overloadFactor": w.OverloadFactor, "tipAfterUs": us(w.TipAfterS), "warmWithinUs": us(w.WarmS)},
 		"specifics": map[string]any{"classKind": kind, "classPriority": priority, "classStretch": stretch, "queueOrder": "fifo",
 			"reportX0": "free_slots", "tellsStart": true, "progressUs": 0},
--- a/internal/fleet/record/record.go
+++ b/internal/fleet/record/record.go
@@ -29,6 +29,7 @@
 	Fault     string `parquet:"fault,dict"` // what went wrong, where there is no answer
 	AfterMS   int64  `parquet:"after_ms"`   // Retry-After; below 0: none
 	Right     bool   `parquet:"right"`      // the answer is what a table worker gave for it
+	Reused    bool   `parquet:"reused"`     // it went on a connection that had been used before
 }
 
 // Ends of tries that got no answer.
@@ -48,6 +49,7 @@
 	StartedUS int64  `parquet:"started_us"` // 0: never
 	EndedUS   int64  `parquet:"ended_us"`
 	WaitingAt int32  `parquet:"waiting"` // jobs that waited as it came
+	LeftMS    int64  `parquet:"left_ms"` // that it was told to be left; below 0: it was told nothing
 	Fetched   bool   `parquet:"fetched"`
 	How       string `parquet:"how,dict"`
 }
--- a/internal/fleet/scenario/scenario.go
+++ b/internal/fleet/scenario/scenario.go
@@ -40,6 +40,8 @@
 	Peers     Peers
 	Prices    Prices
 	Tries     int `json:"tries"` // attempts of the schedulers for a request
+	// DrainGraceS is how long schedulers may go on sending to a draining, removed or disabled worker.
+	DrainGraceS float64 `json:"drain_grace_s"`
 
 	Faults  []Fault
 	Windows []Window
@@ -117,7 +119,7 @@
 	Share     float64
 	RunMS     float64 `json:"run_ms"` // mean at speed 1
 	Spread    string  // exponential (the default), fixed
-	Effect    string  // once, repeatable
+	Effect    string  // once, by_key, repeatable
 	AimMS     float64 `json:"aim_ms"`
 	Stretch   float64 // the aim grows by this multiple of the job's own running time
 	DeadlineS float64 `json:"deadline_s"`
@@ -136,6 +138,7 @@
 	Retries   int
 	BackoffMS Range   `json:"backoff_ms"`
 	Honour    float64 // part of them that keeps to Retry-After
+	Leave     float64 // part of the requests whose client leaves before its time is over
 	Repeats   bool    // clients ask again where the schedulers could not be reached
 }
 
@@ -242,7 +245,7 @@
 
 func defaults() *Scenario {
 	return &Scenario{
-		Seed: 1, Tries: 4,
+		Seed: 1, Tries: 4, DrainGraceS: 1,
 		Network: Network{SameMS: Range{0.1, 0.3}, CrossMS: Range{1.2, 2.1}},
 		Workers: Workers{Slots: 4, Queue: 60, ColdFrom: 0.31, WarmS: 8.9, OverloadFactor: 3, TipAfterS: 1,
 			ReportS: Range{0.47, 0.7}, ReportDelayS: Range{0.1, 0.2}, Noise: 0.05, Connections: 400, IdleS: 60, Probes: true},
@@ -317,8 +320,8 @@
 	MostWorkers    = 200
 )
 
-// DrainGraceS is how long schedulers may go on sending to a draining or gone worker.
-const DrainGraceS = 1
+// WindowS is how long a repeat of a by_key class is dropped by its group of workers.
+const WindowS = 5
 
 // Site gives a site's number; -1: there is none of that name.
 func (s *Scenario) Site(name string) int {
