Give more dispatchers a part of a cold budget where each has little traffic

Change: a dispatcher knows how many jobs it has in TipAfter for a worker of the ready ones; as many dispatchers get a part as the slack and the unused budget hold of twice that. Where traffic is no bound (few dispatchers, many jobs) the number is the slack alone, as before.

--- a/rules/cold.go
+++ b/rules/cold.go
@@ -83,13 +83,26 @@
 
 // coldLeases is the number of dispatchers among which a cold worker's budget of so many jobs in
 // TipAfter is divided. Each may send it one whole job whatever the others do, and none hears of the
-// others in time; so as many have a part as the worker bears jobs over its budget.
+// others in time; so as many have a part as the worker bears jobs over its budget. Where one has so
+// few jobs that even in a rush only some would send one within that time, more have a part: what they
+// send then keeps within the budget and the slack, and part of the budget is still kept back.
 func (d *Dispatcher) coldLeases(w *worker, jobs float64) float64 {
 	slack := 2*math.Sqrt(jobs) + 2
 	if jobs < fewColdJobs {
 		slack = 3*math.Sqrt(jobs) + 3
 	}
-	return min(math.Floor(slack), d.kind(w.Kind).senders)
+	demand := d.coldDemand()
+	return min(math.Floor((slack+jobs*(1-demand))/demand), d.kind(w.Kind).senders)
+}
+
+// coldDemand is the part of TipAfters in which this dispatcher has a job for a given worker, in a rush;
+// 1 as long as its traffic is not known.
+func (d *Dispatcher) coldDemand() float64 {
+	if d.asking.n < askingKnown {
+		return 1
+	}
+	usual := d.asking.v * float64(d.set.TipAfter) / tick / max(1, float64(d.ready))
+	return min(1, max(coldRush*usual, demandLeast))
 }
 
 // coldPlace is this dispatcher's place in the order in which those that may send to a worker get a
--- a/rules/health.go
+++ b/rules/health.go
@@ -38,6 +38,8 @@
 		d.act.Watch(true)
 	}
 	d.findLate(now)
+	d.asking.add(float64(d.askedNow), askingGain)
+	d.askedNow = 0
 	d.tellers = d.talk.keepUp(now, d.act)
 	bad := 0
 	for w := range d.toVisit() {
--- a/rules/rules.go
+++ b/rules/rules.go
@@ -47,6 +47,10 @@
 	coldMargin = 0.7  // part of its share of the cold budget that a dispatcher uses
 	// The settings' rule on cold workers leaves more slack under so many jobs in TipAfter.
 	fewColdJobs = 30
+	coldRush    = 2.0   // a rush brings a worker so many times the jobs that are its part
+	demandLeast = 0.01  // part of TipAfters
+	askingKnown = 10    // ticks after which a dispatcher knows its traffic
+	askingGain  = 0.1   // of a tick
 	holdPart    = 25    // a request waits for probes for this part of its aim at most
 	probeAge    = 0.25  // running times after which a worker is asked again
 	waitAge     = 2.0   // and from which a request waits for the answer
@@ -120,6 +124,7 @@
 	if d.requests[q.ID] != nil {
 		return
 	}
+	d.askedNow++
 	r := &request{Request: *q, arrived: now}
 	if r.Class < 0 || r.Class >= len(d.classes) {
 		r.Class = len(d.classes) - 1
--- a/rules/structs.go
+++ b/rules/structs.go
@@ -175,6 +175,8 @@
 	tellers float64 // peers that tell
 	endLost mean    // part of the words of their jobs' ends that is lost
 
+	asking        mean // requests in a tick
+	askedNow      int  // requests since the last one
 	bornAt        Time // when this dispatcher was made
 	coldElsewhere bool // another process of ours has our parts of the cold budgets
 
