Add a fault soak drawn from seeds, and bear SIGHUP from the process's first moment

The soak (internal/fleet/soak, `cobaltflow fleet soak`) draws settings and crossing faults from a seed, plays them on the rig, has them judged, prints the whole way of a request that broke a rule, and can cut a failing schedule down.

Cause: the runtime's own handler stands from its start, and ends the process until signal.Notify is called; Notify in main, or in a package's init, is later. Changed: a constructor of package hangup, which runs before the runtime, has the signal ignored; the runtime respects that until Notify. What is ignored so early is no loss: the configuration is read afterwards. The rig spares processes younger than 0.1 s, since before the loader has run the constructor the kernel ends them whatever the program does.

--- a/cmd/cobaltflow/fleet.go
+++ b/cmd/cobaltflow/fleet.go
@@ -64,6 +64,6 @@
 			return err
 		},
 	}
-	c.AddCommand(run, check, report, schema)
+	c.AddCommand(run, check, report, schema, soakCommand())
 	return c
 }
--- a/cmd/cobaltflow/serve.go
+++ b/cmd/cobaltflow/serve.go
@@ -9,6 +9,7 @@
 
 	"cobaltflow/internal/config"
 	"cobaltflow/internal/gateway"
+	"cobaltflow/internal/hangup"
 	"cobaltflow/internal/log"
 )
 
@@ -18,11 +19,8 @@
 	return &cobra.Command{
 		Use: "serve", Short: "Run the gateway (the default)", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			// Caught from the first moment: left to the runtime, SIGHUP ends the process. One that waits is
-			// enough, since the file is read after it was taken.
-			reloads, ends := make(chan os.Signal, 1), make(chan os.Signal, 2)
+			ends := make(chan os.Signal, 2)
 			told := make(chan struct{}, 1) // another process of this scheduler was asked to reload
-			signal.Notify(reloads, syscall.SIGHUP)
 			conf, err := load()
 			if err != nil {
 				return err
@@ -46,7 +44,7 @@
 			go func() {
 				for {
 					select {
-					case <-reloads:
+					case <-hangup.Received:
 						g.TellReload()
 					case <-told:
 					}
--- /dev/null
+++ b/cmd/cobaltflow/soak.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"cobaltflow/internal/fleet/soak"
+)
+
+func soakCommand() *cobra.Command {
+	var o soak.Options
+	c := &cobra.Command{
+		Use: "soak", Short: "Play scenarios that are drawn from seeds, with several faults at once, and judge them", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+			if o.Binary == "" {
+				own, err := os.Executable()
+				if err != nil {
+					return err
+				}
+				o.Binary = own
+			}
+			o.Out = c.OutOrStdout()
+			outcomes, err := soak.Run(ctx, o)
+			broken := 0
+			for _, outcome := range outcomes {
+				if len(outcome.Broken) > 0 {
+					broken++
+				}
+			}
+			fmt.Fprintf(o.Out, "%d seeds played, %d broken\n", len(outcomes), broken)
+			if err == nil && broken > 0 {
+				err = fmt.Errorf("%d of %d seeds broke a rule", broken, len(outcomes))
+			}
+			return err
+		},
+	}
+	c.Flags().StringVar(&o.Binary, "binary", "", "the `program` to play; this one where absent")
+	c.Flags().Uint64Var(&o.From, "from", 1, "first `seed`")
+	c.Flags().IntVar(&o.Seeds, "seeds", 50, "how `many` seeds to play")
+	c.Flags().IntVar(&o.AtOnce, "at-once", 1, "how `many` runs side by side")
+	c.Flags().StringVar(&o.Dir, "out", "", "`directory` for records and logs of runs that break a rule; none are kept where absent")
+	c.Flags().BoolVar(&o.Reduce, "reduce", false, "cut the schedule of a seed that breaks a rule down to the least that still does")
+	return c
+}
--- a/cmd/cobaltflow/upgrade_directives_test.go
+++ b/cmd/cobaltflow/upgrade_directives_test.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -238,3 +240,42 @@
 	third := rig.start()
 	assert.Zero(t, third.times(reloaded))
 }
+
+// A process that gets SIGHUP before it has read its configuration goes on.
+func TestSIGHUPWhileAProcessStarts(t *testing.T) {
+	rig := newUpgradeRig(t, "s-1")
+	var all []*instance
+	for range 10 {
+		i := rig.launch()
+		untilAtOnce(t, i.bearsSIGHUP)
+		require.NoError(t, i.cmd.Process.Signal(syscall.SIGHUP))
+		all = append(all, i)
+	}
+	for _, i := range all {
+		until(t, func() bool { return i.call("GET", "/-/ready") == 200 })
+	}
+}
+
+// bearsSIGHUP tells whether the process, and no longer its shell, ignores the signal or has a handler for it.
+func (i *instance) bearsSIGHUP() bool {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", i.cmd.Process.Pid))
+	if err != nil || !strings.HasPrefix(string(status), "Name:\tcobaltflow\n") {
+		return false
+	}
+	for _, key := range []string{"SigIgn:\t", "SigCgt:\t"} {
+		_, text, _ := strings.Cut(string(status), key)
+		var mask uint64
+		fmt.Sscanf(text, "%x", &mask)
+		if mask&(1<<(uint(syscall.SIGHUP)-1)) != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// untilAtOnce waits for a condition without a pause between looks.
+func untilAtOnce(t *testing.T, f func() bool) {
+	for end := time.Now().Add(patience); !f(); {
+		require.True(t, time.Now().Before(end), "the condition never came true")
+	}
+}
--- a/internal/fleet/faults_processes.go
+++ b/internal/fleet/faults_processes.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -81,9 +82,14 @@
 	}
 }
 
-// signalOne sends a signal to one of the processes.
+// newborn is the age under which a process may not have its signal handlers yet: until the language's runtime has set them
+// the kernel ends a process that gets SIGHUP, and no program can change that.
+const newborn = 100 * time.Millisecond
+
+// signalOne sends a signal to one of the processes that are old enough to take it.
 func (s *scheduler) signalOne(rng *rand.Rand, sig syscall.Signal) {
-	if all := s.all(); len(all) > 0 {
+	all := slices.DeleteFunc(s.all(), func(p *process) bool { return time.Since(p.started) < newborn })
+	if len(all) > 0 {
 		s.signalTo(all[rng.IntN(len(all))], sig)
 	}
 }
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -42,6 +42,7 @@
 	cmd     *exec.Cmd
 	admin   netip.AddrPort
 	ended   chan struct{}
+	started time.Time
 	told    bool // to end: an end of it is no crash
 	stopped bool // by SIGSTOP
 }
@@ -128,7 +129,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.starts++
-	p := &process{admin: admin[0], ended: make(chan struct{})}
+	p := &process{admin: admin[0], ended: make(chan struct{}), started: time.Now()}
 	path := filepath.Join(s.dir, fmt.Sprintf("config%d.json", s.starts))
 	text, err := json.Marshal(s.config(p.admin))
 	if err == nil {
