Send no second attempt to a worker where the first may run on

Cause: `may` in rules/attempts.go let an attempt that had ended as Reset be followed by another at its worker.

Now that worker is left out for the request until it has been started anew. Three digests of decisions were recorded anew (peers, peers and probes, weights): runs with resets. TestNoSecondAttemptWhereTheFirstMayRunOn fails without it.

--- a/rules/attempts.go
+++ b/rules/attempts.go
@@ -22,13 +22,17 @@
 		return false
 	}
 	for i := range r.attempts {
-		if r.attempts[i].w == w && (!r.attempts[i].over || r.attempts[i].never) {
+		if a := &r.attempts[i]; a.w == w && (!a.over || a.never || a.runsOn()) {
 			return false
 		}
 	}
 	return d.coldAllows(now, w, r)
 }
 
+// runsOn tells of an attempt that was not given up and may still run: its connection broke, and its
+// worker's process is the same. A second one beside it at that worker would be a duplicate.
+func (a *attempt) runsOn() bool { return a.cut && a.w.StartedAt == a.start }
+
 // mayRepeat tells whether a class allows an attempt at w where b may have run. The repeat should also
 // arrive while the first is remembered: a tenth of the window is kept back.
 func mayRepeat(now Time, c *classStat, b *attempt, w *worker) bool {
@@ -94,7 +98,7 @@
 func (d *Dispatcher) ended(now Time, r *request, a *attempt, s Status) {
 	w := a.w
 	w.smoothOwn(now, d.meanRun.v)
-	a.over, a.never = true, s.NeverRan()
+	a.over, a.never, a.cut = true, s.NeverRan(), s == Reset
 	r.out--
 	w.own = max(0, w.own-r.Slots)
 	w.out--
--- a/rules/digest_test.go
+++ b/rules/digest_test.go
@@ -27,13 +27,13 @@
 // workers and requests. A change that means to decide otherwise records them anew.
 var digestVariants = []digestVariant{
 	{name: "small", workers: 12, steps: 12000, change: func(*Settings) {}, digest: "e5fcb95e35bfc45dbaf94aea"},
-	{name: "peers", workers: 30, steps: 12000, change: func(s *Settings) { s.MayTell = true }, digest: "125986f145d8cab8dc09fea6"},
+	{name: "peers", workers: 30, steps: 12000, change: func(s *Settings) { s.MayTell = true }, digest: "64349882aeac2bf9b9747bc9"},
 	{name: "peers and probes", workers: 60, steps: 12000, change: func(s *Settings) {
 		s.MayTell, s.MayProbe, s.LoadInProbes, s.MaySecondCopy = true, true, true, true
-	}, digest: "acc925e3c0cf635528f8f879"},
+	}, digest: "895f7c361ccbe7efb5bca23a"},
 	{name: "weights", workers: 40, steps: 12000, change: func(s *Settings) {
 		s.WeightsAreSize, s.MayProbe, s.LoadInAnswers, s.CrossZonePrice = true, true, true, 0.1
-	}, digest: "a86e7a242cea6819e4fd63dd"},
+	}, digest: "79b13c4aa46cb5624a346e68"},
 	{name: "notes", workers: 200, steps: 12000, change: func(s *Settings) {
 		s.MayTell, s.MayProbe, s.TellsStart, s.ProgressEvery, s.MaySecondCopy = true, true, true, 100*ms, true
 	}, digest: "7e215c91ebd11239294cdc7f"},
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -796,6 +796,33 @@
 	}
 }
 
+// An attempt whose connection broke may run on at its worker: the request goes to another, and back to that one only when it
+// has been started anew.
+func TestNoSecondAttemptWhereTheFirstMayRunOn(t *testing.T) {
+	for _, effect := range []Effect{Repeatable, Keyed} {
+		b := newBed(oneClass(effect), ListEntry{Worker: "only", Weight: 1})
+		r := b.ask(1)
+		b.end(r, 0, "only", Reset)
+		b.pass(200 * ms)
+		if n := len(b.a.sends); n != 1 {
+			t.Fatalf("%d attempts at a worker where the first may run on", n)
+		}
+		b.List(b.now, &List{Entries: []ListEntry{{Worker: "other", Weight: 1}}})
+		b.pass(200 * ms)
+		if n := len(b.a.sends); n != 2 || b.a.last().w != "other" {
+			t.Fatalf("%d attempts, the last at %s; wanted a second, at the other worker", n, b.a.last().w)
+		}
+		b = newBed(oneClass(effect), ListEntry{Worker: "only", Weight: 1})
+		r = b.ask(1)
+		b.end(r, 0, "only", Reset)
+		b.List(b.now, &List{Entries: []ListEntry{{Worker: "only", Weight: 1, StartedAt: b.now - 60*second}}})
+		b.pass(200 * ms)
+		if n := len(b.a.sends); n != 2 {
+			t.Errorf("%d attempts, though the worker has been started anew", n)
+		}
+	}
+}
+
 // When most of the fleet looks bad, health is disregarded: the few that are left must not be overrun.
 func TestHealthIsDisregardedWhenMostLookBad(t *testing.T) {
 	b := newBed(oneClass(Once), fleet(6)...)
--- a/rules/structs.go
+++ b/rules/structs.go
@@ -69,6 +69,7 @@
 	seen    bool // a sign of life came
 	over    bool
 	never   bool // proved not to have run
+	cut     bool // its connection broke: it may run on
 	told    bool // to the peers
 }
 
