Have the rig's clients send again only what an idle connection's orderly end crossed

A fault of the rig's client, brought in with the soak; it again sends once more only where the transport says that an idle connection was closed.

That its test fails without the mend was run afterwards: it does.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -199,8 +199,8 @@
 			t.End = record.EndUnreachable
 		case ctx.Err() != nil:
 			t.End = record.EndLeft
-		case t.Reused && !again:
-			continue // the end of a kept connection crossed the request: it is sent once more
+		case strings.Contains(err.Error(), "server closed idle connection") && !again:
+			continue // the close crossed the request: it is sent once more
 		default:
 			t.End = record.EndBroken
 		}
