Let the rig's clients and judge bear a hold that the operators' terms bear

Trace: the request was sent at 12.078 s and read at 12.196 s, since its scheduler was stopped from 12.047 to 12.196 s (hold-schedulers); its time counted from the read. The terms bear a process that is held up for 0.15 s, and an answer up to half a second late; the rig's client left after 0.06 s and the judge allows 0.15 s.

Changed: both allow the length of the holds that a request meets, for such requests alone. Doubles: an answer as late as the hold passes; one later than that, or as late beside no hold, is found.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -164,7 +164,8 @@
 	}
 	s := r.schedulers[t.Scheduler]
 	r.recorder.Sent(t)
-	patience := until.Add(60 * time.Millisecond)
+	held := r.set.HeldUS(t.SentUS, t.SentUS+t.LeftMS*1000)
+	patience := until.Add(60*time.Millisecond + time.Duration(held)*time.Microsecond)
 	if q.Draw[6] < r.set.Clients.Leave {
 		patience = time.Now().Add(time.Duration(q.Draw[5] * float64(time.Until(until))))
 	}
--- a/internal/fleet/judge/judge_test.go
+++ b/internal/fleet/judge/judge_test.go
@@ -37,6 +37,16 @@
 	return rec
 }
 
+// hold has all schedulers held up for 0.15 s at a second of the run.
+func hold(t *testing.T, rec *record.Records, at float64) {
+	s := &scenario.Scenario{}
+	require.NoError(t, json.Unmarshal(rec.About.Scenario, s))
+	s.Faults = append(s.Faults, scenario.Fault{AtS: at, ForS: 0.15, What: "hold-schedulers"})
+	var err error
+	rec.About.Scenario, err = json.Marshal(s)
+	require.NoError(t, err)
+}
+
 // Each rule is broken once, in a double of the records, and the check of that rule alone finds it.
 func TestEachCheckCatchesItsFault(t *testing.T) {
 	for _, c := range []struct {
@@ -47,6 +57,18 @@
 		{"all holds", func(*record.Records) {}, ""},
 		{"no answer", func(r *record.Records) { r.Tries[0].Status, r.Tries[0].End = 0, record.EndBroken }, "one final answer, in time, for all that was taken"},
 		{"a late answer", func(r *record.Records) { r.Tries[0].EndedUS += 3e6 }, "one final answer, in time, for all that was taken"},
+		{"an answer as late as a hold that is over by then", func(r *record.Records) {
+			hold(t, r, 5)
+			r.Tries[0].EndedUS = r.Tries[0].SentUS + r.Tries[0].LeftMS*1000 + 250_000
+		}, "one final answer, in time, for all that was taken"},
+		{"an answer as late as its scheduler was held up", func(r *record.Records) {
+			hold(t, r, 1.1)
+			r.Tries[0].EndedUS = r.Tries[0].SentUS + r.Tries[0].LeftMS*1000 + 250_000
+		}, ""},
+		{"an answer later than that", func(r *record.Records) {
+			hold(t, r, 1.1)
+			r.Tries[0].EndedUS = r.Tries[0].SentUS + r.Tries[0].LeftMS*1000 + 350_000
+		}, "one final answer, in time, for all that was taken"},
 		{"no answer of a scheduler that was killed", func(r *record.Records) {
 			r.Tries[0].Status, r.Tries[0].End = 0, record.EndBroken
 			r.Events = []record.Event{{AtUS: 1.1e6, What: "killed", Text: "n0", Scheduler: 0, Worker: -1}}
--- a/internal/fleet/scenario/scenario.go
+++ b/internal/fleet/scenario/scenario.go
@@ -328,6 +328,18 @@
 	return slices.IndexFunc(s.Sites, func(x Site) bool { return x.Name == name })
 }
 
+// HeldUS is for how long, in microseconds, schedulers are held up (hold-schedulers) at some time from one to another of the
+// run. Answers may come so much later: the operators' terms bear a process that is held up for 0.15 s.
+func (s *Scenario) HeldUS(fromUS, toUS int64) (held int64) {
+	for _, f := range s.Faults {
+		begins, ends := int64(f.AtS*1e6), int64((f.AtS+f.ForS)*1e6)
+		if f.What == "hold-schedulers" && fromUS <= ends && toUS >= begins {
+			held += ends - begins
+		}
+	}
+	return held
+}
+
 // Schedulers gives the site of each scheduler.
 func (s *Scenario) Schedulers() (sites []int) {
 	for i, x := range s.Sites {
