Remember a listed worker's start however many leave, and bound those a whole list leaves out

Found on reading the change again, in discovery.Starts: a worker that had left and come back stood in the queue of the departed still, and after 4,096 more departures was forgotten while it was listed; its next entry would have counted as a restart (cold, connections closed). And workers that a whole list did not name any more were kept for ever.

Now a worker that has come back is passed over when the queue is cut, and what a whole list leaves out departs like what is said to have gone. The new test fails without it (12,289 remembered of 4,097 at most, and another start told); the others of the package's starts pass as they were.

--- a/internal/discovery/starts.go
+++ b/internal/discovery/starts.go
@@ -15,12 +15,15 @@
 // first list after our own start, in which nothing can be compared, is read by the wall clock.
 type Starts struct {
 	known    map[string]startedWorker
-	departed []string
+	departed []string // in the order in which they left; one that has come back is skipped
+	updates  uint64   // so far
 }
 
 type startedWorker struct {
 	sinceMS int64
 	at      core.Time
+	update  uint64 // the last that named it
+	gone    bool
 }
 
 // Settle sets the start of each worker of an update, which holds it by the wall clock. first says that the update tells what
@@ -29,6 +32,7 @@
 	if s.known == nil {
 		s.known = make(map[string]startedWorker, len(u.Workers))
 	}
+	s.updates++
 	for i := range u.Workers {
 		w, since := &u.Workers[i], u.SinceMS[i]
 		known, met := s.known[w.Name]
@@ -42,17 +46,34 @@
 		default:
 			w.StartedAt = now
 		}
-		s.known[w.Name] = startedWorker{sinceMS: since, at: w.StartedAt}
+		s.known[w.Name] = startedWorker{sinceMS: since, at: w.StartedAt, update: s.updates}
 		if w.State == rules.Gone {
 			s.depart(w.Name)
 		}
 	}
+	if u.Whole {
+		s.departAbsent()
+	}
+}
+
+// departAbsent lets those go that a whole list did not name.
+func (s *Starts) departAbsent() {
+	for name, w := range s.known {
+		if !w.gone && w.update != s.updates {
+			s.depart(name)
+		}
+	}
 }
 
 func (s *Starts) depart(name string) {
+	w := s.known[name]
+	w.gone = true
+	s.known[name] = w
 	s.departed = append(s.departed, name)
 	if len(s.departed) > mostDeparted {
-		delete(s.known, s.departed[0])
+		if first := s.departed[0]; s.known[first].gone {
+			delete(s.known, first)
+		}
 		s.departed = s.departed[1:]
 	}
 }
--- a/internal/discovery/starts_test.go
+++ b/internal/discovery/starts_test.go
@@ -52,3 +52,26 @@
 	}
 	assert.LessOrEqual(t, len(s.known), mostDeparted+1, "those that have gone are bounded")
 }
+
+// A worker that left once and is listed again is not forgotten, however many others leave; and those that a whole list does
+// not name are bounded like those that were said to have gone.
+func TestWhoIsListedIsRememberedAndWhoIsAbsentIsBounded(t *testing.T) {
+	s := &Starts{}
+	first := settled(s, told("w", 1000, 500), 1000, true)
+	gone := told("w", 1000, 500)
+	gone.Workers[0].State = rules.Gone
+	s.Settle(gone, 2000, false)
+	s.Settle(told("w", 1000, 500), 3000, false)
+	for i := range 2 * mostDeparted {
+		u := told(fmt.Sprint("x", i), 1, 1)
+		u.Workers[0].State = rules.Gone
+		s.Settle(u, 4000, false)
+	}
+	assert.Equal(t, first, settled(s, told("w", 1000, 500), 5000, false))
+	for i := range 2 * mostDeparted {
+		u := told(fmt.Sprint("y", i), 1, 1)
+		u.Whole = true
+		s.Settle(u, 6000, false)
+	}
+	assert.LessOrEqual(t, len(s.known), mostDeparted+1)
+}
