Note each operator's call in the rig's records, with its answer, and keep the log at info

Its records could not tell which call was the last at a worker: a call back was noted when it was made, its answer nowhere, and the processes' logs were kept from warn on, without the versions that each process gave.

Each call is noted now with status and duration, and a run whose records are kept has its log at info.

--- a/internal/fleet/faults_processes.go
+++ b/internal/fleet/faults_processes.go
@@ -129,7 +129,9 @@
 		r.note(e)
 	}
 	called := time.Now()
-	switch status := r.call(ctx, rng, s, "/-/table-workers/"+w.Name+"/"+verb); {
+	status := r.call(ctx, rng, s, "/-/table-workers/"+w.Name+"/"+verb)
+	r.noteCall(e, verb, status, time.Since(called))
+	switch {
 	case !out:
 	case status == http.StatusServiceUnavailable:
 		time.Sleep(time.Until(called.Add(bindsAfter)))
@@ -139,6 +141,12 @@
 	}
 }
 
+// noteCall notes how an operator's call was answered, and how long that took.
+func (r *rig) noteCall(e record.Event, verb string, status int, took time.Duration) {
+	e.What, e.Text = "called", fmt.Sprintf("%s: %s answered %d after %.3f s", e.Text, verb, status, took.Seconds())
+	r.note(e)
+}
+
 // call makes an operator's call at one process of a scheduler; where that has just ended, at another. 0: none took it.
 func (r *rig) call(ctx context.Context, rng *lockedRand, s *scheduler, path string) (status int) {
 	const tries = 3
--- a/internal/fleet/rig.go
+++ b/internal/fleet/rig.go
@@ -46,6 +46,7 @@
 	build      Build
 	seed       uint64
 	own        string // path of the processes' own configuration
+	keepsLogs  bool
 	net        *relay.Net
 	recorder   *endpoints.Recorder
 	workers    []*endpoints.Worker
@@ -71,7 +72,7 @@
 	ms := func(r scenario.Range) [2]time.Duration {
 		return [2]time.Duration{time.Duration(r.Least * float64(time.Millisecond)), time.Duration(r.Most * float64(time.Millisecond))}
 	}
-	r := &rig{set: s, build: b, seed: o.Seed, recorder: endpoints.NewRecorder(), net: relay.New(len(s.Sites), ms(s.Network.SameMS), ms(s.Network.CrossMS), o.Seed),
+	r := &rig{set: s, build: b, seed: o.Seed, keepsLogs: o.Dir != "", recorder: endpoints.NewRecorder(), net: relay.New(len(s.Sites), ms(s.Network.SameMS), ms(s.Network.CrossMS), o.Seed),
 		rng: rand.New(rand.NewPCG(o.Seed, 0x726967)), spawner: make(chan spawned)}
 	// The kernel ends a process when the thread that started it ends, not when its program does: one thread that lives as
 	// long as the run starts them all.
@@ -145,7 +146,11 @@
 		listens = append(listens, s.listen.String())
 		r.schedulers = append(r.schedulers, s)
 	}
-	own := map[string]any{"log": map[string]any{"level": "warn"}}
+	level := "warn"
+	if r.keepsLogs {
+		level = "info"
+	}
+	own := map[string]any{"log": map[string]any{"level": level}}
 	if !r.build.Plain {
 		own = merged(own, merged(r.set.Own, r.build.Own))
 	}
