Take a call's time as its directive's version, so that the last call stands unseen

The calls were made while the folder was away, an enable at the old process and then a disable at a process that had started without the folder.

Cause: a version was one over the highest that the process had seen. The new process had seen none and gave its disable version 2; the earlier enable had 6 and stood when the folder came back. Excluded by the calls' answers and the log: a yes while nothing was kept, a call back that is not kept.

Why this holds: the version is the time of the call by the machine's monotonic clock, which all processes read alike and nobody steps; what was seen only ever raises it. Where files of an earlier start of the machine are over the clock, what was told before the first look is raised over them.

Set.Change takes the time; its tests pass 0 where they counted, and the convergence test draws it.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -6,6 +6,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 var start = time.Now()
@@ -13,6 +15,16 @@
 // Monotonic is the time since the process's start. It never goes back.
 func Monotonic() time.Duration { return time.Since(start) }
 
+// Machine is the machine's monotonic clock in microseconds, which all its processes read alike. It begins anew when the
+// machine does. 0: the system does not tell.
+func Machine() uint64 {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &now); err != nil {
+		return 0
+	}
+	return uint64(now.Nano() / int64(time.Microsecond))
+}
+
 // Wall is the wall clock's time. Two readings may be in any order.
 func Wall() time.Time { return time.Now().Round(0).Add(time.Duration(step.Load())) }
 
--- a/internal/directive/directive.go
+++ b/internal/directive/directive.go
@@ -40,7 +40,7 @@
 // Entry is the state of one directive.
 type Entry struct {
 	Key     Key
-	Version uint64 // from 1; the higher one stands
+	Version uint64 // above 0; the higher one stands
 	On      bool
 }
 
@@ -102,14 +102,16 @@
 	return true
 }
 
-// Change tells a directive anew. It gets a version over all that the set has seen. The error is ErrFull.
-func (s *Set) Change(key Key, on bool) (Entry, error) {
+// Change tells a directive anew, at a time of a clock that all processes of the scheduler share. Its version is that time,
+// so that the later of two calls stands although neither process had heard of the other's; or one over all that the set
+// has seen, where that is higher. The error is ErrFull.
+func (s *Set) Change(key Key, on bool, at uint64) (Entry, error) {
 	old, known := s.entries[key]
 	full := on && !old.On && s.on >= MostOn
 	if full || !known && len(s.entries) >= MostAll {
 		return old, ErrFull
 	}
-	s.clock++
+	s.clock = max(s.clock+1, at)
 	e := Entry{Key: key, Version: s.clock, On: on}
 	s.put(old, e)
 	return e, nil
--- a/internal/directive/directive_test.go
+++ b/internal/directive/directive_test.go
@@ -11,10 +11,10 @@
 
 func TestTheLastWordStandsWhicheverProcessHeardIt(t *testing.T) {
 	var a, b Set
-	out, err := a.Change(WorkerOut("s-1"), true)
+	out, err := a.Change(WorkerOut("s-1"), true, 0)
 	require.NoError(t, err)
 	require.True(t, b.Merge(out))
-	back, err := b.Change(WorkerOut("s-1"), false)
+	back, err := b.Change(WorkerOut("s-1"), false, 0)
 	require.NoError(t, err)
 	require.True(t, a.Merge(back))
 	assert.False(t, a.On(WorkerOut("s-1")))
@@ -25,8 +25,8 @@
 // Two processes that were called at the same moment come to the same state, on which nothing is sent.
 func TestOnStandsBetweenEqualVersions(t *testing.T) {
 	var a, b Set
-	out, _ := a.Change(Drain, true)
-	back, _ := b.Change(Drain, false)
+	out, _ := a.Change(Drain, true, 0)
+	back, _ := b.Change(Drain, false, 0)
 	require.Equal(t, out.Version, back.Version)
 	a.Merge(back)
 	b.Merge(out)
@@ -42,7 +42,7 @@
 		for range 40 {
 			at := rng.IntN(len(sets))
 			if rng.IntN(2) == 0 {
-				_, err := sets[at].Change(WorkerOut(fmt.Sprint(rng.IntN(4))), rng.IntN(2) == 0)
+				_, err := sets[at].Change(WorkerOut(fmt.Sprint(rng.IntN(4))), rng.IntN(2) == 0, uint64(rng.IntN(60)))
 				require.NoError(t, err)
 				continue
 			}
@@ -65,26 +65,26 @@
 func TestBounds(t *testing.T) {
 	var s Set
 	for i := range MostOn {
-		_, err := s.Change(WorkerOut(fmt.Sprint(i)), true)
+		_, err := s.Change(WorkerOut(fmt.Sprint(i)), true, 0)
 		require.NoError(t, err)
 	}
-	_, err := s.Change(WorkerOut("one more"), true)
+	_, err := s.Change(WorkerOut("one more"), true, 0)
 	assert.ErrorIs(t, err, ErrFull)
-	_, err = s.Change(WorkerOut("0"), true)
+	_, err = s.Change(WorkerOut("0"), true, 0)
 	assert.NoError(t, err, "one that is on already")
 	for i := range MostOn {
-		_, err := s.Change(WorkerOut(fmt.Sprint(i)), false)
+		_, err := s.Change(WorkerOut(fmt.Sprint(i)), false, 0)
 		require.NoError(t, err)
 	}
 	for i := range MostOn {
-		_, err := s.Change(WorkerOut(fmt.Sprint("b", i)), true)
+		_, err := s.Change(WorkerOut(fmt.Sprint("b", i)), true, 0)
 		require.NoError(t, err)
 	}
 	assert.Equal(t, MostAll, s.Len())
 	assert.False(t, s.Merge(Entry{Key: WorkerOut("from elsewhere"), Version: 1 << 40, On: true}))
 	assert.True(t, s.Prune())
 	assert.Equal(t, MostOn, s.Len())
-	e, err := s.Change(WorkerOut("0"), false)
+	e, err := s.Change(WorkerOut("0"), false, 0)
 	require.NoError(t, err)
 	assert.Greater(t, e.Version, uint64(1<<40), "a version goes on from the highest seen")
 }
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 
+	"cobaltflow/internal/clock"
 	"cobaltflow/internal/directive"
 )
 
@@ -24,6 +25,7 @@
 	if err != nil {
 		return nil, false, err
 	}
+	toldBefore := r.set.Entries()
 	delete(found, r.generation)
 	maps.DeleteFunc(r.peers, func(generation int, _ *peer) bool { return found[generation] == 0 })
 	for _, generation := range slices.Sorted(maps.Keys(found)) {
@@ -38,9 +40,28 @@
 		news = append(news, changed...)
 	}
 	r.alone = len(found) == 0
+	if !r.informed {
+		r.informed = true
+		news = append(news, r.raise(toldBefore)...)
+	}
 	return news, vanished, nil
 }
 
+// raise has what was told here before the first look stand against files from before the machine's last start, whose
+// versions may be over all that its clock gives now.
+func (r *Replica) raise(toldBefore []directive.Entry) (news []directive.Entry) {
+	if r.set.Clock() <= clock.Machine() {
+		return nil
+	}
+	for _, e := range toldBefore {
+		if raised, err := r.set.Change(e.Key, e.On, 0); err == nil { // else what was found stands
+			news = append(news, raised)
+			r.dirty = true
+		}
+	}
+	return news
+}
+
 // list gives the generations in the folder. Where it lacks our own lock, or has been made anew, we register again.
 func (r *Replica) list() (map[int]int, error) {
 	names, err := r.Files.List(r.Folder)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -82,6 +82,7 @@
 	set        directive.Set
 	peers      map[int]*peer
 	others     Others
+	informed   bool // a look has succeeded
 	alone      bool // the last look found no other generation
 	dirty      bool // the file lacks something of the set
 	wasServing bool // as the file says
@@ -98,6 +99,7 @@
 	entry  directive.Entry
 	taken  bool
 	kept   bool
+	at     uint64        // when it was told, by the machine's clock
 	until  time.Duration // by the monotonic clock; 0: it was refused
 	answer func(error)
 }
@@ -171,7 +173,7 @@
 func (r *Replica) Import(keys []directive.Key) error {
 	for _, key := range keys {
 		if r.set.Entry(key).Version == 0 {
-			if _, err := r.set.Change(key, true); err != nil {
+			if _, err := r.set.Change(key, true, 0); err != nil {
 				return err
 			}
 			r.dirty = true
@@ -196,7 +198,7 @@
 // kept by, every process of the scheduler, or with the reason why that is not known within the time. It is not called
 // after Close.
 func (r *Replica) Change(key directive.Key, on bool, within time.Duration, answer func(error)) {
-	c := &change{key: key, on: on, until: clock.Monotonic() + within, answer: answer}
+	c := &change{key: key, on: on, at: clock.Machine(), until: clock.Monotonic() + within, answer: answer}
 	select {
 	case r.changes <- c:
 	default:
@@ -283,15 +285,16 @@
 	r.others = now
 }
 
-// makeChanges gives a version to the changes that have none yet. It comes after a look, so that the version is over all
-// that was told at another process before.
+// makeChanges gives a version to the changes that have none yet. After a look that is over all that was told at another
+// process before. Where the look failed, the time of the call has to do that: a process that has never seen the folder
+// would count from 1, below what was told long before.
 func (r *Replica) makeChanges() (news []directive.Entry) {
 	for _, c := range r.waiting {
 		if c.taken {
 			continue
 		}
 		c.taken = true
-		entry, err := r.set.Change(c.key, c.on)
+		entry, err := r.set.Change(c.key, c.on, c.at)
 		news = append(news, entry) // after an error: what stood before stands
 		if err != nil {
 			c.answer(err)
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -355,6 +355,24 @@
 	}
 }
 
+// After a start of the machine its clock begins anew: a call made before the first look stands against an older file all
+// the same.
+func TestACallWithoutTheFolderStandsAgainstFilesOfAnEarlierStartOfTheMachine(t *testing.T) {
+	for _, out := range []bool{true, false} {
+		folder, files := folderOf(t), &faultyFiles{faults: map[string]error{"list": syscall.EIO}}
+		var set directive.Set
+		_, err := set.Change(workerA, !out, 1<<62)
+		require.NoError(t, err)
+		require.NoError(t, os.Mkdir(folder, folderMode))
+		require.NoError(t, os.WriteFile(filepath.Join(folder, "00000007.set"), encode(true, &set), fileMode))
+		p := start(t, folder, files)
+		require.ErrorIs(t, p.change(workerA, out, 30*time.Millisecond), ErrNotKept)
+		files.set(nil)
+		require.NoError(t, p.change(workerB, true, patience))
+		assert.Equal(t, out, p.inForce(workerA))
+	}
+}
+
 func TestAFolderThatIsEmptiedIsFilledAgain(t *testing.T) {
 	folder := folderOf(t)
 	a, b := start(t, folder, nil), start(t, folder, nil)
@@ -392,10 +410,10 @@
 // However a file is cut short or spoilt, what is good of it is taken and nothing else.
 func TestSpoiltFiles(t *testing.T) {
 	var set directive.Set
-	set.Change(workerA, true)
-	set.Change(directive.Drain, true)
-	set.Change(workerA, false)
-	set.Change(directive.WorkerOut("a \"name\"\nof two lines"), true)
+	set.Change(workerA, true, 0)
+	set.Change(directive.Drain, true, 0)
+	set.Change(workerA, false, 0)
+	set.Change(directive.WorkerOut("a \"name\"\nof two lines"), true, 0)
 	text := encode(true, &set)
 	whole, err := decode(text)
 	require.NoError(t, err)
