--- a/cmd/cobaltflow/upgrade_directives_test.go
+++ b/cmd/cobaltflow/upgrade_directives_test.go
@@ -150,6 +150,60 @@
 	})
 }
 
+// A process that is started while the folder is away sends nothing to a worker that is out by hand.
+//
+// Seen: seed 3005 of the soak. Workers had been taken out with yes, the folder was away for a second, and an upgrade began
+// meanwhile. The new processes sent jobs to those workers as soon as they listened, a second after the yes.
+// Cause: a process that could not read the folder served at once, with no directive in force.
+// Proof: the log of the play has "serves ... generation=00000000" and no "in force from the start" at 54.979 s, the first
+// job to the worker after it, and "taken over" only at 55.445 s, when the folder was back.
+func TestAProcessThatStartsWithoutTheFolderSendsNothingToAWorkerThatIsOut(t *testing.T) {
+	const away = 6 * drainGrace
+	t.Run("beside the old process", func(t *testing.T) {
+		rig := newUpgradeRig(t, "s-1", "s-2")
+		old := rig.start()
+		require.Equal(t, 200, old.disable("s-1"))
+		yes := time.Now()
+		back := rig.moveStateAway()
+		fresh := rig.launch()
+		rig.sendUntil(func() bool { return time.Since(yes) > away })
+		back()
+		until(t, func() bool { return fresh.call("GET", "/-/ready") == 200 })
+		rig.keepsOut(0, yes, old, fresh)
+		assert.NotZero(t, rig.workers[1].after(yes), "clients were served meanwhile")
+	})
+	t.Run("alone, after a kill", func(t *testing.T) {
+		rig := newUpgradeRig(t, "s-1", "s-2")
+		old := rig.start()
+		require.Equal(t, 200, old.disable("s-1"))
+		yes := time.Now()
+		old.kill()
+		back := rig.moveStateAway()
+		fresh := rig.launch()
+		rig.sendUntil(func() bool { return time.Since(yes) > away })
+		back()
+		until(t, func() bool { return fresh.call("GET", "/-/ready") == 200 })
+		rig.keepsOut(0, yes, fresh)
+	})
+}
+
+// moveStateAway has the folder be away until the function that it gives is called.
+func (rig *upgradeRig) moveStateAway() (back func()) {
+	away := filepath.Join(rig.t.TempDir(), "away")
+	require.NoError(rig.t, os.Rename(rig.state, away))
+	return func() { require.NoError(rig.t, os.Rename(away, rig.state)) }
+}
+
+// A folder that stays away is no reason not to serve.
+func TestAProcessServesWithoutTheFolder(t *testing.T) {
+	rig := newUpgradeRig(t, "s-1")
+	back := rig.moveStateAway()
+	defer back()
+	only := rig.start()
+	rig.sends(4, only)
+	assert.Equal(t, 503, only.disable("s-1"))
+}
+
 // A second upgrade begins before the first has ended: each of three processes keeps to what any of them is told.
 func TestASecondUpgradeBeforeTheFirstHasEnded(t *testing.T) {
 	rig := newUpgradeRig(t, "s-1", "s-2", "s-3", "s-4")
