Put off a start that can't read what operators said, rather than serve without it

Cause: a process that could not read the folder logged it and listened at once, with no directive in force; what it did not know yet counted as nothing. Excluded: the old process (it had confirmed), a call back in between (the next is later).

Why this holds: until the folder was read once the process does not listen, so the one before it goes on serving; the wait ends after 4 s, for the 6 s that a start has. A process that can read and not write (a full disk) read nothing either; it goes by what it reads now.

--- a/internal/gateway/directives.go
+++ b/internal/gateway/directives.go
@@ -16,6 +16,11 @@
 	"cobaltflow/internal/replica"
 )
 
+// folderWait is how long a process that can't read what operators have told puts off to listen. Until it has, the process
+// would send to workers that are out by hand; meanwhile the one that it takes over from serves. A restarted scheduler has 6 s
+// to be ready, and waits up to 1 s of them for its list.
+const folderWait = 4 * time.Second
+
 // directives carries out what operators have told any process of this scheduler: package replica tells of it, the
 // decisions and the clients' front go by it. Its methods are the loop's.
 type directives struct {
@@ -45,6 +50,10 @@
 		Apply:  func(entries []directive.Entry) { c.Loop.Post(func() { d.apply(entries) }) },
 		Others: func(others replica.Others) { c.Loop.Post(func() { d.share(others) }) },
 	})
+	if err != nil {
+		log.Warn("directive: the folder can't be used, it is tried again", "error", err, "start_waits_at_most", folderWait)
+		err = d.replica.Await(folderWait)
+	}
 	if err == nil {
 		err = importHeld(d.replica, stateFile(conf, "held"))
 	}
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -21,9 +21,9 @@
 // look reads the other processes' files and gives the directives that they changed. vanished tells that one went away
 // meanwhile: what it held stands in another, which may have been read before.
 func (r *Replica) look() (news []directive.Entry, vanished bool, err error) {
-	found, err := r.list()
-	if err != nil {
-		return nil, false, err
+	found, failed := r.list()
+	if found == nil {
+		return nil, false, failed
 	}
 	toldBefore := r.set.Entries()
 	delete(found, r.generation)
@@ -39,6 +39,9 @@
 		}
 		news = append(news, changed...)
 	}
+	if failed != nil {
+		return news, vanished, failed
+	}
 	r.alone = len(found) == 0
 	if !r.informed {
 		r.informed = true
@@ -62,7 +65,8 @@
 	return news
 }
 
-// list gives the generations in the folder. Where it lacks our own lock, or has been made anew, we register again.
+// list gives the generations in the folder. Where it lacks our own lock, or has been made anew, we register again; where
+// that fails (a full disk), what the others hold can be read all the same.
 func (r *Replica) list() (map[int]int, error) {
 	names, err := r.Files.List(r.Folder)
 	if err == nil && r.lock != nil && generations(names)[r.generation]&hasLock != 0 {
@@ -77,7 +81,7 @@
 		return nil, err
 	}
 	if err := r.register(); err != nil {
-		return nil, err
+		return generations(names), err
 	}
 	names, err = r.Files.List(r.Folder)
 	return generations(names), err
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -33,8 +33,9 @@
 	whileWaiting = 5 * time.Millisecond // while a change waits for its files
 	// quietFailures is how long failures of the folder go on before the next line of the log tells of them.
 	quietFailures = 10 * time.Second
-	joinTries     = 64  // generations and looks tried at the start
-	mostChanges   = 256 // changes that may wait; over it one is refused with ErrBusy
+	awaitLook     = 20 * time.Millisecond // between the looks of Await
+	joinTries     = 64                    // generations and looks tried at the start
+	mostChanges   = 256                   // changes that may wait; over it one is refused with ErrBusy
 )
 
 // Errors of a change. Except for ErrBusy and directive.ErrFull the change is in force in this process all the same, and
@@ -134,6 +135,23 @@
 	return nil
 }
 
+// Await tries on to take over what the other processes hold, where Open could not, and gives the last error when that did
+// not come about within the time. It is for the time between Open and Run.
+func (r *Replica) Await(within time.Duration) error {
+	until := clock.Monotonic() + within
+	for !r.informed {
+		err := r.join()
+		if err == nil {
+			return r.write()
+		}
+		if clock.Monotonic() >= until {
+			return err
+		}
+		time.Sleep(awaitLook)
+	}
+	return nil
+}
+
 // register takes the next generation, which no living process has.
 func (r *Replica) register() error {
 	if r.lock != nil {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -299,6 +299,29 @@
 	}
 }
 
+// A process that can't write to the folder from the start goes by what the others hold there all the same.
+func TestAProcessThatCannotWriteTakesOverWhatItCanRead(t *testing.T) {
+	for _, call := range []string{"lock", "replace"} {
+		t.Run(call, func(t *testing.T) {
+			folder := folderOf(t)
+			require.NoError(t, start(t, folder, nil).change(workerA, true, patience))
+			p := start(t, folder, &faultyFiles{faults: map[string]error{call: syscall.ENOSPC}})
+			assert.True(t, p.inForce(workerA))
+		})
+	}
+}
+
+// A start waits for the folder no longer than it is told to, and ends the wait as soon as the folder can be read.
+func TestAwaitEndsWithTheFoldersReturn(t *testing.T) {
+	files := &faultyFiles{faults: map[string]error{"list": syscall.EIO}}
+	p := open(t, folderOf(t), files)
+	assert.ErrorIs(t, p.Await(30*time.Millisecond), syscall.EIO)
+	time.AfterFunc(30*time.Millisecond, func() { files.set(nil) })
+	assert.NoError(t, p.Await(patience))
+	assert.Positive(t, p.Generation())
+	p.lock.Unlock()
+}
+
 // The folder is moved away and back while a worker is taken out.
 func TestAFolderThatIsAwayForAWhile(t *testing.T) {
 	above := t.TempDir()
