Judge a worker as out only from calls out that no later call back has undone

Records have the time of an operator's call now; an out whose call was made before the latest call back does not bind. Doubles hold both sides: an out called after the call back binds, and an outage that is on goes on.

--- a/internal/fleet/faults_processes.go
+++ b/internal/fleet/faults_processes.go
@@ -125,10 +125,11 @@
 		verb, what = "disable", "out"
 	}
 	e := record.Event{What: what, Text: s.name() + " " + w.Name, Scheduler: int32(s.number), Worker: int32(w.Number)}
+	called := time.Now()
+	e.CalledUS = r.recorder.Now()
 	if !out {
 		r.note(e)
 	}
-	called := time.Now()
 	status := r.call(ctx, rng, s, "/-/table-workers/"+w.Name+"/"+verb)
 	r.noteCall(e, verb, status, time.Since(called))
 	switch {
--- a/internal/fleet/judge/judge_test.go
+++ b/internal/fleet/judge/judge_test.go
@@ -109,6 +109,16 @@
 		{"a send to one that was called back", func(r *record.Records) {
 			r.Events = []record.Event{{AtUS: 1.5e6, What: "out", Scheduler: 0, Worker: 0}, {AtUS: 2.9e6, What: "back", Scheduler: 0, Worker: 0}}
 		}, ""},
+		{"a send to one whose call back was made after the call out, and before its yes", func(r *record.Records) {
+			r.Events = []record.Event{{AtUS: 1.8e6, CalledUS: 1.4e6, What: "out", Scheduler: 0, Worker: 0}, {AtUS: 1.6e6, What: "back", Scheduler: 0, Worker: 0}}
+		}, ""},
+		{"a send to one that was taken out after a call back", func(r *record.Records) {
+			r.Events = []record.Event{{AtUS: 1.8e6, CalledUS: 1.7e6, What: "out", Scheduler: 0, Worker: 0}, {AtUS: 1.6e6, What: "back", Scheduler: 0, Worker: 0}}
+		}, "nothing new to a table worker that an operator took out"},
+		{"a send to one that is still out by an earlier call", func(r *record.Records) {
+			r.Events = []record.Event{{AtUS: 1.3e6, CalledUS: 1.2e6, What: "out", Scheduler: 0, Worker: 0}, {AtUS: 1.8e6, CalledUS: 1.1e6, What: "out", Scheduler: 0, Worker: 0},
+				{AtUS: 1.15e6, What: "back", Scheduler: 0, Worker: 0}}
+		}, "nothing new to a table worker that an operator took out"},
 		{"a send of a scheduler that began anew", func(r *record.Records) {
 			r.Events = []record.Event{{AtUS: 1.5e6, What: "out", Scheduler: 0, Worker: 0}, {AtUS: 2e6, What: "killed", Text: "n0", Scheduler: 0, Worker: -1},
 				{AtUS: 2.5e6, What: "ready", Scheduler: 0, Worker: -1}}
--- a/internal/fleet/judge/operators.go
+++ b/internal/fleet/judge/operators.go
@@ -18,11 +18,13 @@
 
 const never = int64(1) << 62
 
-// outages gives the times from an operator's yes to the call back. What a scheduler was told goes with its last process.
+// outages gives the times from an operator's yes to the call back. A call back undoes each call out that was made before
+// it, also one whose yes comes later. What a scheduler was told goes with its last process.
 func outages(rec *record.Records) map[told][]outage {
 	events := slices.Clone(rec.Events)
 	slices.SortStableFunc(events, func(a, b record.Event) int { return int(a.AtUS - b.AtUS) })
 	all := map[told][]outage{}
+	calledBack := map[told]int64{}
 	end := func(k told, at int64) {
 		if list := all[k]; len(list) > 0 && list[len(list)-1].to == never {
 			list[len(list)-1].to = at
@@ -32,9 +34,13 @@
 		k := told{e.Scheduler, e.Worker}
 		switch e.What {
 		case "out":
+			if back, known := calledBack[k]; known && e.CalledUS > 0 && e.CalledUS <= back {
+				continue
+			}
 			end(k, e.AtUS)
 			all[k] = append(all[k], outage{e.AtUS, never})
 		case "back":
+			calledBack[k] = e.AtUS
 			end(k, e.AtUS)
 		case "killed", "ended", "crashed":
 			for k := range all {
--- a/internal/fleet/record/record.go
+++ b/internal/fleet/record/record.go
@@ -89,6 +89,7 @@
 	Scheduler int32  `parquet:"scheduler"` // below 0: none
 	Worker    int32  `parquet:"worker"`    // below 0: none
 	Ends      bool   `parquet:"ends"`
+	CalledUS  int64  `parquet:"called_us"` // of what an operator's call brought about: when it was made; else 0
 }
 
 // Records are those of one run.
