Have the rig make an operator's call at each process in turn until one takes it

The rig drew one of a scheduler's processes for a call, three times over where nothing listened. An operator asks the other process.

--- a/internal/fleet/faults_processes.go
+++ b/internal/fleet/faults_processes.go
@@ -148,15 +148,16 @@
 	r.note(e)
 }
 
-// call makes an operator's call at one process of a scheduler; where that has just ended, at another. 0: none took it.
+// call makes an operator's call at one process of a scheduler; where that has just ended, or does not listen yet, at each of
+// the others in turn. 0: none took it.
 func (r *rig) call(ctx context.Context, rng *lockedRand, s *scheduler, path string) (status int) {
-	const tries = 3
-	for range tries {
-		all := s.all()
-		if len(all) == 0 {
-			return 0
-		}
-		p := all[rng.intN(len(all))]
+	all := s.all()
+	if len(all) == 0 {
+		return 0
+	}
+	first := rng.intN(len(all))
+	for n := range all {
+		p := all[(first+n)%len(all)]
 		ctx, cancel := context.WithTimeout(ctx, bindsAfter)
 		status, err := ask(ctx, "POST", p.admin, path)
 		cancel()
