Reset the connection of an attempt that is given up, so that it is not delivered later

Cause: before its 202 an attempt is given up by closing its connection, in order; the system goes on sending what is not acknowledged. The log has reason=given-up for each before the cut's end. Excluded: new attempts after the operator's yes.

Why this holds: a reset has the system drop what it still holds, whatever the network does later. Withdrawals and probes are still closed in order. TestAnAttemptGivenUpIsTakenBackFromTheNetwork, unchanged: 3 cases of 3 failed before, 10 passes of 10 with -race now.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -19,6 +19,7 @@
 
 	"github.com/bytedance/gopkg/util/gopool"
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 
 	"cobaltflow/internal/core"
 )
@@ -205,6 +206,18 @@
 	l.NC.Close()
 }
 
+// Abort ends the connection from our side with a reset: what the peer has not acknowledged is dropped. After Close the
+// system goes on sending it, for minutes where the network is cut, and the peer may act on it when nobody waits any more.
+func (l *Link) Abort(reason string) {
+	l.mu.Lock()
+	if conn, ok := l.NC.(netpoll.Conn); ok && !l.fdGone {
+		// An error tells that the peer has gone already.
+		_ = unix.SetsockoptLinger(conn.Fd(), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	}
+	l.mu.Unlock()
+	l.Close(reason)
+}
+
 // Farewell writes the log line of an ended connection, once.
 func (l *Link) Farewell(log *slog.Logger, now core.Time) (first bool) {
 	if l.Ended {
--- a/internal/platform/carry.go
+++ b/internal/platform/carry.go
@@ -138,9 +138,10 @@
 		return false
 	case writing, sent:
 		f.core.Dropped(p.Worker)
-		// Before the 202 the protocol gives an attempt up by closing its connection.
+		// Before the 202 the protocol gives an attempt up by closing its connection. A request that a cut network still
+		// holds would come to the worker after an orderly end, for nobody: it is dropped.
 		c.link.setCall(nil)
-		c.link.Close(link.GivenUp)
+		c.link.Abort(link.GivenUp)
 		return true
 	}
 	if w := f.pool.workers[p.Worker]; w != nil {
