Have the rig's relay drop what a cut holds of a connection that its sender resets

The relay reads what a scheduler writes and holds it in memory while a path is cut, then delivers it, whatever has become of the connection. Behind an orderly end a network does so too, as the sender's system sends it again. After a reset nobody sends it again, so it never comes. The relay asks for the reset when the cut is over; a test holds both ends.

--- a/internal/fleet/relay/conn.go
+++ b/internal/fleet/relay/conn.go
@@ -4,7 +4,10 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Path is from where to where a connection was opened.
@@ -46,12 +49,15 @@
 		if !c.opener {
 			from, to = to, from
 		}
-		c.pass(from, to, size)
+		held := c.pass(from, to, size)
 		select {
 		case <-c.end:
 			return 0, net.ErrClosed
 		default:
 		}
+		if held && c.wasReset() {
+			return 0, syscall.ECONNRESET
+		}
 	}
 	return size, err
 }
@@ -66,28 +72,49 @@
 	return c.Conn.Write(b)
 }
 
-// pass waits until a segment has passed from one site to another, or the connection ends.
-func (c *Conn) pass(from, to, size int) {
+// wasReset tells whether the other end has reset the connection. What a cut has held of it by then never comes: whoever
+// resets sends nothing again. Behind an orderly end it does come.
+func (c *Conn) wasReset() (reset bool) {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	err = raw.Control(func(fd uintptr) {
+		ends := []unix.PollFd{{Fd: int32(fd)}}
+		_, err := unix.Poll(ends, 0)
+		reset = err == nil && ends[0].Revents&unix.POLLERR != 0
+	})
+	return err == nil && reset
+}
+
+// pass waits until a segment has passed from one site to another, or the connection ends, and tells whether it was held
+// by a cut meanwhile.
+func (c *Conn) pass(from, to, size int) (held bool) {
 	if c.owner != nil {
 		for quiet := c.owner.quiet(); quiet != nil; quiet = c.owner.quiet() { // its machine has vanished, or it hangs
 			select {
 			case <-quiet:
 			case <-c.end:
-				return
+				return held
 			}
 		}
 	}
 	wait, t, changed := c.net.way(c.path.Kind, from, to, size)
 	for t.Cut > 0 {
+		held = true
 		select {
 		case <-changed:
 		case <-c.end:
-			return
+			return held
 		}
 		wait, t, changed = c.net.way(c.path.Kind, from, to, size)
 	}
 	if wait < 50*time.Microsecond {
-		return
+		return held
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -95,6 +122,7 @@
 	case <-timer.C:
 	case <-c.end:
 	}
+	return held
 }
 
 // Close ends it; what waits is let go.
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -123,6 +123,53 @@
 	require.Equal(t, 5, <-read)
 }
 
+// What a cut has held when its sender resets the connection never comes; behind an orderly end it does.
+func TestWhatACutHoldsBehindTheEndOfAConnection(t *testing.T) {
+	for _, reset := range []bool{true, false} {
+		n := New(1, quick(), quick(), 1)
+		l, err := n.Listen(Path{Job, 0, 0}, any4)
+		require.NoError(t, err)
+		defer l.Close()
+		c, err := dial(l, patience)
+		require.NoError(t, err)
+		taken, err := l.Accept()
+		require.NoError(t, err)
+		n.Change([]Kind{Job}, -1, -1, true, func(t *Trouble) { t.Cut++ })
+		type got struct {
+			text string
+			err  error
+		}
+		came := make(chan got, 1)
+		go func() {
+			text, err := io.ReadAll(taken)
+			came <- got{string(text), err}
+		}()
+		_, err = c.Write([]byte("held"))
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return n.Traffic(Job).Messages > 0 }, patience, time.Millisecond, "the cut holds it")
+		if reset {
+			require.NoError(t, c.(*net.TCPConn).SetLinger(0))
+		}
+		require.NoError(t, c.Close())
+		n.Change([]Kind{Job}, -1, -1, true, func(t *Trouble) { t.Cut-- })
+		all := <-came
+		if reset {
+			require.Equal(t, got{"", syscall.ECONNRESET}, got{all.text, underlying(all.err)})
+		} else {
+			require.Equal(t, got{"held", nil}, all)
+		}
+	}
+}
+
+// underlying is the system's error in another.
+func underlying(err error) error {
+	var errno syscall.Errno
+	if errors.As(err, &errno) {
+		return errno
+	}
+	return err
+}
+
 func TestDialWaitsAtACut(t *testing.T) {
 	n := New(2, quick(), quick(), 1)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
