Let outages of discovery cross in the rig, which ended with a panic

Outages are counted now; discovery answers again when all are over. TestOutagesOfDiscoveryMayCross ends with the same panic without it.

--- a/internal/fleet/endpoints/discovery.go
+++ b/internal/fleet/endpoints/discovery.go
@@ -64,8 +64,8 @@
 	changes []listed // one entry each, in order
 	updated chan struct{}
 	frozen  bool
-	held    []Entry // changes that wait while it is frozen
-	down    bool
+	held    []Entry       // changes that wait while it is frozen
+	down    int           // outages that are on: several may cross
 	stop    chan struct{} // closed when discovery goes down
 }
 
@@ -149,7 +149,7 @@
 func (v *view) tell(e Entry) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.frozen || v.down {
+	if v.frozen || v.down > 0 {
 		v.held = append(v.held, e)
 		return
 	}
@@ -177,10 +177,15 @@
 func (d *Discovery) Down(on bool) {
 	for _, v := range d.views {
 		v.halt(func(v *view) {
-			if v.down = on; on {
-				close(v.stop)
-			} else {
-				v.stop = make(chan struct{})
+			switch {
+			case on:
+				if v.down++; v.down == 1 {
+					close(v.stop)
+				}
+			default:
+				if v.down--; v.down == 0 {
+					v.stop = make(chan struct{})
+				}
 			}
 		})
 	}
@@ -190,7 +195,7 @@
 	v.mu.Lock()
 	f(v)
 	var held []Entry
-	if !v.frozen && !v.down {
+	if !v.frozen && v.down == 0 {
 		held, v.held = v.held, nil
 	}
 	v.mu.Unlock()
@@ -202,7 +207,7 @@
 // ServeHTTP answers a scheduler's questions.
 func (v *view) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	v.mu.Lock()
-	down, stop := v.down, v.stop
+	down, stop := v.down > 0, v.stop
 	v.mu.Unlock()
 	if r.URL.Path != "/api/targets" {
 		rw.WriteHeader(404)
@@ -257,7 +262,7 @@
 		case <-updated:
 		case <-beat.C:
 			v.mu.Lock()
-			quiet := v.down
+			quiet := v.down > 0
 			v.mu.Unlock()
 			if !quiet {
 				fmt.Fprint(rw, "\n")
--- /dev/null
+++ b/internal/fleet/endpoints/discovery_test.go
@@ -0,0 +1,38 @@
+package endpoints
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cobaltflow/internal/fleet/relay"
+	"cobaltflow/internal/fleet/scenario"
+)
+
+// Two outages of discovery may cross: it answers again when both are over.
+func TestOutagesOfDiscoveryMayCross(t *testing.T) {
+	s, err := scenario.Parse([]byte(`{"name":"outages","seconds":1,"sites":[{"name":"a","schedulers":1,"workers":1}],
+		"classes":[{"name":"view","share":1,"run_ms":20,"effect":"repeatable","aim_ms":200,"deadline_s":0.5,"worth":1,"late_worth":0.5}],
+		"clients":{"load":0.1}}`))
+	require.NoError(t, err)
+	d, err := NewDiscovery(s, NewRecorder(), relay.New(1, [2]time.Duration{}, [2]time.Duration{}, 1), nil, 1)
+	require.NoError(t, err)
+	defer d.Close()
+	answers := func(within time.Duration) bool {
+		r, err := (&http.Client{Timeout: within}).Get("http://" + d.Address(0) + "/api/targets")
+		if err == nil {
+			r.Body.Close()
+		}
+		return err == nil
+	}
+	const patience, silence = 10 * time.Second, 50 * time.Millisecond
+	d.Down(true)
+	d.Down(true)
+	d.Down(false)
+	assert.False(t, answers(silence), "one of them is still on")
+	d.Down(false)
+	assert.True(t, answers(patience))
+}
