Have the rig tell a process ended by a later upgrade from one that crashed as it started

The trace: n5 is drained by its operators from 14.78 s, so the process of the upgrade of 15.59 s says no when asked whether it is ready; the upgrade of 17.45 s starts a third, clients are taken again at 18.3 s, and the second gets SIGTERM within 20 ms of that, between two looks of the first upgrade. It ended with 0, as it was told. The rig took the end for a crash, and never ended the oldest process.

A process that was told to end is no crash, and the upgrade that had started it goes on to end the one before.

--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -91,7 +91,8 @@
 	if err != nil {
 		return err
 	}
-	if err := s.ready(ctx, p, p.admin); err != nil {
+	// A later upgrade may have ended it before it was seen to be ready.
+	if err := s.ready(ctx, p, p.admin); err != nil && !s.toldToEnd(p) {
 		return s.withLog(err)
 	}
 	s.rig.note(record.Event{What: "upgraded", Text: s.name(), Scheduler: int32(s.number), Worker: -1})
@@ -105,6 +106,12 @@
 	time.AfterFunc(s.rig.killAfter(), func() { s.signalTo(p, syscall.SIGKILL) })
 }
 
+func (s *scheduler) toldToEnd(p *process) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return p.told
+}
+
 // killAfter is how soon after SIGTERM the platform may kill: the longest deadline, 3 s at most, and 0.7 s.
 func (r *rig) killAfter() time.Duration {
 	const most, later = 3.0, 0.7
