Log which connection is closed for another and why, and record each try's own address

The line tells the rank by which it was chosen, what had been read of it, the clients, the budget and among how many processes it is divided; records have the client's end of each try's connection, which the log names as peer.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -171,7 +171,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, patience)
 	defer cancel()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { t.Reused = c.Reused }})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) {
+		t.Reused, t.From = c.Reused, c.Conn.LocalAddr().String()
+	}})
 	name := r.set.Classes[q.Class].Name
 	for again := false; ; again = true {
 		req, _ := http.NewRequestWithContext(ctx, "POST", fmt.Sprintf("http://%s/%s/k%d", s.listen, name, q.Key), strings.NewReader("{}"))
--- a/internal/fleet/record/record.go
+++ b/internal/fleet/record/record.go
@@ -30,6 +30,7 @@
 	AfterMS   int64  `parquet:"after_ms"`   // Retry-After; below 0: none
 	Right     bool   `parquet:"right"`      // the answer is what a table worker gave for it
 	Reused    bool   `parquet:"reused"`     // it went on a connection that had been used before
+	From      string `parquet:"from"`       // the client's end of its connection
 }
 
 // Ends of tries that got no answer.
--- a/internal/platform/accept.go
+++ b/internal/platform/accept.go
@@ -132,6 +132,8 @@
 		}
 	})
 	if over > 0 && !(victim == newest && newest.InHand()) { // whose request has come whole is served: the poller's bound holds
+		f.log.Info("a client's connection is closed for another", "peer", victim.Peer, "rank", best, "unread", victim.NC.Reader().Len(),
+			"clients", f.clients.Len(), "budget", f.budget.clients, "processes", f.processes)
 		victim.Close(link.OverBudget)
 	}
 }
