Answer a client whose connection is closed for another under its request

Callers saw, in a crowd that fills the budget of connections, the end of a new connection and no answer, although part of their request had been read; they could not tell it from a request that was taken and lost.

Cause: the eviction closed its victim outright, and only a request that had been parsed whole was spared. Now a victim of whose request something was read gets 503 and Retry-After before the end.

--- a/internal/platform/accept.go
+++ b/internal/platform/accept.go
@@ -123,7 +123,7 @@
 func (f *Front) shed(newest *clientLink) {
 	victim, best, over := newest, busy, f.clients.Len()-f.budget.clients
 	f.clients.Each(func(_ core.Ref, a *clientLink) {
-		if a.Closed {
+		if a.Closed || a.Reason == link.OverBudget {
 			over-- // it is going already
 			return
 		}
@@ -134,10 +134,21 @@
 	if over > 0 && !(victim == newest && newest.InHand()) { // whose request has come whole is served: the poller's bound holds
 		f.log.Info("a client's connection is closed for another", "peer", victim.Peer, "rank", best, "unread", victim.NC.Reader().Len(),
 			"clients", f.clients.Len(), "budget", f.budget.clients, "processes", f.processes)
-		victim.Close(link.OverBudget)
+		f.closeForAnother(victim)
 	}
 }
 
+// closeForAnother ends a connection whose place is wanted. Where some of a request has been read the client is told: it
+// could not tell the bare end from a request that was taken and lost. The answer's connection lingers within what the
+// poller lets in.
+func (f *Front) closeForAnother(a *clientLink) {
+	if a.NC.Reader().Len() > 0 {
+		f.turnAway(a, link.OverBudget, 503, "too many connections; try again\n", "Retry-After", "1")
+		return
+	}
+	a.Close(link.OverBudget)
+}
+
 const busy = 5 // the rank of a connection that is kept
 
 func (a *clientLink) rank() int {
