Log the end of a connection to discovery that comes up when its address was left

Seen: TestReloadsInARowAndInTheDrain failed now and then beside much load: no line tells of the end of a call to an address that a reload left, although its listener has the connection. Callers lose nothing; who reads the log does.

Cause: a dial that came back to the loop after the watch had moved on, or stopped, was closed there without a line. Excluded: a lost line, a call that ended for want of an answer. With the dial held it failed in both cases each time.

Why this holds: the one place where such a connection is closed writes its line. TestAConnectionToDiscoveryThatComesUpTooLate- IsLogged, unchanged: 20 passes of 20 with -race. TestReloadsInARowAndInTheDrain, unchanged, with -race, eight processes at once beside 24 busy loops: 96 of 96 plays passed (before: 5 failures of 64).

--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -157,7 +157,7 @@
 				return
 			}
 			if w.stopped || epoch != w.epoch {
-				nc.Close()
+				w.closeLate(nc, address)
 				return
 			}
 			w.f.isUp(address)
@@ -184,6 +184,17 @@
 	}()
 }
 
+// closeLate ends a connection that came up when nobody wanted it any more. Its listener may have had it for long: like any
+// other that ends it has its line in the log.
+func (w *watch) closeLate(nc netpoll.Connection, address string) {
+	reason := link.Moved
+	if w.stopped {
+		reason = link.ShutDown
+	}
+	nc.Close()
+	link.LogEnd(w.f.log, "discovery", address, reason, 0, 0)
+}
+
 // ask sends a call, whose answer has to begin in time.
 func (w *watch) ask(l *link.Link, target string) {
 	l.Send(w.f.loop, link.Outgoing{Message: http1.AppendRequest(nil, "GET", target, w.address, -1, nil)})
