Let a dial to an address that was left count as no failure of the new one

Found beside the connection that comes up too late: a dial that fails when the watch has moved on was counted as a failure of the new address, so that its next retry waited up to twice as long. Callers saw nothing; a reload away from a discovery that is down heard the list later. The failure is logged and no longer counted.

--- a/internal/platform/export_test.go
+++ b/internal/platform/export_test.go
@@ -25,6 +25,9 @@
 	return up, letGo
 }
 
+// WatchFailures is how many calls to discovery have failed in a row. It is called on the loop.
+func (f *Front) WatchFailures() int { return f.watch.fails }
+
 func heldDial(t *testing.T) (dial dialer, up chan string, letGo chan struct{}) {
 	up, letGo = make(chan string, 16), make(chan struct{}, 16)
 	ended := make(chan struct{})
--- a/internal/platform/reload_test.go
+++ b/internal/platform/reload_test.go
@@ -129,6 +129,26 @@
 	}
 }
 
+// A dial that fails when its address has been left is none of the new address's failures: its retries wait no longer for it.
+func TestADialThatFailsLateDelaysNothing(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	closed.Close()
+	n := standin.Start(t, nil)
+	var up chan string
+	var letGo chan struct{}
+	n.On(func() { up, letGo = n.Front.HoldWatchDials(t) })
+	reload(n, closed.Addr().String())
+	require.Equal(t, closed.Addr().String(), <-up)
+	next := standin.NewDiscovery(t)
+	reload(n, next.Address())
+	require.Equal(t, next.Address(), <-up)
+	letGo <- struct{}{} // to either: both come back, and nothing is answered yet
+	letGo <- struct{}{}
+	n.Eventually(func() bool { return n.Logged("peer=" + closed.Addr().String()) })
+	n.On(func() { assert.Zero(t, n.Front.WatchFailures()) })
+}
+
 // A watch with nothing to tell says so every 2 s only: that its answer has begun is a sign of life.
 func TestWatchWithNothingToTellIsKept(t *testing.T) {
 	n := standin.Start(t, nil)
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -153,7 +153,9 @@
 		loop.Post(func() {
 			if err != nil {
 				w.f.notUp("discovery", address, 0)
-				w.again(epoch)
+				if epoch == w.epoch { // else it says nothing of the address that is followed now
+					w.again(epoch)
+				}
 				return
 			}
 			if w.stopped || epoch != w.epoch {
