--- a/internal/platform/reload_test.go
+++ b/internal/platform/reload_test.go
@@ -143,8 +143,7 @@
 	next := standin.NewDiscovery(t)
 	reload(n, next.Address())
 	require.Equal(t, next.Address(), <-up)
-	letGo <- struct{}{} // to either: both come back, and nothing is answered yet
-	letGo <- struct{}{}
+	letGo <- struct{}{} // the first that waits; the other dial is held on
 	n.Eventually(func() bool { return n.Logged("peer=" + closed.Addr().String()) })
 	n.On(func() { assert.Zero(t, n.Front.WatchFailures()) })
 }
