Have the rig take a call back for the end of each drain before it

The trace: one operator drains n1 from 11.04 s, another from 12.16 s; the first calls it back at 13.04 s, and n1 says at once that it is ready, as it was told last. The rig went on holding it to the second drain until 13.78 s. One call back undoes what was called before it, as for table workers; the last call stands. Each drain is held until anybody's call back now.

--- a/internal/fleet/faults_processes.go
+++ b/internal/fleet/faults_processes.go
@@ -172,18 +172,20 @@
 // say that it is ready, whichever of its processes answers.
 func (r *rig) drain(ctx context.Context, rng *lockedRand, s *scheduler, seconds float64) {
 	const notice = 200 * time.Millisecond // the front asks ten times a second, and sends clients for so much longer
-	starts := s.startsSoFar()
+	starts, resumed := s.startsSoFar(), s.resumed.Load()
+	stands := func() bool { return s.startsSoFar() == starts && s.resumed.Load() == resumed }
 	if r.call(ctx, rng, s, "/-/drain") != http.StatusOK {
 		return
 	}
 	until := time.Now().Add(time.Duration(seconds * float64(time.Second)))
 	time.AfterFunc(notice, func() { r.front.set(s.number, false) })
-	for time.Now().Before(until) && ctx.Err() == nil && s.startsSoFar() == starts {
-		if status, _ := ask(ctx, "GET", s.listen, "/-/ready"); status == http.StatusOK && s.startsSoFar() == starts {
+	for time.Now().Before(until) && ctx.Err() == nil && stands() {
+		if status, _ := ask(ctx, "GET", s.listen, "/-/ready"); status == http.StatusOK && stands() {
 			r.note(record.Event{What: "still-ready", Text: s.name(), Scheduler: int32(s.number), Worker: -1})
 		}
 		time.Sleep(notice / 2)
 	}
+	s.resumed.Add(1) // the call back undoes each drain before it, another operator's too
 	r.call(ctx, rng, s, "/-/resume")
 	r.front.set(s.number, s.live())
 }
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,6 +32,8 @@
 	peer   netip.AddrPort
 	dir    string
 
+	resumed atomic.Int64 // calls to take clients again
+
 	mu        sync.Mutex
 	processes []*process // that have been started and have not been seen to end, the latest last
 	starts    int
