Keep a table worker's ports for it in the rig while it is away

The worker was crashed at 16.40 s and could not listen again at its port for a second.

Each port is reserved by a bound socket that never listens: nobody is given it, connections are refused as before, and the worker listens there again.

--- a/internal/fleet/endpoints/gate.go
+++ b/internal/fleet/endpoints/gate.go
@@ -39,10 +39,14 @@
 var workersAt = netip.MustParseAddr("127.0.1.1")
 
 func (w *Worker) open(site int) (*gate, error) {
-	at := w.ports[site]
-	if !at.IsValid() {
-		at = netip.AddrPortFrom(workersAt, 0)
+	if w.ports[site] == nil {
+		held, err := reserve(workersAt)
+		if err != nil {
+			return nil, fmt.Errorf("table worker %s: %w", w.Name, err)
+		}
+		w.ports[site] = held
 	}
+	at := w.ports[site].at
 	path := relay.Path{Kind: relay.Job, From: site, To: w.Site}
 	ln, err := w.net.Listen(path, at)
 	// A process that is being started holds all sockets of ours until it becomes the program: one just closed may still
--- /dev/null
+++ b/internal/fleet/endpoints/port_test.go
@@ -0,0 +1,39 @@
+package endpoints
+
+import (
+	"net"
+	"net/netip"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cobaltflow/internal/fleet/relay"
+)
+
+// A port stays its owner's while nothing listens there, is refused meanwhile, and can be listened at again.
+func TestAReservedPortIsNobodyElses(t *testing.T) {
+	port, err := reserve(netip.MustParseAddr("127.0.0.1"))
+	require.NoError(t, err)
+	network := relay.New(1, [2]time.Duration{}, [2]time.Duration{}, 1)
+	for range 3 {
+		ln, err := network.Listen(relay.Path{Kind: relay.Job}, port.at)
+		require.NoError(t, err)
+		require.NoError(t, ln.Close())
+		_, err = net.Dial("tcp", port.at.String())
+		assert.ErrorIs(t, err, syscall.ECONNREFUSED)
+		assert.ErrorIs(t, bindAlone(t, port.at), syscall.EADDRINUSE)
+	}
+	port.release()
+	assert.NoError(t, bindAlone(t, port.at))
+}
+
+// bindAlone binds a port as whoever is given any does: not one that somebody else has bound.
+func bindAlone(t *testing.T, at netip.AddrPort) error {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	defer syscall.Close(fd)
+	return syscall.Bind(fd, &syscall.SockaddrInet4{Addr: at.Addr().As4(), Port: int(at.Port())})
+}
--- a/internal/fleet/endpoints/worker.go
+++ b/internal/fleet/endpoints/worker.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,7 +24,7 @@
 	recorder *Recorder
 	net      *relay.Net
 	back     *Backs
-	ports    []netip.AddrPort // by site, from the first start on
+	ports    []*reservedPort // by site, from the first start on
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -74,7 +73,7 @@
 func NewWorker(number, site, kind int, s *scenario.Scenario, recorder *Recorder, net *relay.Net, back *Backs, seed uint64) *Worker {
 	return &Worker{Number: number, Name: fmt.Sprintf("t%03d", number), Site: site, Kind: kind, set: &s.Workers, speed: s.Workers.Kinds[kind].Speed,
 		recorder: recorder, net: net, back: back, slow: 1, rng: rand.New(rand.NewPCG(seed, uint64(number)+1)),
-		ports: make([]netip.AddrPort, len(s.Sites)), meanRun: time.Duration(s.MeanRunS() * float64(time.Second))}
+		ports: make([]*reservedPort, len(s.Sites)), meanRun: time.Duration(s.MeanRunS() * float64(time.Second))}
 }
 
 // Start runs the worker: cold, unless it has run for long. It keeps its addresses.
@@ -88,7 +87,6 @@
 			return err
 		}
 		w.gates[site] = g
-		w.ports[site] = netip.MustParseAddrPort(g.listener.Addr().String())
 	}
 	w.life++
 	w.up, w.silent, w.fallen = true, false, false
@@ -102,7 +100,7 @@
 }
 
 // Address is where schedulers of a site find it.
-func (w *Worker) Address(site int) string { return w.ports[site].String() }
+func (w *Worker) Address(site int) string { return w.ports[site].at.String() }
 
 // Since is its last start as Unix time in milliseconds; 0: long ago.
 func (w *Worker) Since() int64 {
@@ -137,6 +135,17 @@
 	}
 }
 
+// Release gives the worker's ports back, when it is not started again.
+func (w *Worker) Release() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, port := range w.ports {
+		if port != nil {
+			port.release()
+		}
+	}
+}
+
 // Silence has the machine vanish: nothing is answered nor told any more. Where only the process hangs, connections still
 // come up.
 func (w *Worker) Silence(hung bool) {
--- a/internal/fleet/rig.go
+++ b/internal/fleet/rig.go
@@ -325,6 +325,7 @@
 	all.Wait()
 	for _, w := range r.workers {
 		w.Stop(false)
+		w.Release()
 	}
 	if r.discovery != nil {
 		r.discovery.Close()
