Judge a client that left as it was drawn to by when it was to leave, not by its timer

The client had 3 ms left and waits for 63 ms unless it is drawn to leave early; it left after 5 ms, so it was, and its timer rang 2 ms after its time was over. The rig took that for a client that had waited in vain. Records have when a client was to leave; one that leaves then, with the judge's usual slack, is not owed an answer. Doubles: a client that was not to leave, and one that was and stayed, are still held to.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -168,6 +168,7 @@
 	patience := until.Add(60*time.Millisecond + time.Duration(held)*time.Microsecond)
 	if q.Draw[6] < r.set.Clients.Leave {
 		patience = time.Now().Add(time.Duration(q.Draw[5] * float64(time.Until(until))))
+		t.LeavesUS = max(1, patience.Sub(r.recorder.At(0)).Microseconds())
 	}
 	ctx, cancel := context.WithDeadline(ctx, patience)
 	defer cancel()
--- a/internal/fleet/judge/judge.go
+++ b/internal/fleet/judge/judge.go
@@ -96,6 +96,12 @@
 	return false
 }
 
+// leftAsDrawn tells of a client that left when it was drawn to, before its time was over, as far as its machine's timers
+// go: with some milliseconds left they may ring after it.
+func leftAsDrawn(t *record.Try) bool {
+	return t.LeavesUS > 0 && t.LeavesUS <= t.SentUS+t.LeftMS*1000 && t.EndedUS <= t.LeavesUS+slackUS
+}
+
 func answered(s *scenario.Scenario, rec *record.Records) Check {
 	gone := absences(rec)
 	sentOn := make(map[string]bool, len(rec.Runs))
@@ -109,7 +115,7 @@
 			continue
 		}
 		late := t.EndedUS > t.SentUS+t.LeftMS*1000+slackUS+s.HeldUS(t.SentUS, t.SentUS+t.LeftMS*1000)
-		left := t.End == record.EndLeft && t.EndedUS < t.SentUS+t.LeftMS*1000
+		left := t.End == record.EndLeft && (t.EndedUS < t.SentUS+t.LeftMS*1000 || leftAsDrawn(t))
 		// The end of a connection that is in use again may cross a request that was not read; it was read if it was sent on.
 		crossed := t.End == record.EndBroken && t.Reused && !sentOn[t.ID]
 		if left || crossed {
--- a/internal/fleet/judge/judge_test.go
+++ b/internal/fleet/judge/judge_test.go
@@ -134,6 +134,20 @@
 		{"a client that left before its time was over", func(r *record.Records) {
 			r.Tries[0].End, r.Tries[0].Status, r.Tries[0].EndedUS = record.EndLeft, 0, r.Tries[0].SentUS+100_000
 		}, ""},
+		{"a client that was to leave before its time was over, and is seen to a little after", func(r *record.Records) {
+			t := &r.Tries[0]
+			t.LeavesUS = t.SentUS + t.LeftMS*1000 - 1000
+			t.End, t.Status, t.EndedUS = record.EndLeft, 0, t.SentUS+t.LeftMS*1000+2000
+		}, ""},
+		{"a client that was not to leave, and had no answer a little after its time", func(r *record.Records) {
+			t := &r.Tries[0]
+			t.End, t.Status, t.EndedUS = record.EndLeft, 0, t.SentUS+t.LeftMS*1000+2000
+		}, "one final answer, in time, for all that was taken"},
+		{"a client that was to leave and stayed for long", func(r *record.Records) {
+			t := &r.Tries[0]
+			t.LeavesUS = t.SentUS + 1000
+			t.End, t.Status, t.EndedUS = record.EndLeft, 0, t.SentUS+t.LeftMS*1000+2000
+		}, "one final answer, in time, for all that was taken"},
 		{"more time told than there is", func(r *record.Records) { r.Runs[0].LeftMS = 2400 }, "no attempt is told more time than its client has"},
 		{"a request sent on and broken off, on a kept connection", func(r *record.Records) {
 			r.Tries[0].Status, r.Tries[0].End, r.Tries[0].Reused = 0, record.EndBroken, true
--- a/internal/fleet/record/record.go
+++ b/internal/fleet/record/record.go
@@ -23,8 +23,9 @@
 	DueUS     int64  `parquet:"due_us"` // of the request, not of the repeat
 	SentUS    int64  `parquet:"sent_us"`
 	EndedUS   int64  `parquet:"ended_us"`
-	LeftMS    int64  `parquet:"left_ms"` // for which the client waits
-	Status    int32  `parquet:"status"`  // of the answer; 0: none
+	LeftMS    int64  `parquet:"left_ms"`   // for which the client waits
+	LeavesUS  int64  `parquet:"leaves_us"` // when it was drawn to leave, before its time is over; 0: it was not
+	Status    int32  `parquet:"status"`    // of the answer; 0: none
 	End       string `parquet:"end,dict"`
 	Fault     string `parquet:"fault,dict"` // what went wrong, where there is no answer
 	AfterMS   int64  `parquet:"after_ms"`   // Retry-After; below 0: none
