Log at debug why a single request was retried, refused or given up

The saved logs of the last incidents, and those of this one, could not tell why a request ended as it did: no line named one. At the level debug, which is off in run, the log has each attempt with its worker, how it ended and whether it may have run, and each answer with its reason; lines of the core carry the process's generation. The decisions name the reason of a refusal or failure (time-over, attempts-used, not-repeated, shed); they decide as before, the digests of their actions are unchanged.

--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -52,6 +52,7 @@
 		return
 	}
 	c.Counts.Passes++
+	c.traceAttempt(p)
 	p.carrier = w.carrier
 	if until > 0 && until < t.Deadline {
 		c.Loop.At(until, func() {
@@ -94,18 +95,20 @@
 }
 
 // Refuse implements rules.Actions.
-func (a actions) Refuse(id rules.RequestID, retryAfter Time) {
-	a.final(id, unavailableAnswer(retryAfter))
+func (a actions) Refuse(id rules.RequestID, retryAfter Time, why rules.Reason) {
+	a.final(id, unavailableAnswer(retryAfter), why.String())
 }
 
 // Fail implements rules.Actions.
-func (a actions) Fail(id rules.RequestID) { a.final(id, Answer{Kind: Failed}) }
+func (a actions) Fail(id rules.RequestID, why rules.Reason) {
+	a.final(id, Answer{Kind: Failed}, why.String())
+}
 
-func (a actions) final(id rules.RequestID, answer Answer) {
+func (a actions) final(id rules.RequestID, answer Answer, why string) {
 	a.do(func() {
 		c := a.pool.core
 		if t := c.byID[string(id)]; t != nil {
-			c.answer(t, answer)
+			c.answer(t, answer, why)
 			c.settle(t)
 		}
 	})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -73,6 +73,11 @@
 	Failed                 // promises nothing
 )
 
+var answerKinds = [...]string{"served", "refused", "failed"}
+
+// String is the kind's name in the log.
+func (k AnswerKind) String() string { return answerKinds[k] }
+
 // Answer is a transaction's final answer.
 type Answer struct {
 	Kind       AnswerKind
@@ -213,6 +218,7 @@
 	}
 	c.Counts.HungUp++
 	c.close(t)
+	c.traceLeft(t)
 	t.Pool.dispatcher.Hangup(c.Loop.now, rules.RequestID(t.ID))
 	c.settle(t)
 }
@@ -230,7 +236,7 @@
 	t.deadline = c.Loop.At(c.Loop.now+max(c.settings.AnswerSlack, 5*Millisecond), func() {
 		if !t.closed {
 			c.Log.Error("transaction given up without a decision", "id", t.ID)
-			c.answer(t, Answer{Kind: Failed})
+			c.answer(t, Answer{Kind: Failed}, whyUndecided)
 			t.Pool.dispatcher.Hangup(c.Loop.now, rules.RequestID(t.ID))
 			c.settle(t)
 		}
@@ -264,7 +270,7 @@
 				t.ran = true
 			}
 		}
-		c.answer(t, c.unserved(t))
+		c.answer(t, c.unserved(t), whyEnding)
 		for _, ref := range append([]Ref(nil), t.out...) {
 			if p, ok := c.passes.Get(ref); ok {
 				c.end(p, rules.Cancelled, nil, rules.Load{})
@@ -296,13 +302,14 @@
 		}
 	}
 	t.ran = t.ran || !status.NeverRan()
+	c.traceEnd(p, status)
 	switch {
 	case t.closed:
 	case status == rules.OK:
 		c.sites.served()
-		c.answer(t, Answer{Kind: Served, Result: result})
+		c.answer(t, Answer{Kind: Served, Result: result}, whyDone)
 	case t.left && len(t.out) == 0:
-		c.answer(t, c.unserved(t))
+		c.answer(t, c.unserved(t), whyLeft)
 	}
 	t.Pool.dispatcher.Outcome(c.Loop.now, &rules.Outcome{
 		Request: rules.RequestID(t.ID), Attempt: p.Number, Worker: rules.WorkerID(p.Worker), Status: status,
@@ -377,11 +384,13 @@
 	return nil, false
 }
 
-func (c *Core) answer(t *Transaction, a Answer) {
+// answer gives a request its final answer; why is for the log.
+func (c *Core) answer(t *Transaction, a Answer, why string) {
 	if t.closed {
 		return
 	}
 	c.close(t)
+	c.traceAnswer(t, a, why)
 	for len(c.ByClass) <= t.Work.Class {
 		c.ByClass = append(c.ByClass, Ends{})
 	}
--- a/internal/core/leave.go
+++ b/internal/core/leave.go
@@ -10,6 +10,7 @@
 		return
 	}
 	t.left = true
+	c.traceLeft(t)
 	for _, ref := range append([]Ref(nil), t.out...) {
 		if p, ok := c.passes.Get(ref); ok && p.carrier != nil && !p.carrier.Begun(p) {
 			p.carrier.Withdraw(p)
@@ -17,7 +18,7 @@
 		}
 	}
 	if !t.closed && len(t.out) == 0 {
-		c.answer(t, c.unserved(t))
+		c.answer(t, c.unserved(t), whyLeft)
 		t.Pool.dispatcher.Hangup(c.Loop.now, rules.RequestID(t.ID))
 		c.settle(t)
 	}
--- a/internal/fleet/rig.go
+++ b/internal/fleet/rig.go
@@ -148,7 +148,7 @@
 	}
 	level := "warn"
 	if r.keepsLogs {
-		level = "info"
+		level = "debug"
 	}
 	own := map[string]any{"log": map[string]any{"level": level}}
 	if !r.build.Plain {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,7 @@
 	}
 	g.directives = openDirectives(g.Conf, g.Core, g.Front, g.log)
 	g.directives.reload = g.onReload
+	g.Core.Log = g.log.With("generation", g.directives.generation())
 	if err := g.Front.Start(); err != nil {
 		return err
 	}
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -78,7 +78,7 @@
 }
 
 // Refuse implements rules.Actions.
-func (e *Encoder) Refuse(r rules.RequestID, retryAfter rules.Time) {
+func (e *Encoder) Refuse(r rules.RequestID, retryAfter rules.Time, _ rules.Reason) {
 	e.begin("REFUSE")
 	e.text(string(r))
 	e.integer(retryAfter)
@@ -86,7 +86,7 @@
 }
 
 // Fail implements rules.Actions.
-func (e *Encoder) Fail(r rules.RequestID) {
+func (e *Encoder) Fail(r rules.RequestID, _ rules.Reason) {
 	e.begin("GIVE_UP")
 	e.text(string(r))
 	e.end()
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -163,8 +163,8 @@
 	e.Select("scheduler/4") // does nothing: not named
 	e.Select("scheduler/5")
 	e.Cancel("rq_b", 1)
-	e.Refuse("rq_c", 250)
-	e.Fail("rq_d")
+	e.Refuse("rq_c", 250, rules.Shed)
+	e.Fail("rq_d", rules.TimeOver)
 	e.Probe("w2")
 	e.Watch(true)
 	e.Fetch()
--- a/internal/world/scheduler.go
+++ b/internal/world/scheduler.go
@@ -90,12 +90,12 @@
 }
 
 // Refuse ends a job.
-func (x *scheduler) Refuse(r rules.RequestID, _ rules.Time) {
+func (x *scheduler) Refuse(r rules.RequestID, _ rules.Time, _ rules.Reason) {
 	x.over(r, &x.world.figures.Refused)
 }
 
 // Fail ends a job.
-func (x *scheduler) Fail(r rules.RequestID) {
+func (x *scheduler) Fail(r rules.RequestID, _ rules.Reason) {
 	x.over(r, &x.world.figures.Failed)
 }
 
--- a/rules/api.go
+++ b/rules/api.go
@@ -207,6 +207,26 @@
 // NeverRan tells whether the status proves that the attempt had no effect.
 func (s Status) NeverRan() bool { return s == Refused || s == Unreachable || s == NotSent }
 
+// Reason tells, for the log alone, why a request was refused or failed.
+type Reason uint8
+
+const (
+	TimeOver     Reason = iota // its deadline has passed
+	AttemptsUsed               // it has had as many as the settings allow
+	NotRepeated                // an attempt may have run, and its class allows no further one
+	Shed                       // it would start too late to be of worth, or others are worth more
+)
+
+var reasons = [...]string{"time-over", "attempts-used", "not-repeated", "shed"}
+
+// String is the reason's name in the log.
+func (r Reason) String() string { return reasons[r] }
+
+var statuses = [...]string{"ok", "error", "refused", "timed-out", "unreachable", "reset", "cancelled", "not-sent", "unknown"}
+
+// String is the status's name in the log.
+func (s Status) String() string { return statuses[s] }
+
 // Load is a worker's report. Has tells which of the figures it holds.
 type Load struct {
 	Has                                       LoadField
@@ -256,8 +276,8 @@
 type Actions interface {
 	Send(r RequestID, until Time, w WorkerID) // until 0: for as long as the client waits
 	Cancel(r RequestID, attempt int)
-	Refuse(r RequestID, retryAfter Time) // final: trying again is harmless
-	Fail(r RequestID)                    // final: promises nothing
+	Refuse(r RequestID, retryAfter Time, why Reason) // final: trying again is harmless
+	Fail(r RequestID, why Reason)                    // final: promises nothing
 	Timer(delay Time, token uint64)
 	Probe(w WorkerID)
 	Tell(data []byte) // to all peers, late or not at all; what of them comes back through Peer
--- a/rules/attempts.go
+++ b/rules/attempts.go
@@ -170,19 +170,24 @@
 
 // goOn decides what becomes of an open request none of whose attempts is out.
 func (d *Dispatcher) goOn(now Time, r *request) {
-	if b := r.bound(); now >= r.Deadline || len(r.attempts) >= d.set.MaxAttempts ||
-		b != nil && !mayRepeat(now, &d.classes[r.Class], b, b.w) { // nor ever again
-		d.giveUp(now, r)
-	} else {
+	b := r.bound()
+	switch {
+	case now >= r.Deadline:
+		d.giveUp(now, r, TimeOver)
+	case len(r.attempts) >= d.set.MaxAttempts:
+		d.giveUp(now, r, AttemptsUsed)
+	case b != nil && !mayRepeat(now, &d.classes[r.Class], b, b.w): // nor ever again
+		d.giveUp(now, r, NotRepeated)
+	default:
 		d.place(now, r)
 	}
 }
 
-func (d *Dispatcher) giveUp(now Time, r *request) {
+func (d *Dispatcher) giveUp(now Time, r *request, why Reason) {
 	if d.mayRefuse(r) {
-		d.refuse(now, r)
+		d.refuse(now, r, why)
 	} else {
-		d.fail(r)
+		d.fail(r, why)
 	}
 }
 
@@ -193,7 +198,7 @@
 	case r.streaming:
 		return
 	case now >= r.Deadline:
-		d.giveUp(now, r)
+		d.giveUp(now, r, TimeOver)
 		return
 	case len(r.attempts) == 0 && !r.held:
 		r.probes = 0
--- a/rules/digest_test.go
+++ b/rules/digest_test.go
@@ -83,11 +83,11 @@
 	m.sent[r]++
 }
 func (m *digestMember) Cancel(r RequestID, attempt int) { m.write("cancel %s %d", r, attempt) }
-func (m *digestMember) Refuse(r RequestID, after Time) {
+func (m *digestMember) Refuse(r RequestID, after Time, _ Reason) {
 	m.write("refuse %s %d", r, after)
 	m.closed[r] = true
 }
-func (m *digestMember) Fail(r RequestID) {
+func (m *digestMember) Fail(r RequestID, _ Reason) {
 	m.write("fail %s", r)
 	m.closed[r] = true
 }
--- a/rules/example_test.go
+++ b/rules/example_test.go
@@ -13,15 +13,15 @@
 	h.worker = w
 	fmt.Println("send", r, "to", w)
 }
-func (h *host) Cancel(r rules.RequestID, attempt int)  { fmt.Println("cancel", r, attempt) }
-func (h *host) Refuse(r rules.RequestID, _ rules.Time) { fmt.Println("refuse", r) }
-func (h *host) Fail(r rules.RequestID)                 { fmt.Println("fail", r) }
-func (h *host) Timer(delay rules.Time, token uint64)   {} // bring back with TimerDue
-func (h *host) Probe(w rules.WorkerID)                 {}
-func (h *host) Tell([]byte)                            {}
-func (h *host) Watch(on bool)                          {}
-func (h *host) Fetch()                                 {}
-func (h *host) Log(text string)                        {}
+func (h *host) Cancel(r rules.RequestID, attempt int)                  { fmt.Println("cancel", r, attempt) }
+func (h *host) Refuse(r rules.RequestID, _ rules.Time, _ rules.Reason) { fmt.Println("refuse", r) }
+func (h *host) Fail(r rules.RequestID, _ rules.Reason)                 { fmt.Println("fail", r) }
+func (h *host) Timer(delay rules.Time, token uint64)                   {} // bring back with TimerDue
+func (h *host) Probe(w rules.WorkerID)                                 {}
+func (h *host) Tell([]byte)                                            {}
+func (h *host) Watch(on bool)                                          {}
+func (h *host) Fetch()                                                 {}
+func (h *host) Log(text string)                                        {}
 
 // A host drives a dispatcher through a request's life: the first worker turns the job away, the
 // second serves it.
--- a/rules/hostile_test.go
+++ b/rules/hostile_test.go
@@ -121,9 +121,9 @@
 	l.answers++
 }
 
-func (c *checker) Refuse(r RequestID, _ Time) { c.answer(r, true) }
-func (c *checker) Fail(r RequestID)           { c.answer(r, false) }
-func (c *checker) Tell(data []byte)           {}
+func (c *checker) Refuse(r RequestID, _ Time, _ Reason) { c.answer(r, true) }
+func (c *checker) Fail(r RequestID, _ Reason)           { c.answer(r, false) }
+func (c *checker) Tell(data []byte)                     {}
 func (c *checker) Probe(w WorkerID) {
 	if !c.s.MayProbe {
 		c.t.Fatal("probed where that is not allowed")
--- a/rules/rules_test.go
+++ b/rules/rules_test.go
@@ -41,17 +41,17 @@
 	}
 	a.sends = append(a.sends, s)
 }
-func (a *recorder) Cancel(r RequestID, n int)   { a.cancels = append(a.cancels, fmt.Sprint(r, "/", n)) }
-func (a *recorder) Refuse(r RequestID, t Time)  { a.refused[r]++; a.retryAfter = t }
-func (a *recorder) Fail(r RequestID)            { a.failed[r]++ }
-func (a *recorder) Timer(delay Time, _ uint64)  { a.timers = append(a.timers, a.now+delay) }
-func (a *recorder) Probe(w WorkerID)            { a.probes = append(a.probes, w) }
-func (a *recorder) Tell(data []byte)            { a.told = append(a.told, data) }
-func (a *recorder) Watch(bool)                  { a.watches++ }
-func (a *recorder) Fetch()                      {}
-func (a *recorder) Log(string)                  {}
-func (a *recorder) last() (s sendAction)        { return a.sends[len(a.sends)-1] }
-func (a *recorder) answers(r RequestID) (n int) { return a.refused[r] + a.failed[r] }
+func (a *recorder) Cancel(r RequestID, n int)            { a.cancels = append(a.cancels, fmt.Sprint(r, "/", n)) }
+func (a *recorder) Refuse(r RequestID, t Time, _ Reason) { a.refused[r]++; a.retryAfter = t }
+func (a *recorder) Fail(r RequestID, _ Reason)           { a.failed[r]++ }
+func (a *recorder) Timer(delay Time, _ uint64)           { a.timers = append(a.timers, a.now+delay) }
+func (a *recorder) Probe(w WorkerID)                     { a.probes = append(a.probes, w) }
+func (a *recorder) Tell(data []byte)                     { a.told = append(a.told, data) }
+func (a *recorder) Watch(bool)                           { a.watches++ }
+func (a *recorder) Fetch()                               {}
+func (a *recorder) Log(string)                           {}
+func (a *recorder) last() (s sendAction)                 { return a.sends[len(a.sends)-1] }
+func (a *recorder) answers(r RequestID) (n int)          { return a.refused[r] + a.failed[r] }
 func (a *recorder) sentTo(w WorkerID) (n int) {
 	for _, s := range a.sends {
 		if s.w == w {
--- a/rules/shed.go
+++ b/rules/shed.go
@@ -23,7 +23,7 @@
 	if shed && r.out == 0 && d.mayRefuse(r) {
 		t := d.trial(now, r)
 		if t == nil || !queued {
-			d.refuse(now, r)
+			d.refuse(now, r, Shed)
 			return true
 		}
 		w = t
@@ -121,7 +121,7 @@
 	return !d.tenants[tenant].take(now, shareDepth(d.tenants[tenant].rate))
 }
 
-func (d *Dispatcher) refuse(now Time, r *request) {
+func (d *Dispatcher) refuse(now Time, r *request, why Reason) {
 	r.closed = true
 	after := Time(0)
 	if d.set.RetryAfter {
@@ -129,12 +129,12 @@
 			after = d.set.MaxRetryAfter
 		}
 	}
-	d.act.Refuse(r.ID, after)
+	d.act.Refuse(r.ID, after, why)
 	d.withdraw(r)
 }
 
-func (d *Dispatcher) fail(r *request) {
+func (d *Dispatcher) fail(r *request, why Reason) {
 	r.closed = true
-	d.act.Fail(r.ID)
+	d.act.Fail(r.ID, why)
 	d.withdraw(r)
 }
