Judge an attempt that a cut brings late by when it left its scheduler

The trace, by the log's new lines: the attempts began at 3.465 and before, the network between schedulers and workers was cut from 3.36 to 4.519 s, they came at 4.519 s, their clients were waiting and were served. Nothing was sent after the yes.

The case is allowed where all of that holds, and only there: the attempt tells by its time left that it had left before the grace's end, a cut on its way ended as it came, and its client still waits. One that was given up is reset and never comes; one that tells more time than there is breaks a check of its own. Doubles for each condition.

--- a/internal/fleet/judge/judge_test.go
+++ b/internal/fleet/judge/judge_test.go
@@ -47,6 +47,22 @@
 	require.NoError(t, err)
 }
 
+// heldRun has the first request's attempt come 1.7 s later, told that so much time is left, to a worker that is out by hand
+// since 1.2 s and for a grace of 0.2 s; a cut begins at a second of the run.
+func heldRun(t *testing.T, rec *record.Records, leftMS int64, cutAtS float64) {
+	s := &scenario.Scenario{}
+	require.NoError(t, json.Unmarshal(rec.About.Scenario, s))
+	s.DrainGraceS = 0.2
+	s.Faults = append(s.Faults, scenario.Fault{AtS: cutAtS, ForS: 1.55, What: "cut", Paths: []string{"job"}})
+	var err error
+	rec.About.Scenario, err = json.Marshal(s)
+	require.NoError(t, err)
+	run, try := &rec.Runs[0], &rec.Tries[0]
+	run.LeftMS, run.ArrivedUS, run.StartedUS, run.EndedUS = leftMS, 2.7e6, 2.7e6, 2.8e6
+	try.EndedUS = 2.9e6
+	rec.Events = []record.Event{{AtUS: 1.2e6, What: "out", Scheduler: 0, Worker: 0}, {AtUS: 2.95e6, What: "back", Scheduler: 0, Worker: 0}}
+}
+
 // Each rule is broken once, in a double of the records, and the check of that rule alone finds it.
 func TestEachCheckCatchesItsFault(t *testing.T) {
 	for _, c := range []struct {
@@ -119,6 +135,12 @@
 			r.Events = []record.Event{{AtUS: 1.3e6, CalledUS: 1.2e6, What: "out", Scheduler: 0, Worker: 0}, {AtUS: 1.8e6, CalledUS: 1.1e6, What: "out", Scheduler: 0, Worker: 0},
 				{AtUS: 1.15e6, What: "back", Scheduler: 0, Worker: 0}}
 		}, "nothing new to a table worker that an operator took out"},
+		{"a send to a worker out by hand that had left before, and was held by a cut", func(r *record.Records) { heldRun(t, r, 1950, 1.1) }, ""},
+		{"one that left after the yes", func(r *record.Records) { heldRun(t, r, 300, 1.1) }, "nothing new to a table worker that an operator took out"},
+		{"one that nobody waits for", func(r *record.Records) {
+			heldRun(t, r, 1950, 1.1)
+			r.Tries[0].EndedUS = r.Runs[0].ArrivedUS - 1000
+		}, "nothing new to a table worker that an operator took out"},
 		{"a send of a scheduler that began anew", func(r *record.Records) {
 			r.Events = []record.Event{{AtUS: 1.5e6, What: "out", Scheduler: 0, Worker: 0}, {AtUS: 2e6, What: "killed", Text: "n0", Scheduler: 0, Worker: -1},
 				{AtUS: 2.5e6, What: "ready", Scheduler: 0, Worker: -1}}
@@ -204,6 +226,26 @@
 	}
 }
 
+// Only a cut on the way to the workers, which began before the attempt came and ended as it did, brings one late.
+func TestWhatACutBringsLate(t *testing.T) {
+	try, run := &record.Try{SentUS: 1e6, LeftMS: 2000, EndedUS: 2.9e6}, &record.Run{LeftMS: 1950, ArrivedUS: 2.7e6}
+	for _, c := range []struct {
+		name  string
+		fault scenario.Fault
+		held  bool
+	}{
+		{"a cut over both", scenario.Fault{AtS: 1.1, ForS: 1.55, What: "cut", Paths: []string{"job"}}, true},
+		{"a cut of all paths", scenario.Fault{AtS: 1.1, ForS: 1.55, What: "cut"}, true},
+		{"a cut of other paths", scenario.Fault{AtS: 1.1, ForS: 1.55, What: "cut", Paths: []string{"back"}}, false},
+		{"a cut that was over as it left", scenario.Fault{AtS: 0.5, ForS: 0.5, What: "cut"}, false},
+		{"a cut that begins after it came", scenario.Fault{AtS: 6, ForS: 1, What: "cut"}, false},
+		{"a cut that is on as it comes", scenario.Fault{AtS: 1.1, ForS: 4, What: "cut"}, false},
+		{"another fault", scenario.Fault{AtS: 1.1, ForS: 1.55, What: "slow-workers"}, false},
+	} {
+		require.Equal(t, c.held, heldByACut(&scenario.Scenario{Faults: []scenario.Fault{c.fault}}, try, run, 1.4e6), c.name)
+	}
+}
+
 func TestFigures(t *testing.T) {
 	rec := sound(t)
 	rec.Tries[0].EndedUS += 1e6 // late: half of its worth
--- a/internal/fleet/judge/operators.go
+++ b/internal/fleet/judge/operators.go
@@ -56,11 +56,16 @@
 // outOfHand looks at what schedulers sent to workers that an operator had taken out, whichever process was told.
 func outOfHand(s *scenario.Scenario, rec *record.Records) Check {
 	all := outages(rec)
+	tries := map[string]*record.Try{}
+	for i := range rec.Tries {
+		tries[rec.Tries[i].ID] = &rec.Tries[i]
+	}
 	var bad []string
 	for i := range rec.Runs {
 		r := &rec.Runs[i]
 		for _, o := range all[told{r.Scheduler, r.Worker}] {
-			if r.ArrivedUS > o.from+graceUS(s)+slackUS && r.ArrivedUS < o.to {
+			ends := o.from + graceUS(s)
+			if r.ArrivedUS > ends+slackUS && r.ArrivedUS < o.to && !heldByACut(s, tries[r.ID], r, ends) {
 				bad = append(bad, fmt.Sprintf("%s from scheduler %d to table worker %d at %.3f s, out by hand since %.3f s", r.ID, r.Scheduler, r.Worker,
 					float64(r.ArrivedUS)/1e6, float64(o.from)/1e6))
 			}
@@ -69,6 +74,24 @@
 	return check("nothing new to a table worker that an operator took out", len(bad), func(i int) string { return bad[i] })
 }
 
+// heldByACut tells of an attempt that had left its scheduler by a time, as the time that it tells to be left shows, and that
+// a cut of the network brought later. Its client waits for it: one that was given up is reset and never comes.
+func heldByACut(s *scenario.Scenario, t *record.Try, r *record.Run, by int64) bool {
+	if t == nil || r.LeftMS <= 0 {
+		return false
+	}
+	leftAt := t.SentUS + (t.LeftMS-r.LeftMS)*1000
+	waits := t.EndedUS > r.ArrivedUS
+	if leftAt > by || !waits {
+		return false
+	}
+	return slices.ContainsFunc(s.Faults, func(f scenario.Fault) bool {
+		carriesJobs := len(f.Paths) == 0 || slices.Contains(f.Paths, "job")
+		from, to := int64(f.AtS*1e6), int64((f.AtS+f.ForS)*1e6)
+		return f.What == "cut" && carriesJobs && leftAt < to && r.ArrivedUS >= to && from < r.ArrivedUS
+	})
+}
+
 // sentAway looks at schedulers that said they were ready while an operator had them send their clients away.
 func sentAway(rec *record.Records) Check {
 	var bad []string
