Judge an attempt at a draining worker that a cut brings late by when it left, too

The trace: the attempt began at 14.214 s with 1,956 ms left, the worker was told as draining at 14.316 s, the network was cut from 13.770 to 14.991 s, it came at 14.991 s, its client waited and was served. Nothing left after the grace. The same three conditions as for workers out by hand; doubles for a send that left before and one that left after.

--- a/internal/fleet/judge/judge.go
+++ b/internal/fleet/judge/judge.go
@@ -176,6 +176,7 @@
 	for _, t := range rec.Told {
 		told[pair{t.Scheduler, t.Worker}] = append(told[pair{t.Scheduler, t.Worker}], t)
 	}
+	tries := triesByID(rec)
 	var bad []string
 	for i := range rec.Runs {
 		r := &rec.Runs[i]
@@ -185,7 +186,8 @@
 				last = t
 			}
 		}
-		if (last.Status == "draining" || last.Status == "removed") && r.ArrivedUS > last.AtUS+graceUS(s)+slackUS {
+		leaves, ends := last.Status == "draining" || last.Status == "removed", last.AtUS+graceUS(s)
+		if leaves && r.ArrivedUS > ends+slackUS && !heldByACut(s, tries[r.ID], r, ends) {
 			bad = append(bad, fmt.Sprintf("%s from scheduler %d to table worker %d, %.3f s after %q", r.ID, r.Scheduler, r.Worker,
 				float64(r.ArrivedUS-last.AtUS)/1e6, last.Status))
 		}
--- a/internal/fleet/judge/judge_test.go
+++ b/internal/fleet/judge/judge_test.go
@@ -136,6 +136,14 @@
 				{AtUS: 1.15e6, What: "back", Scheduler: 0, Worker: 0}}
 		}, "nothing new to a table worker that an operator took out"},
 		{"a send to a worker out by hand that had left before, and was held by a cut", func(r *record.Records) { heldRun(t, r, 1950, 1.1) }, ""},
+		{"a send to a draining worker that had left before, and was held by a cut", func(r *record.Records) {
+			heldRun(t, r, 1950, 1.1)
+			r.Events, r.Told = nil, []record.Told{{AtUS: 1.2e6, Scheduler: 0, Worker: 0, Status: "draining"}, {AtUS: 2.95e6, Scheduler: 0, Worker: 0, Status: "up"}}
+		}, ""},
+		{"one to a draining worker that left after the grace", func(r *record.Records) {
+			heldRun(t, r, 300, 1.1)
+			r.Events, r.Told = nil, []record.Told{{AtUS: 1.2e6, Scheduler: 0, Worker: 0, Status: "draining"}, {AtUS: 2.95e6, Scheduler: 0, Worker: 0, Status: "up"}}
+		}, "nothing new to a draining or gone table worker after the grace"},
 		{"one that left after the yes", func(r *record.Records) { heldRun(t, r, 300, 1.1) }, "nothing new to a table worker that an operator took out"},
 		{"one that nobody waits for", func(r *record.Records) {
 			heldRun(t, r, 1950, 1.1)
--- a/internal/fleet/judge/operators.go
+++ b/internal/fleet/judge/operators.go
@@ -56,10 +56,7 @@
 // outOfHand looks at what schedulers sent to workers that an operator had taken out, whichever process was told.
 func outOfHand(s *scenario.Scenario, rec *record.Records) Check {
 	all := outages(rec)
-	tries := map[string]*record.Try{}
-	for i := range rec.Tries {
-		tries[rec.Tries[i].ID] = &rec.Tries[i]
-	}
+	tries := triesByID(rec)
 	var bad []string
 	for i := range rec.Runs {
 		r := &rec.Runs[i]
@@ -74,6 +71,14 @@
 	return check("nothing new to a table worker that an operator took out", len(bad), func(i int) string { return bad[i] })
 }
 
+func triesByID(rec *record.Records) map[string]*record.Try {
+	tries := make(map[string]*record.Try, len(rec.Tries))
+	for i := range rec.Tries {
+		tries[rec.Tries[i].ID] = &rec.Tries[i]
+	}
+	return tries
+}
+
 // heldByACut tells of an attempt that had left its scheduler by a time, as the time that it tells to be left shows, and that
 // a cut of the network brought later. Its client waits for it: one that was given up is reset and never comes.
 func heldByACut(s *scenario.Scenario, t *record.Try, r *record.Run, by int64) bool {
@@ -131,11 +136,7 @@
 
 // timeLeft looks at the time that attempts told their workers: at most what the client had left.
 func timeLeft(s *scenario.Scenario, rec *record.Records) Check {
-	gone := absences(rec)
-	tries := map[string]*record.Try{}
-	for i := range rec.Tries {
-		tries[rec.Tries[i].ID] = &rec.Tries[i]
-	}
+	gone, tries := absences(rec), triesByID(rec)
 	var bad []string
 	for i := range rec.Runs {
 		r := &rec.Runs[i]
