Have the rig's cold workers bear what the operators' terms say, neither more nor less

The rig let the worker fall at N + 8, a figure of its own. It goes by the terms now, which is less than before under N of 3 and more above.

What the trace shows beside: 33 jobs of 13 schedulers came to one worker within 0.25 s after a quiet second. That is the rush which the slow start's parts do not cover for certain; it stays open.

--- a/internal/fleet/endpoints/worker.go
+++ b/internal/fleet/endpoints/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -201,7 +202,7 @@
 }
 
 // tips counts the work that comes to a cold worker, and tells whether it falls over: sent more than a multiple of what
-// it can do for a while. Two mean jobs for each slot are let pass, for chance.
+// it can do for a while, and what the operators' terms let pass for chance.
 func (w *Worker) tips(now time.Time, work time.Duration) bool {
 	warmth := w.warmth(now)
 	if warmth >= 1 {
@@ -217,8 +218,17 @@
 	for _, p := range w.pushed {
 		sum += p.work
 	}
-	most := w.set.OverloadFactor*float64(w.set.Slots)*warmth*float64(window) + 2*float64(w.set.Slots)*float64(w.meanRun)
-	return float64(sum) > most
+	allowed := w.set.OverloadFactor * float64(w.set.Slots) * warmth * float64(window) / float64(w.meanRun)
+	return float64(sum)/float64(w.meanRun) > bearable(allowed)
+}
+
+// bearable is how many requests of mean work a cold worker bears in its window where the settings allow so many: by the
+// operators' terms N + 2 x root of N + 2, and under 30 N + 3 x root of N + 3.
+func bearable(allowed float64) float64 {
+	if allowed < 30 {
+		return allowed + 3*math.Sqrt(allowed) + 3
+	}
+	return allowed + 2*math.Sqrt(allowed) + 2
 }
 
 // taken is what became of a job that came.
