--- a/rules/cold_model_test.go
+++ b/rules/cold_model_test.go
@@ -20,9 +20,11 @@
 	beds     []*coldBed
 	sent     []Time
 	restarts bool
-	// chance is that of a job at a dispatcher in a step: 1 where it has far more than the worker may be sent. In the second
-	// half of the run it is twice as much.
-	chance float64
+	// chance is that of a job at a dispatcher in a step: 1 where it has far more than the worker may be sent. From rushFrom
+	// on it is rush times as much.
+	chance, rush float64
+	rushFrom     Time // after the worker's start
+	steps        int
 }
 
 // coldBed is a process of a dispatcher.
@@ -37,12 +39,13 @@
 const (
 	coldStep      = 20 * ms
 	coldSteps     = 300
+	thinHistory   = 1500 // steps, after which what is known of a dispatcher's traffic is near its mean
 	successorSeen = 60 * ms // the look at the state folder, and a turn
 )
 
-func newColdRun(seed uint64, late int, restarts, thin bool) *coldRun {
+func newColdRun(seed uint64, late int, restarts, thin bool, rush float64) *coldRun {
 	rng := rand.New(rand.NewPCG(seed, 7))
-	c := &coldRun{rng: rng, late: late, restarts: restarts, chance: 1, run: Time(50+rng.IntN(450)) * ms, slots: float64(1 + rng.IntN(8))}
+	c := &coldRun{rng: rng, late: late, restarts: restarts, chance: 1, rush: rush, steps: coldSteps, run: Time(50+rng.IntN(450)) * ms, slots: float64(1 + rng.IntN(8))}
 	c.set = oneClass(Once)
 	c.set.GroupSize = 2 + rng.IntN(59)
 	c.set.ColdFrom, c.set.WarmWithin = 0.1+0.4*rng.Float64(), Time(4000+rng.IntN(20000))*ms
@@ -57,14 +60,14 @@
 		c.beds = append(c.beds, &coldBed{bed: b, rank: i})
 	}
 	if thin { // they know their traffic from the time before
-		for range 100 {
+		for range thinHistory {
 			for _, b := range c.beds {
 				c.ask(b, c.chance)
 				b.pass(coldStep)
 			}
 		}
 	}
-	c.start = c.beds[0].now
+	c.start, c.rushFrom = c.beds[0].now, c.set.WarmWithin/2
 	for _, b := range c.beds {
 		b.learn(c.start)
 	}
@@ -115,14 +118,14 @@
 }
 
 func (c *coldRun) chanceAt(now Time) float64 {
-	if now > c.start+c.set.WarmWithin/2 {
-		return 2 * c.chance
+	if now > c.start+c.rushFrom {
+		return c.rush * c.chance
 	}
 	return c.chance
 }
 
 func (c *coldRun) play() {
-	for at := range coldSteps {
+	for at := range c.steps {
 		now := c.beds[0].now
 		if now >= c.start+c.set.WarmWithin {
 			break
@@ -193,7 +196,7 @@
 				t.Parallel()
 				used, could := 0.0, 0.0
 				for seed := range uint64(seeds) {
-					c := newColdRun(seed, late, how.restarts, how.thin)
+					c := newColdRun(seed, late, how.restarts, how.thin, 2)
 					c.play()
 					if over, from := c.over(); over > 0 {
 						t.Errorf("seed %d: %.1f requests over the bound, within the time from %d us on", seed, over, from)
@@ -211,3 +214,37 @@
 		}
 	}
 }
+
+// The bound holds in a rush too: traffic that is thin and known from the time before becomes many times as much at all
+// dispatchers at once, while the worker warms.
+//
+// Seen: the audit of the slow start, and a play of the soak (seed 6026) in which 33 jobs of 13 schedulers came to one worker
+// within 0.25 s after a quiet second. A dispatcher with thin traffic has a part of the budget by the jobs that it usually has:
+// more have a part than the worker bears whole jobs over its budget. While they have nothing to send, their parts fill to a
+// whole job each; where many then have one at once, each sends it, as none hears of the others in time.
+func TestAColdWorkersBoundHoldsInARush(t *testing.T) {
+	const seeds = 200
+	for _, rush := range []float64{3, 10, 100} {
+		for _, late := range []int{-1, 5, 25} {
+			t.Run(fmt.Sprintf("%v times the traffic, heard after %d steps", rush, late), func(t *testing.T) {
+				t.Parallel()
+				broken, worst, at := 0, 0.0, uint64(0)
+				for seed := range uint64(seeds) {
+					c := newColdRun(seed, late, false, true, rush)
+					c.steps = int(c.set.WarmWithin / coldStep)
+					c.rushFrom = Time(c.rng.Float64() * float64(c.set.WarmWithin))
+					c.play()
+					if over, _ := c.over(); over > 0 {
+						broken++
+						if over > worst {
+							worst, at = over, seed
+						}
+					}
+				}
+				if broken > 0 {
+					t.Errorf("%d of %d seeds over the bound, the worst by %.1f requests (seed %d)", broken, seeds, worst, at)
+				}
+			})
+		}
+	}
+}
