--- a/rules/cold_model_test.go
+++ b/rules/cold_model_test.go
@@ -39,7 +39,7 @@
 const (
 	coldStep      = 20 * ms
 	coldSteps     = 300
-	thinHistory   = 1500 // steps, after which what is known of a dispatcher's traffic is near its mean
+	thinHistory   = 1500    // steps, after which what is known of a dispatcher's traffic is near its mean
 	successorSeen = 60 * ms // the look at the state folder, and a turn
 )
 
