Remember what was told before the first look where it is told, not at each look

Each look at the folder, every 50 ms or 5 ms, listed and sorted the whole set (up to 8,192 entries) for a use that only the first look has: raising what was told before it over files of an earlier start of the machine. It also took in what a first look that failed half-way had merged from others, which would have been told again over a newer word of theirs.

What is told before the first look is noted as it is told, and forgotten with that look. The tests of the package pass twice with -race, unchanged.

--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -25,7 +25,6 @@
 	if found == nil {
 		return nil, false, failed
 	}
-	toldBefore := r.set.Entries()
 	delete(found, r.generation)
 	maps.DeleteFunc(r.peers, func(generation int, _ *peer) bool { return found[generation] == 0 })
 	for _, generation := range slices.Sorted(maps.Keys(found)) {
@@ -45,18 +44,20 @@
 	r.alone = len(found) == 0
 	if !r.informed {
 		r.informed = true
-		news = append(news, r.raise(toldBefore)...)
+		news = append(news, r.raiseUnseen()...)
 	}
 	return news, vanished, nil
 }
 
-// raise has what was told here before the first look stand against files from before the machine's last start, whose
+// raiseUnseen has what was told here before the first look stand against files from before the machine's last start, whose
 // versions may be over all that its clock gives now.
-func (r *Replica) raise(toldBefore []directive.Entry) (news []directive.Entry) {
+func (r *Replica) raiseUnseen() (news []directive.Entry) {
+	unseen := r.unseen
+	r.unseen = nil
 	if r.set.Clock() <= clock.Machine() {
 		return nil
 	}
-	for _, e := range toldBefore {
+	for _, e := range unseen {
 		if raised, err := r.set.Change(e.Key, e.On, 0); err == nil { // else what was found stands
 			news = append(news, raised)
 			r.dirty = true
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -83,10 +83,11 @@
 	set        directive.Set
 	peers      map[int]*peer
 	others     Others
-	informed   bool // a look has succeeded
-	alone      bool // the last look found no other generation
-	dirty      bool // the file lacks something of the set
-	wasServing bool // as the file says
+	informed   bool              // a look has succeeded
+	unseen     []directive.Entry // what was told here before that
+	alone      bool              // the last look found no other generation
+	dirty      bool              // the file lacks something of the set
+	wasServing bool              // as the file says
 	waiting    []*change
 	failing    bool
 	failingAt  time.Duration // the first of the failures at hand, or when they were last logged
@@ -320,6 +321,9 @@
 			continue
 		}
 		c.entry, r.dirty = entry, true
+		if !r.informed {
+			r.unseen = append(r.unseen, entry)
+		}
 		r.Log.Info("directive: changed", "key", string(c.key), "on", c.on, "version", entry.Version, "generation", r.generation)
 	}
 	r.waiting = slices.DeleteFunc(r.waiting, func(c *change) bool { return c.until == 0 })
