Bound what is remembered of calls before the first look by the set's own bound

The commit before kept each call in a list, which would grow for as long as the folder stays away. The tests of the package pass with -race, unchanged.

--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -57,8 +57,8 @@
 	if r.set.Clock() <= clock.Machine() {
 		return nil
 	}
-	for _, e := range unseen {
-		if raised, err := r.set.Change(e.Key, e.On, 0); err == nil { // else what was found stands
+	for key, on := range unseen {
+		if raised, err := r.set.Change(key, on, 0); err == nil { // else what was found stands
 			news = append(news, raised)
 			r.dirty = true
 		}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -83,11 +83,11 @@
 	set        directive.Set
 	peers      map[int]*peer
 	others     Others
-	informed   bool              // a look has succeeded
-	unseen     []directive.Entry // what was told here before that
-	alone      bool              // the last look found no other generation
-	dirty      bool              // the file lacks something of the set
-	wasServing bool              // as the file says
+	informed   bool                   // a look has succeeded
+	unseen     map[directive.Key]bool // what was told here before that, the last state of each
+	alone      bool                   // the last look found no other generation
+	dirty      bool                   // the file lacks something of the set
+	wasServing bool                   // as the file says
 	waiting    []*change
 	failing    bool
 	failingAt  time.Duration // the first of the failures at hand, or when they were last logged
@@ -116,7 +116,7 @@
 		o.Period = WithCalls
 	}
 	r := &Replica{Options: o, changes: make(chan *change, mostChanges), stop: make(chan struct{}), dirty: true,
-		peers: map[int]*peer{}, strange: map[int]bool{}}
+		peers: map[int]*peer{}, unseen: map[directive.Key]bool{}, strange: map[int]bool{}}
 	err := r.join()
 	if err == nil {
 		err = r.write()
@@ -322,7 +322,7 @@
 		}
 		c.entry, r.dirty = entry, true
 		if !r.informed {
-			r.unseen = append(r.unseen, entry)
+			r.unseen[c.key] = c.on
 		}
 		r.Log.Info("directive: changed", "key", string(c.key), "on", c.on, "version", entry.Version, "generation", r.generation)
 	}
