--- a/internal/platform/ending_test.go
+++ b/internal/platform/ending_test.go
@@ -52,6 +52,22 @@
 	assert.Empty(t, rest)
 }
 
+// crossOnce has a client's request arrive between the last look at a connection and its end, once, and tells whether it has.
+func crossOnce(t *testing.T, n *standin.Node, c *standin.Raw) (crossed *bool) {
+	crossed = new(bool)
+	n.On(func() {
+		n.Front.Crossing(func() {
+			if *crossed {
+				return
+			}
+			*crossed = true
+			c.Say(fmt.Sprintf(whole, "id-1"))
+			meanwhile(t, func() bool { _, _, inHand := n.Front.Clients(); return inHand == 1 })
+		})
+	})
+	return crossed
+}
+
 // A request that arrives between the last look at a resting connection and its end is never taken: its client reads the
 // end and no answer, and may send it elsewhere. So in the drain after SIGTERM, in an operator's, and at an idle close.
 func TestARequestThatCrossesTheEndOfItsConnectionIsNotTaken(t *testing.T) {
@@ -69,23 +85,13 @@
 			c := standin.Dial(t, n.Front.Address())
 			c.Say("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
 			require.Equal(t, 200, answered(t, c))
-			crossed := false
-			n.On(func() {
-				n.Front.Crossing(func() {
-					if crossed {
-						return
-					}
-					crossed = true
-					c.Say(fmt.Sprintf(whole, "id-1"))
-					meanwhile(t, func() bool { _, _, inHand := n.Front.Clients(); return inHand == 1 })
-				})
-			})
+			crossed := crossOnce(t, n, c)
 			end(n)
 			ended(t, c)
 			if name == "SIGTERM" {
 				<-n.Ended
 			} else {
-				n.On(func() { assert.True(t, crossed) })
+				n.On(func() { assert.True(t, *crossed) })
 			}
 			assert.Empty(t, w.Jobs(), "never sent on")
 		})
@@ -120,24 +126,14 @@
 			n := standin.Start(t, nil, w)
 			c := standin.Dial(t, n.Front.Address())
 			onLoop(n, func() bool { known, _, _ := n.Front.Clients(); return known == 1 })
-			crossed := false
-			n.On(func() {
-				n.Front.Crossing(func() {
-					if crossed {
-						return
-					}
-					crossed = true
-					c.Say(fmt.Sprintf(whole, "id-1"))
-					meanwhile(t, func() bool { _, _, inHand := n.Front.Clients(); return inHand == 1 })
-				})
-			})
+			crossed := crossOnce(t, n, c)
 			end(n)
 			assert.Equal(t, 503, answered(t, c))
 			ended(t, c)
 			if name == "SIGTERM" || name == "handover" {
 				<-n.Ended
 			} else {
-				n.On(func() { assert.True(t, crossed) })
+				n.On(func() { assert.True(t, *crossed) })
 			}
 			assert.Empty(t, w.Jobs(), "never sent on")
 		})
