--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,7 +4,6 @@
 package config
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -13,12 +12,10 @@
 	"reflect"
 	"slices"
 	"strconv"
-	"strings"
 
 	"cobaltflow/deploy"
 	"cobaltflow/internal/log"
 	"cobaltflow/internal/ownership"
-	"cobaltflow/internal/wire"
 	"cobaltflow/rules"
 )
 
@@ -72,36 +69,6 @@
 	Sockets  int
 }
 
-// Names maps the names used on the wire to the numbers that package rules uses, and holds the workers' idle timeout.
-type Names struct {
-	Classes, Zones, Kinds []string
-	ConnIdleTimeout       rules.Time // a worker closes a connection that is idle for this long
-
-	tenants map[string]int // name to number, from 1
-}
-
-// Class returns the number of a class, or -1 if the name is unknown.
-func (n *Names) Class(name string) int { return slices.Index(n.Classes, name) }
-
-// Tenant returns the number of a tenant, from 1, or 0 if the settings do not contain the name: its requests count against
-// no quota.
-func (n *Names) Tenant(name []byte) int { return n.tenants[string(name)] }
-
-// setTenants sets the tenants' names, in the order of their numbers. key is the configuration key of the list.
-func (n *Names) setTenants(names []string, key string) error {
-	n.tenants = make(map[string]int, len(names))
-	for i, name := range names {
-		if name == "" {
-			return newError(fmt.Sprintf("%s.%d.name", key, i), "missing")
-		}
-		if n.tenants[name] > 0 {
-			return newError(fmt.Sprintf("%s.%d.name", key, i), "duplicate name %q", name)
-		}
-		n.tenants[name] = i + 1
-	}
-	return nil
-}
-
 const defaultConnIdleTimeout rules.Time = 60_000_000 // 60 s
 
 // Error is a validation error at a configuration key.
@@ -381,125 +348,3 @@
 	}
 	return nil
 }
-
-// readSettings flattens the settings object into the path=value form of the simulator and parses it with package wire.
-func (c *Config) readSettings(text json.RawMessage) error {
-	if len(text) == 0 || string(text) == "null" {
-		return newError("settings", "missing")
-	}
-	var tree any
-	d := json.NewDecoder(bytes.NewReader(text))
-	d.UseNumber()
-	if err := d.Decode(&tree); err != nil {
-		return newError("settings", "%v", err)
-	}
-	root, ok := tree.(map[string]any)
-	if !ok {
-		return newError("settings", "not an object")
-	}
-	var fields []string
-	flatten("", root, &fields)
-	s, err := wire.ParseSettings(fields)
-	if err != nil {
-		// The error text is "setting PATH: REASON".
-		path, text, _ := strings.Cut(strings.TrimPrefix(err.Error(), "setting "), ": ")
-		return newError("settings."+path, "%s", text)
-	}
-	c.Settings, c.DiscoveryIsLocal = s, root["discovery"] == "push"
-	c.Names.Zones, c.Names.Kinds = stringList(root["dcs"]), stringList(root["kinds"])
-	if err := c.readNames(root); err != nil {
-		return err
-	}
-	for i, class := range s.Classes {
-		if class.Deadline <= 0 {
-			return newError(fmt.Sprintf("settings.classes.%d.deadlineUs", i), "missing or not above 0")
-		}
-	}
-	return c.readConnIdle(root)
-}
-
-// readNames reads the names of tenants and classes.
-func (c *Config) readNames(root map[string]any) error {
-	var tenants []string
-	list, _ := root["tenants"].([]any)
-	for _, item := range list {
-		tenants = append(tenants, itemName(item))
-	}
-	if err := c.Names.setTenants(tenants, "settings.tenants"); err != nil {
-		return err
-	}
-	classes, _ := root["classes"].([]any)
-	for i, item := range classes {
-		name := itemName(item)
-		if name == "" {
-			return newError(fmt.Sprintf("settings.classes.%d.name", i), "missing")
-		}
-		if c.Names.Class(name) >= 0 {
-			return newError(fmt.Sprintf("settings.classes.%d.name", i), "duplicate name %q", name)
-		}
-		c.Names.Classes = append(c.Names.Classes, name)
-	}
-	if len(c.Names.Classes) == 0 {
-		return newError("settings.classes", "missing or empty")
-	}
-	return nil
-}
-
-// readConnIdle reads how long a worker keeps an idle connection open; default 60 s.
-func (c *Config) readConnIdle(root map[string]any) error {
-	c.Names.ConnIdleTimeout = defaultConnIdleTimeout
-	if caps, ok := root["caps"].(map[string]any); ok {
-		if n, ok := caps["connIdleUs"].(json.Number); ok {
-			v, err := n.Int64()
-			if err != nil || v <= 0 {
-				return newError("settings.caps.connIdleUs", "%q is not a positive number of microseconds", n)
-			}
-			c.Names.ConnIdleTimeout = v
-		}
-	}
-	return nil
-}
-
-// itemName returns the name of an item in a list of objects.
-func itemName(item any) string {
-	m, _ := item.(map[string]any)
-	name, _ := m["name"].(string)
-	return name
-}
-
-// stringList formats the items of a list.
-func stringList(v any) (out []string) {
-	list, _ := v.([]any)
-	for _, item := range list {
-		out = append(out, fmt.Sprint(item))
-	}
-	return out
-}
-
-// flatten appends the values below v to out as path=value. A list of scalars is joined with commas; a list of objects is
-// preceded by its length, path.count.
-func flatten(path string, v any, out *[]string) {
-	switch v := v.(type) {
-	case map[string]any:
-		for key, item := range v {
-			if path != "" {
-				key = path + "." + key
-			}
-			flatten(key, item, out)
-		}
-	case []any:
-		hasObjects := slices.ContainsFunc(v, func(x any) bool { _, ok := x.(map[string]any); return ok })
-		if !hasObjects {
-			*out = append(*out, path+"="+strings.Join(stringList(v), ","))
-			return
-		}
-		*out = append(*out, path+".count="+strconv.Itoa(len(v)))
-		for i, item := range v {
-			flatten(path+"."+strconv.Itoa(i), item, out)
-		}
-	case nil:
-		*out = append(*out, path+"=-")
-	default:
-		*out = append(*out, path+"="+fmt.Sprint(v))
-	}
-}
