Count a request's deadline from its read, not from the loop's turn

Callers got work done for them after they had gone.

Cause: the client's time left was added to the time of the turn that handled the request. The request is read on a goroutine of its own before and may wait for the loop.

Change: link and the HTTP/2 front note the loop's clock when they read a message's first bytes, and admission counts from there. What has waited past its time is refused by the core and reaches no worker. Loop.clock becomes Loop.Clock, which any goroutine may call.

Left: bytes that wait unread in the socket; a pipelined request counts from its predecessor's answer; Faktory's PUSH, which is answered when it is taken.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -156,7 +156,7 @@
 // New returns a core without workers. Its first worker list must be set before the first request is accepted.
 func New(loop *Loop, settings rules.Settings, seed uint64, log *slog.Logger) *Core {
 	c := &Core{Loop: loop, Log: log, settings: settings, byID: map[string]*Request{}}
-	loop.now = loop.clock()
+	loop.now = loop.Clock()
 	c.mainPool = c.NewPool("", settings, seed)
 	loop.onTurnEnd = c.runPendingActions
 	return c
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -34,7 +34,7 @@
 // even if its time has passed.
 func TestTimersFireInOrderAndNeverInTheTurnThatSetsThem(t *testing.T) {
 	l := NewLoop()
-	l.now = l.clock()
+	l.now = l.Clock()
 	var got []int
 	cancelled := l.At(l.now, func() { got = append(got, 99) })
 	l.At(l.now-2, func() { got = append(got, 2) })
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -98,11 +98,11 @@
 
 // FromWall converts a wall-clock time to the loop's time: both are equally far from the present. It may be called from any
 // goroutine.
-func (l *Loop) FromWall(t time.Time) Time { return l.clock() + t.Sub(clock.Wall()).Microseconds() }
+func (l *Loop) FromWall(t time.Time) Time { return l.Clock() + t.Sub(clock.Wall()).Microseconds() }
 
 // ToWall converts a time of the loop to wall-clock time: both are equally far from the present.
 func (l *Loop) ToWall(at Time) time.Time {
-	return clock.Wall().Add(time.Duration(at-l.clock()) * time.Microsecond)
+	return clock.Wall().Add(time.Duration(at-l.Clock()) * time.Microsecond)
 }
 
 // Stop ends Run after the current turn. It must be called on the loop goroutine.
@@ -121,7 +121,7 @@
 		clear(batch)
 		wait := time.Hour
 		if len(l.timers) > 0 {
-			wait = time.Duration(l.timers[0].at-l.clock()) * time.Microsecond
+			wait = time.Duration(l.timers[0].at-l.Clock()) * time.Microsecond
 		}
 		if wait <= 0 {
 			continue
@@ -134,10 +134,11 @@
 	}
 }
 
-func (l *Loop) clock() Time { return clockBase + (clock.Monotonic() - l.start).Microseconds() }
+// Clock returns the present time, which may be later than the turn's. It may be called from any goroutine.
+func (l *Loop) Clock() Time { return clockBase + (clock.Monotonic() - l.start).Microseconds() }
 
 func (l *Loop) turn(batch []func()) {
-	l.now = l.clock()
+	l.now = l.Clock()
 	for _, event := range batch {
 		event()
 	}
--- a/internal/front/admission/admission.go
+++ b/internal/front/admission/admission.go
@@ -37,6 +37,9 @@
 type Request struct {
 	Method, Target, Path string
 	Body                 []byte // valid until the core has released the request
+	// ReceivedAt is when the front read the request's first bytes. The client's time left counts from then, as the request may
+	// have waited for the loop since.
+	ReceivedAt core.Time
 	// Header returns a header's first value and the number of its occurrences.
 	Header func(name string) (value []byte, count int)
 	// HeaderFields appends the request's header fields to b, each with AppendField; nil: no fields to forward.
@@ -111,7 +114,7 @@
 		request.Job.HeaderFields = q.HeaderFields(nil)
 	}
 	request.Client = client
-	request.Deadline = c.core.Loop.Now() + max(core.Millisecond, request.Deadline-answerMargin)
+	request.Deadline = q.ReceivedAt + max(core.Millisecond, request.Deadline-answerMargin)
 	if !c.core.Accept(request) {
 		return nil, &Rejection{Status: 400, Text: HeaderID + " is in use"}
 	}
--- a/internal/front/http2/input.go
+++ b/internal/front/http2/input.go
@@ -6,6 +6,7 @@
 
 	"github.com/cloudwego/netpoll"
 
+	"cobaltflow/internal/core"
 	"cobaltflow/internal/link"
 )
 
@@ -22,6 +23,7 @@
 		r.Skip(r.Len())
 		return r.Release()
 	}
+	receivedAt := c.front.loop.Clock()
 	for need := 1; ; {
 		buf, err := r.Peek(max(need, r.Len()))
 		if err != nil {
@@ -43,7 +45,7 @@
 		if len(batch) > 0 {
 			cost := max(used, link.MinMessageCost*len(batch))
 			c.backlog.Add(cost)
-			c.front.loop.Post(func() { c.front.handle(c, batch, cost) })
+			c.front.loop.Post(func() { c.front.handle(c, batch, cost, receivedAt) })
 			if !c.backlog.Wait() {
 				c.readStopped = true
 				return nil
@@ -76,9 +78,9 @@
 	return batch, used, 0
 }
 
-// handle handles a batch of frames.
-func (f *Front) handle(c *conn, batch []*frame, cost int) {
-	c.lastUsed = f.loop.Now()
+// handle handles a batch of frames whose first bytes were read at receivedAt.
+func (f *Front) handle(c *conn, batch []*frame, cost int, receivedAt core.Time) {
+	c.lastUsed, c.receivedAt = f.loop.Now(), receivedAt
 	for _, fr := range batch {
 		if c.Ended || c.CloseReason != "" {
 			break
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -60,11 +60,12 @@
 	Party         string             // kind of peer, for the log line
 	Peer          string             // the peer's address
 	Opened        core.Time
-	MessageCount  int    // messages received or, on a connection to a worker, calls started
-	Ended         bool   // the connection has ended and its log line is written, see MarkEnded
-	ClosedLocally bool   // Close was called; the end event may still be pending
-	CloseReason   string // why this side closes the connection; empty: the peer closed it
-	OnClose       func() // called by Close before the buffer is released: slices of it are invalid from then on
+	ReceivedAt    core.Time // when the first bytes of the message were read that the loop has from Read until ReleaseBuffer
+	MessageCount  int       // messages received or, on a connection to a worker, calls started
+	Ended         bool      // the connection has ended and its log line is written, see MarkEnded
+	ClosedLocally bool      // Close was called; the end event may still be pending
+	CloseReason   string    // why this side closes the connection; empty: the peer closed it
+	OnClose       func()    // called by Close before the buffer is released: slices of it are invalid from then on
 
 	released          chan struct{} // OnRequest waits here while the loop owns its buffer
 	hasPendingMessage atomic.Bool   // a message is complete and its buffer not released yet
@@ -270,6 +271,7 @@
 		r.Skip(n)
 		return r.Release()
 	}
+	receivedAt := loop.Clock()
 	for need := 1; ; {
 		buf, err := r.Peek(max(need, r.Len()))
 		if err != nil {
@@ -287,6 +289,7 @@
 			need = max(required, len(buf)+1)
 			continue
 		}
+		l.ReceivedAt = receivedAt
 		l.hasPendingMessage.Store(true)
 		loop.Post(handle)
 		<-l.released
--- a/internal/platform/requests.go
+++ b/internal/platform/requests.go
@@ -132,7 +132,8 @@
 // no worker.
 func (f *Front) admit(c *clientConn, req *http1.Request, path string) bool {
 	request, fault := f.admission.Admit(&admission.Request{Method: string(req.Method), Target: string(req.Target), Path: path, Body: req.Body,
-		Header: func(name string) ([]byte, int) { return req.Get(name), req.Count(name) }, HeaderFields: func(b []byte) []byte {
+		ReceivedAt: c.ReceivedAt,
+		Header:     func(name string) ([]byte, int) { return req.Get(name), req.Count(name) }, HeaderFields: func(b []byte) []byte {
 			connection := req.Get("Connection")
 			for _, h := range req.Headers {
 				b = admission.AppendField(b, h.Name, h.Value, connection)
