State an attempt's time left as it begins, not as its worker is chosen

Cause: the message, with the time left, was made when the decision was carried out; a dial and the rest of the turn came after.

Evidence: with the dial held for 1 s the attempt stated 4,990 of 5,000 ms (TestTimeLeftIsStatedWithoutTheDial, which failed before).

Change: the message is made when the call begins on its connection, where it is asked anyway whether the attempt may still begin, by the clock at that moment. What remains is the writer's goroutine and the socket.

--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -53,7 +53,7 @@
 
 // call is one request on a connection to a worker: an attempt, a probe, or the cancellation of an attempt.
 type call struct {
-	message           []byte
+	message           []byte                                // set by onBegin at the latest
 	onBegin           func(l *workerLink)                   // a connection was found; the message is about to be written
 	onWritten         func(err error)                       // the message was written or the write failed; may be nil
 	onResponse        func(r *http1.Response)               // the response has arrived
--- a/internal/platform/time_left_test.go
+++ b/internal/platform/time_left_test.go
@@ -84,3 +84,18 @@
 	assert.Equal(t, 503, sendWithTimeLeft(&http.Client{}, n.URL("/move/k"), int(heldTime.Milliseconds()/2)))
 	assert.Empty(t, w.Jobs())
 }
+
+// The time left that an attempt states does not contain the time that connecting to the worker took.
+func TestTimeLeftIsStatedWithoutTheDial(t *testing.T) {
+	t.Parallel()
+	w := standin.NewWorker(t, "s-1", nil)
+	n := standin.Start(t, nil, w)
+	connected, release := holdDials(n)
+	status := make(chan int, 1)
+	go func() { status <- sendWithTimeLeft(&http.Client{}, n.URL("/move/k"), timeLeftMS) }()
+	receive(t, connected)
+	time.Sleep(heldTime)
+	release <- struct{}{}
+	require.Equal(t, 200, receive(t, status))
+	requireTimeLeftWithout(t, w, heldTime)
+}
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -42,14 +42,12 @@
 		f.loop.Post(func() { f.core.AttemptEnded(ref, rules.NotSent, nil, rules.Load{}) })
 		return
 	}
-	timeLeft := min(max(1, request.TimeLeft(f.loop.Now())/core.Millisecond), admission.MaxTimeLeftMS)
-	// The message is a copy: it may still be being written when the request is closed.
-	message := http1.AppendRequest(make([]byte, 0, 320+len(request.Job.HeaderFields)+len(request.Job.Body)), "POST", request.Job.Target, w.address,
-		len(request.Job.Body), request.Job.HeaderFields, HeaderID, request.ID, HeaderClass, f.conf.Names.Classes[request.Job.Class],
-		HeaderTimeLeft, strconv.FormatInt(timeLeft, 10))
-	c := &call{message: append(message, request.Job.Body...)}
+	c := &call{}
 	c.onAcquire = func() { s.state, s.link = stateDialing, nil }
-	c.onBegin = func(l *workerLink) { s.state, s.link = stateWriting, l }
+	c.onBegin = func(l *workerLink) {
+		s.state, s.link = stateWriting, l
+		c.message = f.attemptMessage(request, w)
+	}
 	c.onWritten = func(err error) {
 		if err == nil {
 			f.relayed++
@@ -101,6 +99,17 @@
 	c.acquireConn(f, w)
 }
 
+// attemptMessage returns the message of an attempt that begins now. The time that it states as left is what remains of the
+// client's at this moment: a dial or a busy loop may have taken some since the Dispatcher chose the worker. The message is a
+// copy, since it may still be being written when the request is closed.
+func (f *Front) attemptMessage(request *core.Request, w *poolWorker) []byte {
+	job := &request.Job
+	timeLeft := min(max(1, request.TimeLeft(f.loop.Clock())/core.Millisecond), admission.MaxTimeLeftMS)
+	message := http1.AppendRequest(make([]byte, 0, 320+len(job.HeaderFields)+len(job.Body)), "POST", job.Target, w.address, len(job.Body),
+		job.HeaderFields, HeaderID, request.ID, HeaderClass, f.conf.Names.Classes[job.Class], HeaderTimeLeft, strconv.FormatInt(timeLeft, 10))
+	return append(message, job.Body...)
+}
+
 // isUnprocessed reports whether a response proves that the request was not begun.
 func isUnprocessed(r *http1.Response) bool {
 	return (r.Status == 503 || r.Status == 504) && string(r.Get(HeaderUnprocessed)) == "1"
