Show that a request in the accept queue is reset when a listener closes

The poller is held, clients connect and send, and the listener closes: what the kernel has established and nobody has accepted is reset.

A client that is refused, or whose SYN is dropped until the listener is closed, was never established and passes.

--- /dev/null
+++ b/internal/faktory/close_race_test.go
@@ -0,0 +1,46 @@
+package faktory_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"github.com/stretchr/testify/assert"
+
+	"cobaltflow/internal/standin"
+)
+
+// exchange connects, sends a command before the greeting has come, and reads the first line, whatever it is.
+func exchange(address string) error {
+	c, err := net.DialTimeout("tcp", address, standin.WaitTimeout)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(standin.WaitTimeout))
+	if _, err := fmt.Fprint(c, "HELLO {\"v\":2}\r\n"); err != nil {
+		return fmt.Errorf("write: %w", err)
+	}
+	if _, err := bufio.NewReader(c).ReadString('\n'); err != nil {
+		return fmt.Errorf("read: %w", err)
+	}
+	return nil
+}
+
+// Guards against the reset of connections that wait in the accept queue when the listener closes at the end of the process.
+func TestSessionRacingListenerCloseIsAnswered(t *testing.T) {
+	n := start(t, nil)
+	var race *standin.CloseRace
+	n.RunOnLoop(func() {
+		n.Faktory.ReplaceListener(func(l netpoll.Listener) (hooked netpoll.Listener) {
+			hooked, race = standin.RaceClose(t, l, 1, func(int) error { return exchange(l.Addr().String()) })
+			return hooked
+		})
+	})
+	n.Gateway.Stop()
+	<-n.Ended
+	assert.Empty(t, race.Failures(), "clients without an answer")
+}
--- a/internal/faktory/export_test.go
+++ b/internal/faktory/export_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 
+	"github.com/cloudwego/netpoll"
+
 	"cobaltflow/internal/core"
 )
 
@@ -36,3 +38,8 @@
 	}
 	return n
 }
+
+// ReplaceListener sets the listener that Close closes to the result of replace. It is called on the loop.
+func (f *Front) ReplaceListener(replace func(netpoll.Listener) netpoll.Listener) {
+	f.listener = replace(f.listener)
+}
--- /dev/null
+++ b/internal/front/admin/close_race_test.go
@@ -0,0 +1,49 @@
+package admin_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"github.com/stretchr/testify/assert"
+
+	"cobaltflow/internal/standin"
+)
+
+// exchange sends a call on a new connection and reads the whole answer.
+func exchange(address string) error {
+	c, err := net.DialTimeout("tcp", address, standin.WaitTimeout)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(standin.WaitTimeout))
+	if _, err := io.WriteString(c, "GET /-/ready HTTP/1.1\r\nHost: ops\r\n\r\n"); err != nil {
+		return fmt.Errorf("write: %w", err)
+	}
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return fmt.Errorf("read: %w", err)
+	}
+	return r.Body.Close()
+}
+
+// Guards against the reset of connections that wait in the accept queue when the listener closes at the end of the process.
+func TestCallRacingListenerCloseIsAnswered(t *testing.T) {
+	n := start(t, t.TempDir(), standin.NewWorker(t, "s-1", nil))
+	var race *standin.CloseRace
+	n.RunOnLoop(func() {
+		n.Gateway.Admin.ReplaceListener(func(l netpoll.Listener) (hooked netpoll.Listener) {
+			hooked, race = standin.RaceClose(t, l, 1, func(int) error { return exchange(l.Addr().String()) })
+			return hooked
+		})
+	})
+	n.Gateway.Stop()
+	<-n.Ended
+	assert.Empty(t, race.Failures(), "clients without an answer")
+}
--- a/internal/front/http2/client_test.go
+++ b/internal/front/http2/client_test.go
@@ -80,6 +80,11 @@
 	require.NoError(n.T, err)
 	n.T.Cleanup(func() { nc.Close() })
 	nc.SetDeadline(time.Now().Add(standin.WaitTimeout))
+	return newRawConn(nc, settings...)
+}
+
+// newRawConn sends the client's preface on a connection.
+func newRawConn(nc net.Conn, settings ...xhttp2.Setting) *rawConn {
 	r := &rawConn{Framer: xhttp2.NewFramer(nc, nc), nc: nc, next: 1}
 	r.AllowIllegalWrites = true
 	r.enc = hpack.NewEncoder(&r.buf)
--- a/internal/platform/export_test.go
+++ b/internal/platform/export_test.go
@@ -117,3 +117,8 @@
 // SetListLimits sets the bounds of the lists that are read on connections to discovery opened from now on. It is called on
 // the loop.
 func (f *Front) SetListLimits(limits discovery.Limits) { f.listLimits = limits }
+
+// ReplaceListener sets the listener that the shutdown closes to the result of replace. It is called on the loop.
+func (f *Front) ReplaceListener(replace func(netpoll.Listener) netpoll.Listener) {
+	f.listener = replace(f.listener)
+}
--- /dev/null
+++ b/internal/platform/upgrade_race_test.go
@@ -0,0 +1,82 @@
+package platform_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"github.com/stretchr/testify/assert"
+
+	"cobaltflow/internal/config"
+	"cobaltflow/internal/core"
+	"cobaltflow/internal/standin"
+)
+
+// Races of the end of a process with requests on connections that the kernel has established. These tests stop the poller of
+// the test's process, so they do not run in parallel.
+
+// exchange sends a request on a new connection and reads the whole answer.
+func exchange(address, request string) error {
+	c, err := net.DialTimeout("tcp", address, standin.WaitTimeout)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(standin.WaitTimeout))
+	if _, err := io.WriteString(c, request); err != nil {
+		return fmt.Errorf("write: %w", err)
+	}
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return fmt.Errorf("read: %w", err)
+	}
+	defer r.Body.Close()
+	if _, err = io.Copy(io.Discard, r.Body); err != nil {
+		return fmt.Errorf("read: %w", err)
+	}
+	if r.StatusCode != 200 && r.StatusCode != 503 {
+		return fmt.Errorf("status %d", r.StatusCode)
+	}
+	return nil
+}
+
+// handOverLate begins a shutdown with a successor, which has reached the time of the last answers already.
+func handOverLate(n *standin.Node) {
+	n.RunOnLoop(func() {
+		n.Front.HandOver()
+		n.Front.StopSince(n.Loop.Now()-3600*core.Millisecond, n.Loop.Stop)
+	})
+}
+
+// Guards against the reset of connections that wait in the accept queue when the listener closes: each client that connects
+// and sends between the last accept and the close gets an answer, from this process or from its successor.
+func TestRequestRacingListenerCloseIsAnswered(t *testing.T) {
+	for name, end := range map[string]func(n *standin.Node){
+		"handover": handOverLate,
+		"SIGTERM": func(n *standin.Node) {
+			n.RunOnLoop(func() { n.Front.StopSince(n.Loop.Now()-2*core.Second, n.Loop.Stop) })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := standin.Start(t, nil, standin.NewWorker(t, "s-1", nil))
+			address := n.Front.Address()
+			standin.Start(t, func(c *config.Config) { c.Listen = address }, standin.NewWorker(t, "s-2", nil))
+			var race *standin.CloseRace
+			n.RunOnLoop(func() {
+				n.Front.ReplaceListener(func(l netpoll.Listener) (hooked netpoll.Listener) {
+					hooked, race = standin.RaceClose(t, l, 32, func(client int) error {
+						return exchange(address, fmt.Sprintf(completeRequest, fmt.Sprint("id-", client)))
+					})
+					return hooked
+				})
+			})
+			end(n)
+			assert.Empty(t, race.Failures(), "clients without an answer")
+		})
+	}
+}
