--- a/internal/platform/accept.go
+++ b/internal/platform/accept.go
@@ -84,6 +84,9 @@
 // Accept runs on the poller, which goes on after a result without a connection and without an error.
 func (l limitedListener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
+	if hook := l.f.afterAccept.Load(); hook != nil && nc != nil {
+		(*hook)()
+	}
 	if nc == nil || err != nil || l.f.acceptedConns.Load() < l.f.acceptLimit.Load() {
 		return nc, err
 	}
--- a/internal/platform/export_test.go
+++ b/internal/platform/export_test.go
@@ -122,3 +122,6 @@
 func (f *Front) ReplaceListener(replace func(netpoll.Listener) netpoll.Listener) {
 	f.listener = replace(f.listener)
 }
+
+// SetAfterAccept sets a function that runs between the accept of a connection and its count. It is called on the poller.
+func (f *Front) SetAfterAccept(hook func()) { f.afterAccept.Store(&hook) }
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -92,7 +92,9 @@
 	isHandingOver    bool      // a successor serves at this address: after SIGTERM this process ends as early as it can
 	isListenerClosed bool
 	beforeIdleClose  func() // test hook: runs between the check that a connection is idle and its close; nil: none
-	relayed          uint64 // requests written completely to the workers
+	// afterAccept is a test hook that runs on the poller between an accept and the count of its connection; nil: none.
+	afterAccept atomic.Pointer[func()]
+	relayed     uint64 // requests written completely to the workers
 	// processes is the number of live processes of this scheduler, this one included, which divide its limits.
 	processes          int
 	unknownCallbacks   uint64 // callbacks refused because no process knows their job ID
--- a/internal/platform/upgrade_race_test.go
+++ b/internal/platform/upgrade_race_test.go
@@ -80,3 +80,39 @@
 		})
 	}
 }
+
+// Guards against the loss of a connection that the poller has accepted and not counted yet when the shutdown looks for the
+// last time whether anything is pending: its request is answered before the process ends.
+func TestShutdownWaitsForUncountedConnection(t *testing.T) {
+	for name, end := range map[string]func(n *standin.Node){
+		"handover": handOverLate,
+		"SIGTERM": func(n *standin.Node) {
+			n.RunOnLoop(func() { n.Front.StopSince(n.Loop.Now()-2*core.Second, n.Loop.Stop) })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := standin.Start(t, nil, standin.NewWorker(t, "s-1", nil))
+			accepted, isCounted := make(chan struct{}), make(chan struct{})
+			n.Front.SetAfterAccept(func() {
+				close(accepted)
+				select { // a shutdown that waits for the connection gets it after the bound
+				case <-n.Ended:
+				case <-time.After(500 * time.Millisecond):
+				}
+				close(isCounted)
+			})
+			answer := make(chan error, 1)
+			go func() { answer <- exchange(n.Front.Address(), fmt.Sprintf(completeRequest, "id-1")) }()
+			<-accepted
+			end(n)
+			<-n.Ended
+			select {
+			case err := <-answer:
+				assert.NoError(t, err)
+			case <-time.After(100 * time.Millisecond):
+				t.Error("the process ended with an accepted connection and an unanswered request")
+			}
+			<-isCounted
+		})
+	}
+}
