Show that a refusal sent in advance survives the close over an unread request

The connection is reset, but the client has the 503 in its receive queue and reads it, late too. A further write of the client fails with a broken pipe, as the first test logs: a client that writes its request in two parts and gives up at a failed write would not look at the answer.

--- a/internal/platform/upgrade_race_test.go
+++ b/internal/platform/upgrade_race_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cloudwego/netpoll"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"cobaltflow/internal/config"
 	"cobaltflow/internal/core"
@@ -116,3 +117,57 @@
 		})
 	}
 }
+
+// Guards against the loss of a refusal that was sent in advance on a new connection: its request, unread in the kernel when
+// the last step of the shutdown closes the connection, or sent behind that, does not keep its client from reading it.
+func TestRefusalInAdvanceOutlivesClose(t *testing.T) {
+	for _, isUnread := range []bool{true, false} {
+		t.Run(fmt.Sprint("request before the close: ", isUnread), func(t *testing.T) {
+			n := standin.Start(t, nil, standin.NewWorker(t, "s-1", nil))
+			c := standin.Dial(t, n.Front.Address())
+			eventuallyOnLoop(n, func() bool { registered, _, _ := n.Front.ClientCounts(); return registered == 1 })
+			var resume func()
+			n.RunOnLoop(func() {
+				n.Front.SetBeforeIdleClose(func() {
+					if resume == nil && isUnread {
+						resume = standin.PausePoller(t)
+						c.Send(fmt.Sprintf(completeRequest, "id-1"))
+					}
+				})
+			})
+			handOverLate(n)
+			<-n.Ended // the connection is closed
+			if isUnread {
+				require.NotNil(t, resume)
+				resume()
+				_, err := io.WriteString(c.Conn, "x")
+				t.Log("a further write of the client:", err)
+			} else {
+				c.Send(fmt.Sprintf(completeRequest, "id-1"))
+			}
+			assert.Equal(t, 503, readStatus(t, c))
+		})
+	}
+}
+
+// Guards against the same loss at the end of the linger: the refusal is sent in a drain, the request stays unread until the
+// linger ends, and the client reads late.
+func TestRefusalInAdvanceOutlivesLinger(t *testing.T) {
+	n := standin.Start(t, nil, standin.NewWorker(t, "s-1", nil))
+	c := standin.Dial(t, n.Front.Address())
+	eventuallyOnLoop(n, func() bool { registered, _, _ := n.Front.ClientCounts(); return registered == 1 })
+	var resume func()
+	n.RunOnLoop(func() {
+		n.Front.SetBeforeIdleClose(func() {
+			if resume == nil {
+				resume = standin.PausePoller(t)
+				c.Send(fmt.Sprintf(completeRequest, "id-1"))
+			}
+		})
+		n.Front.Drain()
+	})
+	n.Eventually(func() bool { return n.HasLogged("reason=shut-down") }) // the linger has ended
+	require.NotNil(t, resume)
+	resume()
+	assert.Equal(t, 503, readStatus(t, c))
+}
