Show that the last step of the shutdown resets a worker's connection

A callback that is unread in the kernel then is reset with no answer. The worker repeats it, so nothing is lost for good, but it is the one close of the front with neither an answer nor the end of our side before it.

--- a/internal/platform/upgrade_race_test.go
+++ b/internal/platform/upgrade_race_test.go
@@ -171,3 +171,30 @@
 	resume()
 	assert.Equal(t, 503, readStatus(t, c))
 }
+
+// Guards against a reset of a worker's connection in the last step of the shutdown: a callback that is unread in the kernel
+// when the connection is closed is answered or, as the worker repeats it, ends in order.
+func TestCallbackRacingLastCloseIsNotReset(t *testing.T) {
+	n := standin.Start(t, nil, standin.NewWorker(t, "s-1", nil))
+	callback := `{"id":"id-9","from":"s-1","state":"done"}`
+	text := fmt.Sprintf("POST /v1/job-events HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(callback), callback)
+	require.Equal(t, 200, n.SendRequest("settle", "k", "id-9", 5000, "").Status) // later callbacks of this ID are answered 204
+	c := standin.Dial(t, n.Front.Address())
+	c.Send(text)
+	require.Equal(t, 204, readStatus(t, c))
+	n.RunOnLoop(func() {
+		n.Front.ReplaceListener(func(l netpoll.Listener) netpoll.Listener {
+			return &standin.HookedListener{Listener: l, Before: func() {}, After: func() { // the last step comes 20 ms later
+				resume := standin.PausePoller(t)
+				c.Send(text)
+				go func() { <-n.Ended; resume() }()
+				time.AfterFunc(500*time.Millisecond, resume) // for a shutdown that reads it first
+			}}
+		})
+	})
+	handOverLate(n)
+	_, err := c.Reader.ReadByte()
+	if err != nil {
+		assert.ErrorIs(t, err, io.EOF)
+	}
+}
