Show that HTTP/2, admin and Faktory reset accepted connections with unread input

The Close of each of these fronts closes its connections outright. With the request in the kernel and unread, the client reads a reset: a call to the admin address, a PUSH of a Faktory session, and a stream on an HTTP/2 connection that was opened after the last GOAWAY, which is greeted with the announcing GOAWAY only and so is never told that its stream may be sent elsewhere.

--- a/internal/faktory/close_race_test.go
+++ b/internal/faktory/close_race_test.go
@@ -44,3 +44,20 @@
 	<-n.Ended
 	assert.Empty(t, race.Failures(), "clients without an answer")
 }
+
+// Guards against the reset of a session whose PUSH is unread in the kernel when the front closes: it is rejected.
+func TestUnreadPushAtCloseIsRejected(t *testing.T) {
+	n := start(t, nil)
+	c := session(n, "")
+	resume := standin.PausePoller(t)
+	c.Send("PUSH {\"jid\":\"job-0001\",\"jobtype\":\"settle\",\"args\":[]}\r\n")
+	n.RunOnLoop(func() {
+		n.Faktory.Drain()
+		n.Faktory.Close()
+	})
+	resume()
+	line, err := c.Reader.ReadString('\n')
+	if assert.NoError(t, err) {
+		assert.Equal(t, byte('-'), line[0], line)
+	}
+}
--- a/internal/front/admin/close_race_test.go
+++ b/internal/front/admin/close_race_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cloudwego/netpoll"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"cobaltflow/internal/standin"
 )
@@ -47,3 +48,19 @@
 	<-n.Ended
 	assert.Empty(t, race.Failures(), "clients without an answer")
 }
+
+// Guards against the reset of an accepted connection whose call is unread in the kernel when the front closes.
+func TestUnreadCallAtCloseIsAnswered(t *testing.T) {
+	n := start(t, t.TempDir(), standin.NewWorker(t, "s-1", nil))
+	c := standin.Dial(t, n.Gateway.Admin.Address())
+	status, _ := send(t, n, "GET", "/-/ready") // on a connection that is accepted later, so c is registered
+	require.Equal(t, 200, status)
+	resume := standin.PausePoller(t)
+	c.Send("GET /-/ready HTTP/1.1\r\nHost: ops\r\n\r\n")
+	n.RunOnLoop(n.Gateway.Admin.Close)
+	resume()
+	r, err := http.ReadResponse(c.Reader, nil)
+	if assert.NoError(t, err) {
+		assert.Contains(t, []int{200, 503}, r.StatusCode)
+	}
+}
--- a/internal/front/http2/close_race_test.go
+++ b/internal/front/http2/close_race_test.go
@@ -57,3 +57,21 @@
 	<-n.Ended
 	assert.Empty(t, race.Failures(), "clients without an answer")
 }
+
+// Guards against a bare end or a reset under a stream on a connection that was opened after the last GOAWAY: the request is
+// unread in the kernel when the front closes its connections.
+func TestStreamRacingCloseOfNewConnectionIsRefused(t *testing.T) {
+	n := start(t, nil, standin.NewWorker(t, "s-1", nil))
+	n.RunOnLoop(func() { n.HTTP2.Drain(1000) })
+	n.Eventually(func() (isDrained bool) {
+		n.RunOnLoop(func() { isDrained = n.HTTP2.IsDrained() })
+		return isDrained
+	})
+	r := dial(n)
+	r.readUntil(t, isGoAway)
+	resume := standin.PausePoller(t)
+	stream := r.sendRequest("settle", "id-1", 15000, true)
+	n.RunOnLoop(n.HTTP2.Close)
+	resume()
+	assert.NoError(t, readOutcome(r.Framer, stream))
+}
