Show that a successor can't listen where HTTP/2 or Faktory is served

These two fronts open their listeners without SO_REUSEPORT, against what the README says of all listeners: the start of a second process at the same address fails with "http2.listen: ... address already in use", or with faktory.listen. So with one of them on, an upgrade with two processes can't take place. Both tests fail.

--- a/internal/faktory/close_race_test.go
+++ b/internal/faktory/close_race_test.go
@@ -3,13 +3,16 @@
 import (
 	"bufio"
 	"fmt"
+	"log/slog"
 	"net"
 	"testing"
 	"time"
 
 	"github.com/cloudwego/netpoll"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"cobaltflow/internal/gateway"
 	"cobaltflow/internal/standin"
 )
 
@@ -61,3 +64,14 @@
 		assert.Equal(t, byte('-'), line[0], line)
 	}
 }
+
+// Guards against an upgrade that cannot start: a successor listens at the address that its predecessor still serves.
+func TestSuccessorListensAtSameAddress(t *testing.T) {
+	n := start(t, nil)
+	conf := *n.Conf
+	conf.Listen, conf.Faktory.Listen, conf.StateDir = "127.0.0.1:0", n.Faktory.Address(), t.TempDir()
+	successor := gateway.New(&conf, slog.New(slog.DiscardHandler))
+	require.NoError(t, successor.Start())
+	successor.Loop.Post(successor.Loop.Stop)
+	successor.Run()
+}
--- a/internal/front/http2/close_race_test.go
+++ b/internal/front/http2/close_race_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"net"
 	"testing"
 	"time"
 
 	"github.com/cloudwego/netpoll"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	xhttp2 "golang.org/x/net/http2"
 
+	"cobaltflow/internal/gateway"
 	"cobaltflow/internal/standin"
 )
 
@@ -75,3 +78,14 @@
 	resume()
 	assert.NoError(t, readOutcome(r.Framer, stream))
 }
+
+// Guards against an upgrade that cannot start: a successor listens at the address that its predecessor still serves.
+func TestSuccessorListensAtSameAddress(t *testing.T) {
+	n := start(t, nil)
+	conf := *n.Conf
+	conf.Listen, conf.HTTP2.Listen, conf.StateDir = "127.0.0.1:0", n.HTTP2.Address(), t.TempDir()
+	successor := gateway.New(&conf, slog.New(slog.DiscardHandler))
+	require.NoError(t, successor.Start())
+	successor.Loop.Post(successor.Loop.Stop)
+	successor.Run()
+}
