Let a successor listen where HTTP/2 and Faktory are served

The start of a second process failed with http2.listen or faktory.listen, "address already in use", as these two fronts opened their listeners through netpoll and without SO_REUSEPORT. They listen through package link now, like the HTTP/1.1 front and the admin address, and have its tolerance of failing accepts and its single close of the descriptor with it.

TestSuccessorListensAtSameAddress failed in both packages before and passes. No order of events is involved.

What remains: both fronts still reset connections that wait in the accept queue at the close (TestStreamRacingListenerCloseIsAnswered, TestSessionRacingListenerCloseIsAnswered) and unread input (TestStreamRacingCloseOfNewConnectionIsRefused, TestUnreadPushAtCloseIsRejected); these tests fail still.

--- a/internal/faktory/front.go
+++ b/internal/faktory/front.go
@@ -101,7 +101,7 @@
 
 // Start opens the listener and begins to serve; a *config.Error says that the address cannot be used.
 func (f *Front) Start() error {
-	ln, err := netpoll.CreateListener("tcp", f.conf.Faktory.Listen)
+	ln, err := link.Listen(f.conf.Faktory.Listen)
 	if err != nil {
 		return &config.Error{Key: "faktory.listen", Text: err.Error()}
 	}
--- a/internal/front/http2/front.go
+++ b/internal/front/http2/front.go
@@ -64,7 +64,7 @@
 
 // Start opens the listener and begins to serve; a *config.Error says that the address cannot be used.
 func (f *Front) Start() error {
-	ln, err := netpoll.CreateListener("tcp", f.conf.HTTP2.Listen)
+	ln, err := link.Listen(f.conf.HTTP2.Listen)
 	if err != nil {
 		return &config.Error{Key: "http2.listen", Text: err.Error()}
 	}
