Drain a listener before it closes

A connection between its accept and its count was missed in the same way.

The close of a listener of any front now begins a drain (link.DrainingListener): IP_MINTTL 255, and IPV6_MINHOPCOUNT on IPv6, make the kernel ignore new connection attempts, whose clients repeat them after 1 s and reach the successor; handshakes that had begun get 50 ms; the socket is closed when its accept queue (tcpi_unacked) is empty. The option is undone on connections that inherit it. Connections are counted before accept(2). The end of the process waits for the close and for the count. In the event in which the drain begins, admission ends in all fronts: 503 with Retry-After 0, and REFUSED_STREAM on HTTP/2.

No order of events resets an established connection now: after the option is set nothing new enters the queue but handshakes that had begun, what leaves the queue is counted before it leaves, and the close takes the lock that an accept in progress holds. With a successor the drain begins 0.15 s before the last answers, whatever is open.

What remains: where the kernel refuses the option, a connection that is established between the last look at the queue and the close is reset; a handshake that takes longer than 50 ms is dropped and begun anew; a queue that does not become empty in 20 looks is closed.

--- a/internal/faktory/front.go
+++ b/internal/faktory/front.go
@@ -48,13 +48,15 @@
 	conf *config.Config
 	log  *slog.Logger
 
-	listener        netpoll.Listener
-	server          netpoll.EventLoop // serves the listener's connections
-	sessions        core.SlotMap[*session]
-	sessionsToFlush []*session         // have replies from this turn
-	newFetches      []*session         // their FETCH came in this turn
-	workers         map[string]*worker // by wid
-	queuePools      map[string]*core.Pool
+	// listener is what CloseListener closes: drainingListener, unless a test has put a hook before it.
+	listener         netpoll.Listener
+	drainingListener *link.DrainingListener
+	server           netpoll.EventLoop // serves the listener's connections
+	sessions         core.SlotMap[*session]
+	sessionsToFlush  []*session         // have replies from this turn
+	newFetches       []*session         // their FETCH came in this turn
+	workers          map[string]*worker // by wid
+	queuePools       map[string]*core.Pool
 	// jobs is the state machine of all pushed jobs.
 	jobs            *jobs.Machine
 	requests        map[*jobs.Job]*jobRequest // the jobs with a request in the core
@@ -105,7 +107,8 @@
 	if err != nil {
 		return &config.Error{Key: "faktory.listen", Text: err.Error()}
 	}
-	f.listener = ln
+	f.drainingListener = link.NewDrainingListener(ln, "faktory", f.loop, f.log)
+	f.listener = f.drainingListener
 	f.server, err = netpoll.NewEventLoop(onRequest, netpoll.WithOnPrepare(f.accept),
 		netpoll.WithOnDisconnect(func(ctx context.Context, _ netpoll.Connection) {
 			s := ctx.Value(sessionKey{}).(*session)
@@ -114,7 +117,7 @@
 	if err != nil {
 		return err
 	}
-	go f.server.Serve(ln)
+	go f.server.Serve(f.drainingListener)
 	f.loop.AfterTurn(f.afterTurn)
 	f.loop.Post(func() {
 		f.jobs.SetTableWorkersReady(f.loop.Now(), f.core.MainPool().HasReadyWorker(f))
@@ -142,10 +145,18 @@
 	})
 }
 
-// Close ends all sessions.
+// CloseListener begins the drain of the listener, which closes when its accept queue is empty.
+func (f *Front) CloseListener() { f.listener.Close() }
+
+// IsListenerClosed reports whether the listener's drain is complete and every connection that came out of it is registered.
+func (f *Front) IsListenerClosed() bool {
+	return f.drainingListener.IsClosed() && !f.drainingListener.HasPendingAccepts()
+}
+
+// Close closes the listener and ends all sessions.
 func (f *Front) Close() {
 	f.closed = true
-	f.listener.Close()
+	f.CloseListener()
 	f.sessions.Each(func(_ core.Ref, s *session) { s.Close(link.Shutdown) })
 }
 
@@ -164,6 +175,7 @@
 
 // greet adds a new connection to the sessions and sends HI, or closes it when max_sessions is reached.
 func (f *Front) greet(s *session) {
+	f.drainingListener.Registered()
 	if s.Ended {
 		return
 	}
--- a/internal/front/admin/admin.go
+++ b/internal/front/admin/admin.go
@@ -62,9 +62,11 @@
 	directives Directives
 	log        *slog.Logger
 
-	listener netpoll.Listener
-	server   netpoll.EventLoop
-	conns    core.SlotMap[*conn]
+	// listener is what CloseListener closes: drainingListener, unless a test has put a hook before it.
+	listener         netpoll.Listener
+	drainingListener *link.DrainingListener
+	server           netpoll.EventLoop
+	conns            core.SlotMap[*conn]
 }
 
 // conn is one connection of an operator.
@@ -91,21 +93,30 @@
 	if err != nil {
 		return &config.Error{Key: "admin", Text: err.Error()}
 	}
-	f.listener = ln
+	f.drainingListener = link.NewDrainingListener(ln, "admin", f.loop, f.log)
+	f.listener = f.drainingListener
 	f.server, err = netpoll.NewEventLoop(f.onRequest, netpoll.WithOnPrepare(f.prepare))
 	if err != nil {
 		return err
 	}
-	go f.server.Serve(ln)
+	go f.server.Serve(f.drainingListener)
 	return nil
 }
 
 // Address returns the address at which the front listens.
 func (f *Front) Address() string { return f.listener.Addr().String() }
 
+// CloseListener begins the drain of the listener, which closes when its accept queue is empty.
+func (f *Front) CloseListener() { f.listener.Close() }
+
+// IsListenerClosed reports whether the listener's drain is complete and every connection that came out of it is registered.
+func (f *Front) IsListenerClosed() bool {
+	return f.drainingListener.IsClosed() && !f.drainingListener.HasPendingAccepts()
+}
+
 // Close closes the listener and every connection.
 func (f *Front) Close() {
-	f.listener.Close()
+	f.CloseListener()
 	f.conns.Each(func(_ core.Ref, c *conn) { c.Close(link.Shutdown) })
 }
 
@@ -119,6 +130,7 @@
 		return nil
 	})
 	f.loop.Post(func() {
+		f.drainingListener.Registered()
 		if c.Ended {
 			return
 		}
--- a/internal/front/admission/admission.go
+++ b/internal/front/admission/admission.go
@@ -77,6 +77,7 @@
 	core      *core.Core
 	names     *config.Names
 	recentIDs recentIDs
+	isStopped bool
 }
 
 // NewController returns an admission controller for a core.
@@ -84,6 +85,13 @@
 	return &Controller{core: c, names: names}
 }
 
+// Stop ends admission for good: the listener that the workers' callbacks need is about to close. It is called on the loop.
+func (c *Controller) Stop() { c.isStopped = true }
+
+// IsStopped reports whether admission has ended. A front then refuses requests in the way of its protocol that says that
+// they may be sent elsewhere, and does not call Admit.
+func (c *Controller) IsStopped() bool { return c.isStopped }
+
 // Admit validates a request and passes it to the core, which reports its answer to client. A rejected request reaches no
 // worker.
 func (c *Controller) Admit(q *Request, client core.Client) (*core.Request, *Rejection) {
--- a/internal/front/http2/front.go
+++ b/internal/front/http2/front.go
@@ -33,14 +33,16 @@
 	admission *admission.Controller
 	ledger    *admission.Ledger
 
-	listener        netpoll.Listener
-	server          netpoll.EventLoop
-	conns           core.SlotMap[*conn]
-	connsToFlush    []*conn
-	draining        bool
-	finalGoAwaySent bool // the second GOAWAY has been sent
-	closed          bool
-	Stats           Stats
+	// listener is what CloseListener closes: drainingListener, unless a test has put a hook before it.
+	listener         netpoll.Listener
+	drainingListener *link.DrainingListener
+	server           netpoll.EventLoop
+	conns            core.SlotMap[*conn]
+	connsToFlush     []*conn
+	draining         bool
+	finalGoAwaySent  bool // the second GOAWAY has been sent
+	closed           bool
+	Stats            Stats
 }
 
 // Stats are counters since the start of the process.
@@ -68,7 +70,8 @@
 	if err != nil {
 		return &config.Error{Key: "http2.listen", Text: err.Error()}
 	}
-	f.listener = ln
+	f.drainingListener = link.NewDrainingListener(ln, "http2", f.loop, f.log)
+	f.listener = f.drainingListener
 	f.server, err = netpoll.NewEventLoop(onRequest, netpoll.WithOnPrepare(f.accept),
 		netpoll.WithOnDisconnect(func(ctx context.Context, _ netpoll.Connection) {
 			c := ctx.Value(connKey{}).(*conn)
@@ -77,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	go f.server.Serve(ln)
+	go f.server.Serve(f.drainingListener)
 	f.loop.AfterTurn(f.afterTurn)
 	f.loop.Post(f.sweep)
 	return nil
@@ -101,6 +104,7 @@
 
 // greet adds a new connection and sends our SETTINGS, which need not wait for the client's (RFC 9113, section 3.4).
 func (f *Front) greet(c *conn) {
+	f.drainingListener.Registered()
 	if c.Ended {
 		return
 	}
@@ -200,10 +204,18 @@
 	return done
 }
 
-// Close closes all connections.
+// CloseListener begins the drain of the listener, which closes when its accept queue is empty.
+func (f *Front) CloseListener() { f.listener.Close() }
+
+// IsListenerClosed reports whether the listener's drain is complete and every connection that came out of it is registered.
+func (f *Front) IsListenerClosed() bool {
+	return f.drainingListener.IsClosed() && !f.drainingListener.HasPendingAccepts()
+}
+
+// Close closes the listener and all connections.
 func (f *Front) Close() {
 	f.closed = true
-	f.listener.Close()
+	f.CloseListener()
 	f.conns.Each(func(_ core.Ref, c *conn) { c.Close(link.Shutdown) })
 }
 
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -84,6 +84,11 @@
 		s.serveLocal("GET", func() { s.respondJobState(strings.TrimPrefix(path, PathJobs)) })
 		return
 	}
+	if f.admission.IsStopped() {
+		f.Stats.Refused++
+		c.reset(s.id, RefusedStream)
+		return
+	}
 	req, rejection := f.admission.Admit(&admission.Request{Method: h.method, Target: h.path, Path: path, Body: s.body, Header: h.get,
 		HeaderFields: func(b []byte) []byte {
 			for _, field := range h.fields {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,15 +21,15 @@
 
 // Gateway is one scheduler in this process.
 type Gateway struct {
-	Conf        *config.Config
-	Loop        *core.Loop
-	Core        *core.Core
-	Front       *platform.Front // HTTP/1.1
-	Faktory     *faktory.Front  // nil: off
-	HTTP2       *http2.Front    // nil: off
-	Admin       *admin.Front    // nil: no admin address is configured
-	log         *slog.Logger
-	closeChecks int // how often closeFronts has waited for the HTTP/2 front
+	Conf       *config.Config
+	Loop       *core.Loop
+	Core       *core.Core
+	Front      *platform.Front // HTTP/1.1
+	Faktory    *faktory.Front  // nil: off
+	HTTP2      *http2.Front    // nil: off
+	Admin      *admin.Front    // nil: no admin address is configured
+	log        *slog.Logger
+	closeUntil core.Time // when closeFronts ends its wait; 0: it has not begun
 
 	directives *directives
 	onReload   func()
@@ -51,6 +51,7 @@
 	}
 	controller := admission.NewController(g.Core, &conf.Names)
 	g.Front = platform.New(g.Core, conf, controller, log)
+	g.Front.OnListenerDrain(g.closeListeners)
 	if conf.HTTP2.IsEnabled() {
 		g.HTTP2 = http2.New(g.Core, conf, controller, log)
 	}
@@ -154,28 +155,74 @@
 }
 
 const (
-	closeCheckPeriod = 20 * core.Millisecond // also the time between the fronts' close and the end of the loop
-	maxCloseChecks   = 100
+	closeCheckPeriod = 5 * core.Millisecond
+	maxCloseWait     = 2 * core.Second
+	// endDelay is the time between the fronts' close and the end of the loop, in which the ends of connections are logged.
+	endDelay = 20 * core.Millisecond
 )
 
+// closableFront is a front that ends after the HTTP/1.1 front.
+type closableFront interface {
+	// CloseListener begins the drain of the front's listener.
+	CloseListener()
+	// IsListenerClosed reports whether that drain is complete.
+	IsListenerClosed() bool
+	// Close closes the front's listener and connections.
+	Close()
+}
+
+// otherFronts returns the fronts besides the HTTP/1.1 front.
+func (g *Gateway) otherFronts() (fronts []closableFront) {
+	if g.Faktory != nil {
+		fronts = append(fronts, g.Faktory)
+	}
+	if g.HTTP2 != nil {
+		fronts = append(fronts, g.HTTP2)
+	}
+	if g.Admin != nil {
+		fronts = append(fronts, g.Admin)
+	}
+	return fronts
+}
+
+// closeListeners begins the drain of the other fronts' listeners together with that of the HTTP/1.1 front.
+func (g *Gateway) closeListeners() {
+	for _, front := range g.otherFronts() {
+		front.CloseListener()
+	}
+}
+
 // closeFronts closes the other fronts once the HTTP/1.1 front has ended. The core then has no open requests, theirs
-// included, and only answers may still be unsent: the HTTP/2 front gets up to maxCloseChecks periods to send them.
+// included. Only their listeners may still drain and the answers of the HTTP/2 front may be unsent, which get up to
+// maxCloseWait.
 func (g *Gateway) closeFronts() {
-	if g.HTTP2 != nil && !g.HTTP2.IsDrained() && g.closeChecks < maxCloseChecks {
-		g.closeChecks++
-		g.Loop.At(g.Loop.Now()+closeCheckPeriod, g.closeFronts)
+	now := g.Loop.Now()
+	if g.closeUntil == 0 {
+		g.closeUntil = now + maxCloseWait
+	}
+	if !g.areFrontsDrained() && now < g.closeUntil {
+		g.Loop.At(now+closeCheckPeriod, g.closeFronts)
 		return
 	}
-	if g.Faktory != nil {
-		g.Faktory.Close()
+	fronts := g.otherFronts()
+	for _, front := range fronts {
+		front.Close()
 	}
-	if g.HTTP2 != nil {
-		g.HTTP2.Close()
+	if len(fronts) == 0 {
+		g.Loop.Stop()
+		return
 	}
-	if g.Admin != nil {
-		g.Admin.Close()
+	g.Loop.At(now+endDelay, g.Loop.Stop)
+}
+
+// areFrontsDrained reports whether the other fronts' listeners are closed and the HTTP/2 front has sent its answers.
+func (g *Gateway) areFrontsDrained() bool {
+	for _, front := range g.otherFronts() {
+		if !front.IsListenerClosed() {
+			return false
+		}
 	}
-	g.Loop.At(g.Loop.Now()+closeCheckPeriod, g.Loop.Stop)
+	return g.HTTP2 == nil || g.HTTP2.IsDrained()
 }
 
 // ApplyLimits sets the Go runtime's limits (GOMAXPROCS, the memory limit and the collector's pace) from the configured ones.
--- a/internal/link/socket.go
+++ b/internal/link/socket.go
@@ -16,8 +16,9 @@
 type socketListener struct {
 	addr net.Addr
 
-	mu sync.RWMutex // readers use fd, which Close sets to -1
-	fd int
+	mu         sync.RWMutex // readers use fd, which Close sets to -1
+	fd         int
+	ignoresNew bool // ignoreNewConnections was called
 }
 
 // newSocketListener moves the socket of a Go listener to a descriptor of its own and closes the Go listener. It is closed
@@ -56,11 +57,66 @@
 	if err != nil {
 		return nil, err
 	}
+	if l.ignoresNew {
+		acceptAnyHopLimit(fd)
+	}
 	// netpoll sets TCP_NODELAY on connections of its own type only. A connection on which it fails is slower and works.
 	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
 	return &acceptedConn{fd: fd, local: l.addr, remote: tcpAddr(peer)}, nil
 }
 
+// ignoreNewConnections makes the kernel drop the segments that reach the listening socket itself: connection attempts.
+// Handshakes that have begun and connections in the accept queue have sockets of their own and are not affected. It
+// demands a hop limit of 255, which no common system sends with (Linux: 64).
+func (l *socketListener) ignoreNewConnections() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.fd < 0 {
+		return net.ErrClosed
+	}
+	l.ignoresNew = true
+	return setMinHopLimit(l.fd, maxHopLimit)
+}
+
+// queuedConnections returns the length of the accept queue: connections that are established and not accepted.
+func (l *socketListener) queuedConnections() (int, error) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	if l.fd < 0 {
+		return 0, net.ErrClosed
+	}
+	if info, err := unix.GetsockoptTCPInfo(l.fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+		return int(info.Unacked), nil // of a listening socket: the length of its accept queue
+	}
+	events := []unix.PollFd{{Fd: int32(l.fd), Events: unix.POLLIN}}
+	n, err := unix.Poll(events, 0) // returns at once: 1 if a connection is in the queue
+	return n, err
+}
+
+const maxHopLimit = 255
+
+// setMinHopLimit makes the kernel drop segments with a smaller hop limit. A socket of IPv6 serves IPv4 as well, unless the
+// system forbids it.
+func setMinHopLimit(fd, limit int) error {
+	address, err := unix.Getsockname(fd)
+	if err != nil {
+		return err
+	}
+	errIPv4 := unix.SetsockoptInt(fd, unix.IPPROTO_IP, unix.IP_MINTTL, limit)
+	if _, isIPv6 := address.(*unix.SockaddrInet6); !isIPv6 {
+		return errIPv4
+	}
+	if err := unix.SetsockoptInt(fd, unix.IPPROTO_IPV6, unix.IPV6_MINHOPCOUNT, limit); err != nil {
+		return err
+	}
+	return errIPv4
+}
+
+// acceptAnyHopLimit undoes setMinHopLimit on an accepted connection, which inherits the option from its listener if its
+// handshake ended behind it. What its client has sent meanwhile was dropped and is retransmitted. An error means that the
+// option is not known, so that it is not set either.
+func acceptAnyHopLimit(fd int) { _ = setMinHopLimit(fd, 0) }
+
 // Close implements net.Listener. A second call has no effect.
 func (l *socketListener) Close() error {
 	l.mu.Lock()
@@ -127,4 +183,5 @@
 var (
 	_ netpoll.Listener = (*socketListener)(nil)
 	_ netpoll.Conn     = (*acceptedConn)(nil)
+	_ drainableSocket  = (*socketListener)(nil)
 )
--- a/internal/platform/accept.go
+++ b/internal/platform/accept.go
@@ -74,8 +74,9 @@
 // connKey is the context key of a connection's *clientConn.
 type connKey struct{}
 
-// limitedListener closes connections above the accept limit. Without it, connections that arrive faster than the loop
-// turns would use up the descriptors.
+// limitedListener counts accepted connections and closes those above the accept limit. Without the limit, connections that
+// arrive faster than the loop turns would use up the descriptors. A connection is counted before it leaves the kernel's
+// accept queue: one that is in neither would be missed by a shutdown that looks for what is pending.
 type limitedListener struct {
 	netpoll.Listener
 	f *Front
@@ -83,24 +84,30 @@
 
 // Accept runs on the poller, which goes on after a result without a connection and without an error.
 func (l limitedListener) Accept() (net.Conn, error) {
+	count := l.f.acceptedConns.Add(1)
 	nc, err := l.Listener.Accept()
-	if hook := l.f.afterAccept.Load(); hook != nil && nc != nil {
+	if nc == nil || err != nil {
+		l.f.acceptedConns.Add(-1)
+		return nc, err
+	}
+	if hook := l.f.afterAccept.Load(); hook != nil {
 		(*hook)()
 	}
-	if nc == nil || err != nil || l.f.acceptedConns.Load() < l.f.acceptLimit.Load() {
-		return nc, err
+	if count <= l.f.acceptLimit.Load() {
+		return nc, nil
 	}
 	peer := nc.RemoteAddr().String()
 	nc.Close()
+	l.f.acceptedConns.Add(-1)
 	l.f.loop.Post(func() {
 		link.LogEnd(l.f.log, "agent", peer, link.OverBudget, 0, 0)
 	})
 	return nil, nil
 }
 
-// onAccept registers a new connection. It runs on the poller, before anything is read from the connection.
+// onAccept registers a new connection, which limitedListener has counted. It runs on the poller, before anything is read
+// from the connection.
 func (f *Front) onAccept(nc netpoll.Connection) context.Context {
-	f.acceptedConns.Add(1)
 	c := &clientConn{front: f}
 	c.Init(nc, "agent", nc.RemoteAddr().String(), 0)
 	c.OnClose = func() {
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -6,8 +6,13 @@
 	"cobaltflow/rules"
 )
 
-// shutdownPollInterval is the interval of pollShutdown, and the delay from closing the last connections to onStopped.
-const shutdownPollInterval = 20 * core.Millisecond
+const (
+	// shutdownPollInterval is the interval of pollShutdown, and the delay from closing the last connections to onStopped.
+	shutdownPollInterval = 20 * core.Millisecond
+	// listenerDrainLead is how long before answerBy the listener begins to drain beside a successor. The drain takes 50 ms,
+	// and a process that gets a quarter of the processor's time begins up to 0.1 s late.
+	listenerDrainLead = 150 * core.Millisecond
+)
 
 // shutdownSchedule holds the steps of a shutdown, each as the time after SIGTERM. It ends before the platform may kill the
 // process.
@@ -15,10 +20,12 @@
 	// Until acceptUntil, requests are admitted and connections are kept as before: clients go on using the connections they
 	// have, and in a rolling restart of a zone there may be no other scheduler to go to yet.
 	acceptUntil core.Time
-	// If a successor serves at the same address, jobs that arrive after refuseJobsAfter are refused, and the listener is
-	// closed at answerBy, since until the kill the kernel would go on assigning half of all new connections to this process.
+	// If a successor serves at the same address, jobs that arrive after refuseJobsAfter are refused, and the listener closes
+	// about answerBy, since until the kill the kernel would go on assigning half of all new connections to this process.
 	refuseJobsAfter core.Time
 	answerBy        core.Time // requests that are still open are answered at this time
+	// If a successor serves at the same address, the listener begins its drain at drainListenerAt, whatever is open.
+	drainListenerAt core.Time
 }
 
 // newShutdownSchedule derives the schedule from the longest deadline of the classes, or from maxCountedDeadline if no class
@@ -33,7 +40,9 @@
 	}
 	answerBy := min(longest, maxCountedDeadline) + killDelay - killMargin
 	acceptUntil := max(answerBy*11/30, min(newConnectionWindow, answerBy*3/4))
-	return shutdownSchedule{acceptUntil: acceptUntil, refuseJobsAfter: max(answerBy*17/30, (3*acceptUntil+answerBy)/4), answerBy: answerBy}
+	refuseJobsAfter := max(answerBy*17/30, (3*acceptUntil+answerBy)/4)
+	return shutdownSchedule{acceptUntil: acceptUntil, refuseJobsAfter: refuseJobsAfter, answerBy: answerBy,
+		drainListenerAt: max(refuseJobsAfter, answerBy-listenerDrainLead)}
 }
 
 // Stop starts the shutdown after SIGTERM. New connections are accepted as long as the platform's front may still send
@@ -47,7 +56,7 @@
 	if f.stoppingSince == 0 {
 		f.stoppingSince, f.onStopped = min(since, f.loop.Now()), done
 		f.log.Info("stopping", "open", f.core.OpenRequests())
-		f.loop.At(f.stoppingSince+f.shutdownTimes.acceptUntil, f.pollShutdown)
+		f.pollShutdownAt(f.stoppingSince + f.shutdownTimes.acceptUntil)
 		f.loop.At(f.stoppingSince+f.shutdownTimes.answerBy, func() {
 			f.core.AbortRequests(func(client core.Client) bool { _, isOwn := client.(*clientConn); return isOwn })
 		})
@@ -58,7 +67,7 @@
 func (f *Front) AnswerTimeout() core.Time { return f.shutdownTimes.answerBy }
 
 // HandOver prepares the front for its end while a successor serves at the same address. Clients are drained at once; after
-// SIGTERM, jobs that arrive later than refuseJobsAfter are refused and the listener closes at answerBy.
+// SIGTERM, jobs that arrive later than refuseJobsAfter are refused and the listener begins to drain at drainListenerAt.
 func (f *Front) HandOver() {
 	f.isHandingOver = true
 	f.Drain()
@@ -115,11 +124,41 @@
 	c.CloseWrite(c.front.loop, reason)
 }
 
-// pollShutdown runs every shutdownPollInterval from acceptUntil after SIGTERM on. Once nothing is pending it closes the
-// listener; connections that were accepted until then are served too, so the front ends only at a later run that finds
-// nothing pending either.
+// pollShutdown runs every shutdownPollInterval from acceptUntil after SIGTERM on. Once nothing is pending, or with a
+// successor at drainListenerAt, it closes the listener, which drains first (see link.DrainingListener). Connections that
+// come out of the drain are served too, so the front ends only at a later run, with the listener closed, that finds nothing
+// pending either.
 func (f *Front) pollShutdown() {
-	now, pending := f.loop.Now(), 0
+	f.shutdownTimer = nil
+	now := f.loop.Now()
+	isPending := f.closeIdleAndCountPending(now) > 0
+	if !isPending && f.drainingListener.IsClosed() {
+		f.endConnections()
+		return
+	}
+	// With a successor the listener closes in time whatever is pending: a request that arrives later could not end.
+	if !f.isListenerClosed && (!isPending || f.isHandingOver && now >= f.stoppingSince+f.shutdownTimes.drainListenerAt) {
+		f.closeListener()
+	}
+	f.pollShutdownAt(now + shutdownPollInterval)
+}
+
+// pollShutdownAt schedules the next run of pollShutdown.
+func (f *Front) pollShutdownAt(at core.Time) {
+	f.loop.CancelTimer(f.shutdownTimer)
+	f.shutdownTimer = f.loop.At(at, f.pollShutdown)
+}
+
+// pollShutdownNow runs pollShutdown in the next turn, when an event may have ended what it waits for.
+func (f *Front) pollShutdownNow() {
+	if f.shutdownTimer != nil {
+		f.pollShutdownAt(f.loop.Now())
+	}
+}
+
+// closeIdleAndCountPending closes the idle connections of clients and returns how many connections, requests and calls the
+// shutdown still waits for.
+func (f *Front) closeIdleAndCountPending(now core.Time) (pending int) {
 	isPastAnswers := now >= f.stoppingSince+f.shutdownTimes.answerBy
 	f.clients.Each(func(_ core.Ref, c *clientConn) {
 		switch {
@@ -136,23 +175,32 @@
 		}
 	})
 	pending += f.core.OpenRequests() + f.pool.inUse
-	pending += int(f.acceptedConns.Load()) - f.clients.Len() // accepted, and not registered on the loop yet
-	if pending == 0 && f.isListenerClosed {
-		f.log.Info("stopped taking", "foreign_call_backs", f.unknownCallbacks, "passed_on", f.forwardedCallbacks)
-		f.clients.Each(func(_ core.Ref, c *clientConn) { c.Close(link.Shutdown) })
-		f.pool.close()
-		f.watch.stop()
-		if f.peers != nil {
-			f.peers.close()
-		}
-		f.loop.At(now+shutdownPollInterval, f.onStopped)
-		return
+	return pending + int(f.acceptedConns.Load()) - f.clients.Len() // being accepted, or not registered on the loop yet
+}
+
+// closeListener begins the drain of the listener, after which it closes. In the same event admission ends in all fronts:
+// the worker of a job that is admitted later could not reach this process with its callbacks.
+func (f *Front) closeListener() {
+	f.isListenerClosed = true
+	f.admission.Stop()
+	f.listener.Close()
+	if f.onListenerDrain != nil {
+		f.onListenerDrain()
 	}
-	// With a successor the listener closes at answerBy whatever is pending: a request that arrives later could not end in
-	// time. If a connection is closed with an unread request, the client sends that again, to the successor.
-	if !f.isListenerClosed && (pending == 0 || f.isHandingOver && isPastAnswers) {
-		f.isListenerClosed = true
-		f.listener.Close()
+}
+
+// OnListenerDrain sets a function that is called when the listener begins to drain, since nothing is pending or the time of
+// a successor has come. It must be called before Stop.
+func (f *Front) OnListenerDrain(begin func()) { f.onListenerDrain = begin }
+
+// endConnections closes what is left when nothing is pending and the listener is closed.
+func (f *Front) endConnections() {
+	f.log.Info("stopped taking", "foreign_call_backs", f.unknownCallbacks, "passed_on", f.forwardedCallbacks)
+	f.clients.Each(func(_ core.Ref, c *clientConn) { c.Close(link.Shutdown) })
+	f.pool.close()
+	f.watch.stop()
+	if f.peers != nil {
+		f.peers.close()
 	}
-	f.loop.At(now+shutdownPollInterval, f.pollShutdown)
+	f.loop.At(f.loop.Now()+shutdownPollInterval, f.onStopped)
 }
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -68,13 +68,16 @@
 	dialFailures log.FailureThrottle // limits the log lines of peers that can't be reached
 	isStarted    bool                // startup is over, see markReady
 
-	listener      netpoll.Listener
-	server        netpoll.EventLoop
-	clients       core.SlotMap[*clientConn]
-	budget        connBudget
-	spareSockets  int          // descriptors outside of both budgets
-	acceptedConns atomic.Int64 // open accepted connections, including those not yet registered on the loop
-	acceptLimit   atomic.Int64 // bound of acceptedConns, above which the poller closes new connections
+	// listener is what the shutdown closes: drainingListener, unless a test has put a hook before it. It stays open while
+	// it drains.
+	listener         netpoll.Listener
+	drainingListener *link.DrainingListener
+	server           netpoll.EventLoop
+	clients          core.SlotMap[*clientConn]
+	budget           connBudget
+	spareSockets     int          // descriptors outside of both budgets
+	acceptedConns    atomic.Int64 // open accepted connections, including those not yet registered on the loop
+	acceptLimit      atomic.Int64 // bound of acceptedConns, above which the poller closes new connections
 
 	pool          connPool
 	watch         *discoveryWatch
@@ -90,7 +93,9 @@
 	onStopped        func()    // called once when the shutdown is complete
 	drainingSince    core.Time // start of the operator's drain; 0: none is in force
 	isHandingOver    bool      // a successor serves at this address: after SIGTERM this process ends as early as it can
-	isListenerClosed bool
+	onListenerDrain  func()    // called when the listener begins to drain; nil: nobody
+	shutdownTimer    *core.Timer
+	isListenerClosed bool   // the listener has begun to drain
 	beforeIdleClose  func() // test hook: runs between the check that a connection is idle and its close; nil: none
 	// afterAccept is a test hook that runs on the poller between an accept and the count of its connection; nil: none.
 	afterAccept atomic.Pointer[func()]
@@ -158,7 +163,9 @@
 	if err != nil {
 		return &config.Error{Key: "listen", Text: err.Error()}
 	}
-	f.listener = ln
+	f.drainingListener = link.NewDrainingListener(ln, "http1", f.loop, f.log)
+	f.drainingListener.OnClosed(f.pollShutdownNow)
+	f.listener = f.drainingListener
 	f.server, err = netpoll.NewEventLoop(onRequest,
 		netpoll.WithOnPrepare(f.onAccept),
 		netpoll.WithOnDisconnect(func(ctx context.Context, _ netpoll.Connection) {
@@ -171,7 +178,7 @@
 	if err := f.openPeerSocket(); err != nil {
 		return err
 	}
-	go f.server.Serve(limitedListener{ln, f})
+	go f.server.Serve(limitedListener{f.drainingListener, f})
 	f.loop.Post(func() {
 		f.watch.open(0)
 		if f.watch.needsFullList && f.conf.Discovery != "" {
--- a/internal/platform/requests.go
+++ b/internal/platform/requests.go
@@ -67,8 +67,12 @@
 }
 
 // isTooLateForJobs reports whether a job that arrives now could not end before this process does: the open requests have
-// been answered already, or a successor at the same address has more time left for the job.
+// been answered already, the listener for its worker's callbacks is about to close, or a successor at the same address has
+// more time left for the job.
 func (f *Front) isTooLateForJobs() bool {
+	if f.admission.IsStopped() {
+		return true
+	}
 	since := f.loop.Now() - f.stoppingSince
 	return f.stoppingSince > 0 && (since >= f.shutdownTimes.answerBy || f.isHandingOver && since > f.shutdownTimes.refuseJobsAfter)
 }
--- a/internal/platform/upgrade_race_test.go
+++ b/internal/platform/upgrade_race_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -94,14 +95,14 @@
 		t.Run(name, func(t *testing.T) {
 			n := standin.Start(t, nil, standin.NewWorker(t, "s-1", nil))
 			accepted, isCounted := make(chan struct{}), make(chan struct{})
-			n.Front.SetAfterAccept(func() {
+			n.Front.SetAfterAccept(sync.OnceFunc(func() { // a job's callback comes on a connection of its own
 				close(accepted)
 				select { // a shutdown that waits for the connection gets it after the bound
 				case <-n.Ended:
 				case <-time.After(500 * time.Millisecond):
 				}
 				close(isCounted)
-			})
+			}))
 			answer := make(chan error, 1)
 			go func() { answer <- exchange(n.Front.Address(), fmt.Sprintf(completeRequest, "id-1")) }()
 			<-accepted
