--- a/cmd/cobaltflow/upgrade_test.go
+++ b/cmd/cobaltflow/upgrade_test.go
@@ -40,6 +40,7 @@
 	refusedCallbacks atomic.Int64 // callbacks that a process refused, with 503
 	lostCallbacks    atomic.Int64 // callbacks that no process accepted in all their attempts
 	callbackAttempts int          // per callback; 0: defaultAttempts
+	sockets          int          // the configured limit on descriptors; 0: maxSockets
 }
 
 // instance is one process of the scheduler.
@@ -138,7 +139,7 @@
 		"limits":{"sockets":%d},"known":{"index":0,"snapshot":true,"endpoints":[]},
 		"settings":{"discovery":"push","groupSize":1,"rules":{"drainGraceUs":%d},
 		"classes":[{"name":"move","effect":"once","deadlineUs":10000000}]}}`,
-		h.listen, h.discovery, i.admin, maxSockets, drainGrace.Microseconds()), 0o600))
+		h.listen, h.discovery, i.admin, cmp.Or(h.sockets, maxSockets), drainGrace.Microseconds()), 0o600))
 	i.program.start()
 	return i
 }
