End a shutdown in time on a quarter of the processor

Between the last answers and the kill were 0.15 s, in which four timers of 20 ms followed one another, and the schedule counted from the loop's turn instead of the signal.

Open requests are answered 0.5 s before the kill now. In the same turn the listener's drain begins; its end calls the last look at what is pending, and the end of the front, of the other fronts and of the loop follow as events, with no timer where nothing is pending. Gateway.Stop takes its own time as that of the signal.

TestShutdownScheduleFollowsLongestDeadline is unchanged and asserts the schedule against killMargin; the larger margin is as strict towards callers, as the kill comes later after all answers. For deadlines under 0.3 s, where the margin would leave no time for new connections, requests are answered 0.5 s after SIGTERM, 0.2 to 0.5 s before the kill.

What remains: a job that would end in the last 0.35 s before the old margin is answered as refused or failed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 
+	"cobaltflow/internal/clock"
 	"cobaltflow/internal/config"
 	"cobaltflow/internal/core"
 	"cobaltflow/internal/faktory"
@@ -136,6 +137,8 @@
 // Stop begins a graceful shutdown: all accepted requests are answered first. It may be called from any
 // goroutine.
 func (g *Gateway) Stop() {
+	// The schedule counts from here, however late the loop's next turn is.
+	since := g.Loop.FromWall(clock.Wall())
 	// Called before the event is posted, since hasSuccessor reads files and the loop goroutine must not block on I/O.
 	handOver := g.directives.hasSuccessor()
 	g.Loop.Post(func() {
@@ -148,17 +151,15 @@
 			g.Faktory.Drain()
 		}
 		if g.HTTP2 != nil {
-			g.HTTP2.Drain(g.Front.AnswerTimeout())
+			g.HTTP2.Drain(max(0, since+g.Front.AnswerTimeout()-g.Loop.Now()))
 		}
-		g.Front.Stop(g.closeFronts)
+		g.Front.StopSince(since, g.closeFronts)
 	})
 }
 
 const (
 	closeCheckPeriod = 5 * core.Millisecond
 	maxCloseWait     = 2 * core.Second
-	// endDelay is the time between the fronts' close and the end of the loop, in which the ends of connections are logged.
-	endDelay = 20 * core.Millisecond
 )
 
 // closableFront is a front that ends after the HTTP/1.1 front.
@@ -204,15 +205,10 @@
 		g.Loop.At(now+closeCheckPeriod, g.closeFronts)
 		return
 	}
-	fronts := g.otherFronts()
-	for _, front := range fronts {
+	for _, front := range g.otherFronts() {
 		front.Close()
 	}
-	if len(fronts) == 0 {
-		g.Loop.Stop()
-		return
-	}
-	g.Loop.At(now+endDelay, g.Loop.Stop)
+	g.Loop.Post(g.Loop.Stop) // behind the ends of the connections, which are logged
 }
 
 // areFrontsDrained reports whether the other fronts' listeners are closed and the HTTP/2 front has sent its answers.
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -6,13 +6,8 @@
 	"cobaltflow/rules"
 )
 
-const (
-	// shutdownPollInterval is the interval of pollShutdown, and the delay from closing the last connections to onStopped.
-	shutdownPollInterval = 20 * core.Millisecond
-	// listenerDrainLead is how long before answerBy the listener begins to drain beside a successor. The drain takes 50 ms,
-	// and a process that gets a quarter of the processor's time begins up to 0.1 s late.
-	listenerDrainLead = 150 * core.Millisecond
-)
+// shutdownPollInterval is the interval of pollShutdown.
+const shutdownPollInterval = 20 * core.Millisecond
 
 // shutdownSchedule holds the steps of a shutdown, each as the time after SIGTERM. It ends before the platform may kill the
 // process.
@@ -24,8 +19,6 @@
 	// about answerBy, since until the kill the kernel would go on assigning half of all new connections to this process.
 	refuseJobsAfter core.Time
 	answerBy        core.Time // requests that are still open are answered at this time
-	// If a successor serves at the same address, the listener begins its drain at drainListenerAt, whatever is open.
-	drainListenerAt core.Time
 }
 
 // newShutdownSchedule derives the schedule from the longest deadline of the classes, or from maxCountedDeadline if no class
@@ -38,11 +31,10 @@
 	if longest == 0 {
 		longest = maxCountedDeadline
 	}
-	answerBy := min(longest, maxCountedDeadline) + killDelay - killMargin
-	acceptUntil := max(answerBy*11/30, min(newConnectionWindow, answerBy*3/4))
-	refuseJobsAfter := max(answerBy*17/30, (3*acceptUntil+answerBy)/4)
-	return shutdownSchedule{acceptUntil: acceptUntil, refuseJobsAfter: refuseJobsAfter, answerBy: answerBy,
-		drainListenerAt: max(refuseJobsAfter, answerBy-listenerDrainLead)}
+	kill := min(longest, maxCountedDeadline) + killDelay
+	answerBy := max(kill-killMargin, minAnswerTime)
+	acceptUntil := max(answerBy*11/30, min(newConnectionWindow, answerBy*9/10))
+	return shutdownSchedule{acceptUntil: acceptUntil, refuseJobsAfter: max(answerBy*17/30, (3*acceptUntil+answerBy)/4), answerBy: answerBy}
 }
 
 // Stop starts the shutdown after SIGTERM. New connections are accepted as long as the platform's front may still send
@@ -59,6 +51,7 @@
 		f.pollShutdownAt(f.stoppingSince + f.shutdownTimes.acceptUntil)
 		f.loop.At(f.stoppingSince+f.shutdownTimes.answerBy, func() {
 			f.core.AbortRequests(func(client core.Client) bool { _, isOwn := client.(*clientConn); return isOwn })
+			f.pollShutdownNow()
 		})
 	}
 }
@@ -67,7 +60,7 @@
 func (f *Front) AnswerTimeout() core.Time { return f.shutdownTimes.answerBy }
 
 // HandOver prepares the front for its end while a successor serves at the same address. Clients are drained at once; after
-// SIGTERM, jobs that arrive later than refuseJobsAfter are refused and the listener begins to drain at drainListenerAt.
+// SIGTERM, jobs that arrive later than refuseJobsAfter are refused and the listener begins to drain at answerBy.
 func (f *Front) HandOver() {
 	f.isHandingOver = true
 	f.Drain()
@@ -125,7 +118,7 @@
 }
 
 // pollShutdown runs every shutdownPollInterval from acceptUntil after SIGTERM on. Once nothing is pending, or with a
-// successor at drainListenerAt, it closes the listener, which drains first (see link.DrainingListener). Connections that
+// successor at answerBy, it closes the listener, which drains first (see link.DrainingListener). Connections that
 // come out of the drain are served too, so the front ends only at a later run, with the listener closed, that finds nothing
 // pending either.
 func (f *Front) pollShutdown() {
@@ -137,7 +130,7 @@
 		return
 	}
 	// With a successor the listener closes in time whatever is pending: a request that arrives later could not end.
-	if !f.isListenerClosed && (!isPending || f.isHandingOver && now >= f.stoppingSince+f.shutdownTimes.drainListenerAt) {
+	if !f.isListenerClosed && (!isPending || f.isHandingOver && now >= f.stoppingSince+f.shutdownTimes.answerBy) {
 		f.closeListener()
 	}
 	f.pollShutdownAt(now + shutdownPollInterval)
@@ -149,10 +142,11 @@
 	f.shutdownTimer = f.loop.At(at, f.pollShutdown)
 }
 
-// pollShutdownNow runs pollShutdown in the next turn, when an event may have ended what it waits for.
+// pollShutdownNow runs pollShutdown, when an event may have ended what it waits for.
 func (f *Front) pollShutdownNow() {
 	if f.shutdownTimer != nil {
-		f.pollShutdownAt(f.loop.Now())
+		f.loop.CancelTimer(f.shutdownTimer)
+		f.pollShutdown()
 	}
 }
 
@@ -163,6 +157,9 @@
 	f.clients.Each(func(_ core.Ref, c *clientConn) {
 		switch {
 		case c.isCallback:
+			if !isPastAnswers && (c.HasPendingMessage() || !c.IsWriterIdle()) {
+				pending++
+			}
 		case c.IsWriteClosed():
 			if !isPastAnswers { // afterwards only the peer's close is missing
 				pending++
@@ -202,5 +199,5 @@
 	if f.peers != nil {
 		f.peers.close()
 	}
-	f.loop.At(f.loop.Now()+shutdownPollInterval, f.onStopped)
+	f.loop.Post(f.onStopped) // behind the ends of the connections, which are logged
 }
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -44,10 +44,12 @@
 	firstRequestGrace = 200 * core.Millisecond
 	// The platform kills a scheduler, at the earliest, the longest class deadline plus killDelay after SIGTERM; a longest
 	// deadline above maxCountedDeadline counts as that. Requests that are still open killMargin before the kill are
-	// answered then, so that their answers have time to arrive.
+	// answered then, so that their answers have time to arrive and the process to end, also if it gets only a quarter of the
+	// processor's time, in turns of up to 0.2 s. minAnswerTime keeps the rest for new connections where deadlines are short.
 	maxCountedDeadline  = 3 * core.Second
 	killDelay           = 700 * core.Millisecond
-	killMargin          = 150 * core.Millisecond
+	killMargin          = 500 * core.Millisecond
+	minAnswerTime       = 500 * core.Millisecond
 	newConnectionWindow = 450 * core.Millisecond // after SIGTERM, in which new connections may still arrive
 	// initialListTimeout bounds the wait for the first worker list at startup: the local discovery server may not
 	// respond, and the front must become ready nonetheless.
