Steer new connections to the successor while a listener drains

During the drain of an old process's listener the kernel ignores connection attempts at it, and half of the clients that connected in that time waited 1 s for their next attempt; a process that is stopped may hold the drain open for some tenths of a second. Where exactly one other process lives, the old one attaches a program to the listeners' group now (SO_ATTACH_REUSEPORT_CBPF, no privilege needed) that selects the second listener, its successor. It is detached before the close, and again by each listener that opens, so that a program whose process was killed does not give all connections to one of two later processes.

A wrong index, possible where a third process has left before, costs a second and loses nothing, as the drain ignores what it is given; an option that is refused is logged at debug and done without. TestDrainKeepsQueueAndSteersNewConnections and TestSteeringEndsWithItsProcess hold this on real sockets; TestIgnoredConnectionAttemptReachesSuccessorLater and TestAcceptedConnectionIsReadableDuringDrain hold the drain without steering. They are new, with code that is new.

Run with -race: all of package link, and of platform, http2, faktory and admin the tests of the listeners' end, handover and stop.

What remains: with three processes at once a client that connects during a drain may wait 1 s.

--- a/internal/faktory/front.go
+++ b/internal/faktory/front.go
@@ -145,8 +145,14 @@
 	})
 }
 
-// CloseListener begins the drain of the listener, which closes when its accept queue is empty.
-func (f *Front) CloseListener() { f.listener.Close() }
+// CloseListener begins the drain of the listener, which closes when its accept queue is empty. hasOneSuccessor says that
+// exactly one other process listens at the address, which gets the new connections.
+func (f *Front) CloseListener(hasOneSuccessor bool) {
+	if hasOneSuccessor {
+		f.drainingListener.SteerToSuccessor()
+	}
+	f.listener.Close()
+}
 
 // IsListenerClosed reports whether the listener's drain is complete and every connection that came out of it is registered.
 func (f *Front) IsListenerClosed() bool {
@@ -156,7 +162,7 @@
 // Close closes the listener and ends all sessions.
 func (f *Front) Close() {
 	f.closed = true
-	f.CloseListener()
+	f.listener.Close()
 	f.sessions.Each(func(_ core.Ref, s *session) { s.Close(link.Shutdown) })
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,8 +164,8 @@
 
 // closableFront is a front that ends after the HTTP/1.1 front.
 type closableFront interface {
-	// CloseListener begins the drain of the front's listener.
-	CloseListener()
+	// CloseListener begins the drain of the front's listener, which steers new connections to the one successor, if any.
+	CloseListener(hasOneSuccessor bool)
 	// IsListenerClosed reports whether that drain is complete.
 	IsListenerClosed() bool
 	// Close closes the front's listener and connections.
@@ -189,7 +189,7 @@
 // closeListeners begins the drain of the other fronts' listeners together with that of the HTTP/1.1 front.
 func (g *Gateway) closeListeners() {
 	for _, front := range g.otherFronts() {
-		front.CloseListener()
+		front.CloseListener(g.Front.HasOneSuccessor())
 	}
 }
 
--- a/internal/link/drain.go
+++ b/internal/link/drain.go
@@ -1,7 +1,6 @@
 package link
 
 import (
-	"errors"
 	"log/slog"
 	"net"
 	"sync/atomic"
@@ -26,7 +25,8 @@
 // DrainingListener is a listener whose Close resets no connection that the kernel has established. Linux resets the accept
 // queue of a listening socket that is closed. Close therefore only begins a drain: the kernel ignores new connection
 // attempts, whose clients repeat them after 1 s and reach whoever listens at the address by then, the poller goes on
-// accepting, and the socket is closed once its accept queue is empty.
+// accepting, and the socket is closed once its accept queue is empty. With SteerToSuccessor, the kernel gives new
+// connections to the successor at once.
 //
 // Accept runs on the poller, all other methods on the loop.
 type DrainingListener struct {
@@ -38,6 +38,8 @@
 
 	hasBegun        bool      // the drain
 	begun           core.Time // of the drain
+	hasSuccessor    bool      // exactly one other process listens at the address
+	steers          bool      // the kernel gives new connections to it
 	ignoresNew      bool      // the kernel ignores new connection attempts
 	polls           int
 	closed          bool
@@ -49,6 +51,10 @@
 
 // drainableSocket is what a drain needs of a listening socket.
 type drainableSocket interface {
+	// steerToSuccessor makes the kernel give new connections to the successor's listener.
+	steerToSuccessor() error
+	// stopSteering undoes steerToSuccessor.
+	stopSteering() error
 	// ignoreNewConnections makes the kernel ignore new connection attempts.
 	ignoreNewConnections() error
 	// queuedConnections returns the length of the accept queue.
@@ -90,6 +96,10 @@
 // OnClosed adds a function that is called on the loop when the socket has been closed.
 func (d *DrainingListener) OnClosed(f func()) { d.onListenerClose = append(d.onListenerClose, f) }
 
+// SteerToSuccessor makes a drain that begins later give new connections to the successor. Exactly one other process must
+// listen at the address.
+func (d *DrainingListener) SteerToSuccessor() { d.hasSuccessor = true }
+
 // Close implements net.Listener: it begins the drain. A second call has no effect.
 func (d *DrainingListener) Close() error {
 	if d.hasBegun {
@@ -97,19 +107,29 @@
 	}
 	d.hasBegun, d.begun = true, d.loop.Now()
 	d.isDraining.Store(true)
-	err := errNoSocket
-	if d.socket != nil {
-		err = d.socket.ignoreNewConnections()
-	}
-	if d.ignoresNew = err == nil; err != nil {
-		d.log.Debug("listener: new connections can't be held off while it drains", "front", d.name, "error", err)
-	}
+	d.holdOffNewConnections()
 	// The grace counts from the next turn, whose clock is read after the call: this turn's may be late.
 	d.loop.Post(func() { d.loop.At(d.loop.Now()+handshakeGrace, d.poll) })
 	return nil
 }
 
-var errNoSocket = errors.New("not a listener of package link")
+// holdOffNewConnections makes the kernel steer new connections to a successor, and ignore those that come all the same. An
+// option that the kernel refuses is done without.
+func (d *DrainingListener) holdOffNewConnections() {
+	if d.socket == nil {
+		return
+	}
+	if d.hasSuccessor {
+		err := d.socket.steerToSuccessor()
+		if d.steers = err == nil; err != nil {
+			d.log.Debug("listener: new connections can't be steered to the successor", "front", d.name, "error", err)
+		}
+	}
+	err := d.socket.ignoreNewConnections()
+	if d.ignoresNew = err == nil; err != nil {
+		d.log.Debug("listener: new connections can't be held off while it drains", "front", d.name, "error", err)
+	}
+}
 
 // poll closes the socket if its accept queue is empty or has not become so for maxDrainPolls.
 func (d *DrainingListener) poll() {
@@ -126,11 +146,16 @@
 		return
 	}
 	d.closed = true
+	if d.steers {
+		if err := d.socket.stopSteering(); err != nil {
+			d.log.Debug("listener: new connections are still steered", "front", d.name, "error", err)
+		}
+	}
 	if err := d.Listener.Close(); err != nil {
 		d.log.Debug("listener: close", "front", d.name, "error", err)
 	}
 	d.log.Info("listener closed", "front", d.name, "accepted", d.drained.Load(), "drain_ms", (d.loop.Now()-d.begun)/core.Millisecond,
-		"queued", queued, "ignored_new", d.ignoresNew)
+		"queued", queued, "ignored_new", d.ignoresNew, "steered", d.steers)
 	for _, f := range d.onListenerClose {
 		f()
 	}
--- /dev/null
+++ b/internal/link/drain_test.go
@@ -0,0 +1,176 @@
+package link
+
+import (
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"cobaltflow/internal/core"
+)
+
+// retransmissionTime is less than the time after which a client repeats a connection attempt that was ignored.
+const retransmissionTime = 900 * time.Millisecond
+
+// listenTwice returns the listeners of a process and of its successor at one address.
+func listenTwice(t *testing.T) (old, successor netpoll.Listener) {
+	old, err := Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { old.Close() })
+	return old, listenBeside(t, old)
+}
+
+func listenBeside(t *testing.T, other netpoll.Listener) netpoll.Listener {
+	l, err := Listen(other.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// dialMany opens connections and returns them with the longest time that one has taken.
+func dialMany(t *testing.T, l netpoll.Listener, n int) (conns []net.Conn, longest time.Duration) {
+	for range n {
+		start := time.Now()
+		c, err := net.DialTimeout("tcp", l.Addr().String(), 10*time.Second)
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		conns = append(conns, c)
+		longest = max(longest, time.Since(start))
+	}
+	return conns, longest
+}
+
+// acceptAll accepts and closes what is in the accept queue of a listener.
+func acceptAll(t *testing.T, l netpoll.Listener) (n int) {
+	for ; ; n++ {
+		c, err := l.Accept()
+		require.NoError(t, err)
+		if c == nil {
+			return n
+		}
+		c.Close()
+	}
+}
+
+// runLoop returns a loop that runs until the end of the test.
+func runLoop(t *testing.T) *core.Loop {
+	loop := core.NewLoop()
+	go loop.Run()
+	t.Cleanup(func() { loop.Post(loop.Stop) })
+	return loop
+}
+
+// runOn runs f on the loop.
+func runOn(loop *core.Loop, f func()) {
+	done := make(chan struct{})
+	loop.Post(func() { defer close(done); f() })
+	<-done
+}
+
+// Connections that were established before the drain stay in the queue of the old listener until they are accepted, and it
+// closes only then; new ones reach the successor at once.
+func TestDrainKeepsQueueAndSteersNewConnections(t *testing.T) {
+	old, successor := listenTwice(t)
+	loop := runLoop(t)
+	d := NewDrainingListener(old, "test", loop, slog.New(slog.DiscardHandler))
+	closed := make(chan struct{})
+	d.OnClosed(func() { close(closed) })
+	dialMany(t, old, 32)
+	queued, err := d.socket.queuedConnections()
+	require.NoError(t, err)
+	require.Positive(t, queued)
+	var longest time.Duration
+	runOn(loop, func() {
+		d.SteerToSuccessor()
+		d.Close()
+		_, longest = dialMany(t, old, 32) // in the turn of the drain's begin, so that the old listener is open
+	})
+	assert.Equal(t, queued, acceptAll(t, d), "the queue is whole and has no new connection")
+	<-closed
+	assert.Less(t, longest, retransmissionTime)
+	assert.Equal(t, 64-queued, acceptAll(t, successor))
+}
+
+// A drain without steering: the kernel ignores connection attempts at the old listener, and none of the clients is reset or
+// refused; one that was ignored tries again and reaches the successor.
+func TestIgnoredConnectionAttemptReachesSuccessorLater(t *testing.T) {
+	old, successor := listenTwice(t)
+	loop := runLoop(t)
+	d := NewDrainingListener(old, "test", loop, slog.New(slog.DiscardHandler))
+	runOn(loop, func() { d.Close() })
+	const clients = 16
+	connected := make(chan error, clients)
+	for range clients {
+		go func() {
+			c, err := net.DialTimeout("tcp", old.Addr().String(), 10*time.Second)
+			if err == nil {
+				t.Cleanup(func() { c.Close() })
+			}
+			connected <- err
+		}()
+	}
+	for range clients {
+		require.NoError(t, <-connected)
+	}
+	assert.Zero(t, acceptAll(t, d))
+	assert.Equal(t, clients, acceptAll(t, successor))
+}
+
+// A connection whose handshake ends behind the begin of the drain inherits the option that ignores segments. It is undone.
+func TestAcceptedConnectionIsReadableDuringDrain(t *testing.T) {
+	old, err := Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	defer old.Close()
+	socket := old.(tolerantListener).Listener.(*socketListener)
+	conns, _ := dialMany(t, old, 1)
+	require.NoError(t, socket.ignoreNewConnections())
+	accepted, err := old.Accept()
+	require.NoError(t, err)
+	defer accepted.Close()
+	// As if the connection had inherited the option: the accept has undone it, which is what a second call shows.
+	fd := accepted.(netpoll.Conn).Fd()
+	require.NoError(t, setMinHopLimit(fd, maxHopLimit))
+	acceptAnyHopLimit(fd)
+	_, err = conns[0].Write([]byte("x"))
+	require.NoError(t, err)
+	assert.Eventually(t, func() bool {
+		n, err := readNow(fd)
+		return err == nil && n == 1
+	}, 5*time.Second, time.Millisecond)
+}
+
+// A successor that comes later shares new connections with the present process: steering ends with the process that began
+// it, also if that was killed.
+func TestSteeringEndsWithItsProcess(t *testing.T) {
+	for _, isKilled := range []bool{true, false} {
+		t.Run(map[bool]string{true: "killed", false: "ended"}[isKilled], func(t *testing.T) {
+			old, second := listenTwice(t)
+			socket := old.(tolerantListener).Listener.(*socketListener)
+			if isKilled {
+				require.NoError(t, socket.steerToSuccessor())
+				require.NoError(t, socket.Close())
+			} else {
+				loop, closed := runLoop(t), make(chan struct{})
+				d := NewDrainingListener(old, "test", loop, slog.New(slog.DiscardHandler))
+				d.OnClosed(func() { close(closed) })
+				runOn(loop, func() { d.SteerToSuccessor(); d.Close() })
+				<-closed
+				require.True(t, d.steers)
+			}
+			third := listenBeside(t, second)
+			dialMany(t, second, 64)
+			toSecond, toThird := acceptAll(t, second), acceptAll(t, third)
+			assert.Positive(t, toSecond)
+			assert.Positive(t, toThird)
+			assert.Equal(t, 64, toSecond+toThird)
+		})
+	}
+}
+
+// readNow reads one byte without waiting for it.
+func readNow(fd int) (int, error) { return unix.Read(fd, make([]byte, 1)) }
--- a/internal/link/socket.go
+++ b/internal/link/socket.go
@@ -39,7 +39,11 @@
 	if dupErr != nil {
 		return nil, dupErr
 	}
-	return &socketListener{addr: ln.Addr(), fd: fd}, nil
+	l := &socketListener{addr: ln.Addr(), fd: fd}
+	// A process that was killed while it steered to this one's predecessor has left its program behind. An error means that
+	// there is none.
+	_ = l.stopSteering()
+	return l, nil
 }
 
 // Accept implements net.Listener. It never blocks: a nil connection with a nil error means that there is none at the
@@ -78,6 +82,30 @@
 	return setMinHopLimit(l.fd, maxHopLimit)
 }
 
+// steerToSuccessor makes the kernel give every new connection at the address to the listener that came second, in place of
+// one by the connection's hash. It is for a process that has exactly one other beside it, its successor. In the rare case
+// that a third one has left before, the second place may be this listener's own.
+func (l *socketListener) steerToSuccessor() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.fd < 0 {
+		return net.ErrClosed
+	}
+	program := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: 1}} // the index, in the order of listen(2), from 0
+	return unix.SetsockoptSockFprog(l.fd, unix.SOL_SOCKET, unix.SO_ATTACH_REUSEPORT_CBPF,
+		&unix.SockFprog{Len: uint16(len(program)), Filter: &program[0]})
+}
+
+// stopSteering undoes steerToSuccessor for all listeners at the address, whichever process has called it.
+func (l *socketListener) stopSteering() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.fd < 0 {
+		return net.ErrClosed
+	}
+	return unix.SetsockoptInt(l.fd, unix.SOL_SOCKET, unix.SO_DETACH_REUSEPORT_BPF, 0)
+}
+
 // queuedConnections returns the length of the accept queue: connections that are established and not accepted.
 func (l *socketListener) queuedConnections() (int, error) {
 	l.mu.RLock()
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -180,12 +180,18 @@
 func (f *Front) closeListener() {
 	f.isListenerClosed = true
 	f.admission.Stop()
+	if f.HasOneSuccessor() {
+		f.drainingListener.SteerToSuccessor()
+	}
 	f.listener.Close()
 	if f.onListenerDrain != nil {
 		f.onListenerDrain()
 	}
 }
 
+// HasOneSuccessor reports whether a successor serves at the same address and no other process besides.
+func (f *Front) HasOneSuccessor() bool { return f.isHandingOver && f.processes == 2 }
+
 // OnListenerDrain sets a function that is called when the listener begins to drain, since nothing is pending or the time of
 // a successor has come. It must be called before Stop.
 func (f *Front) OnListenerDrain(begin func()) { f.onListenerDrain = begin }
