Tell the last connections before they are closed

Each front closed its connections with close(2), and that resets one with unread input.

Each connection gets what its protocol has for "not processed" first: HTTP/2 a GOAWAY with the last accepted stream, the admin address a 503, a Faktory session an error; on a worker's connection the write side is closed, so that the worker reads the end and repeats its callback. Input behind that is read over until the peer closes, for 0.1 s at most, and nothing is waited for where no connection is left. Connections that a listener's drain still accepts are told in the same way.

What remains: a peer that sends after the 0.1 s reads a reset behind what it was told.

--- a/internal/faktory/front.go
+++ b/internal/faktory/front.go
@@ -159,11 +159,15 @@
 	return f.drainingListener.IsClosed() && !f.drainingListener.HasPendingAccepts()
 }
 
-// Close closes the listener and ends all sessions.
+// IsClosed reports whether the listener is closed and no connection is left.
+func (f *Front) IsClosed() bool { return f.IsListenerClosed() && f.sessions.Len() == 0 }
+
+// Close closes the listener and ends all sessions, also those that the listener's drain still accepts. Each gets an error
+// first, which is the reply to a command that is on its way.
 func (f *Front) Close() {
 	f.closed = true
 	f.listener.Close()
-	f.sessions.Each(func(_ core.Ref, s *session) { s.Close(link.Shutdown) })
+	f.sessions.Each(func(_ core.Ref, s *session) { s.refuse() })
 }
 
 func (f *Front) accept(nc netpoll.Connection) context.Context {
@@ -187,6 +191,10 @@
 	}
 	s.Opened = f.loop.Now()
 	s.ref = f.sessions.Add(s)
+	if f.closed {
+		s.refuse()
+		return
+	}
 	if f.sessions.Len() > f.conf.Faktory.MaxSessions {
 		f.rejected["max_sessions"]++
 		s.replyAndClose(errorReplyf("refused, max_sessions is reached, return in 1.000 s"), link.OverBudget)
--- a/internal/faktory/session.go
+++ b/internal/faktory/session.go
@@ -69,6 +69,9 @@
 	}
 }
 
+// refuse ends the session with an error, as the process ends.
+func (s *session) refuse() { s.replyAndClose(errorReplyf("refused, this process ends"), link.Shutdown) }
+
 // finishCommand sends the reply of the command that blocks the session, and runs the commands behind it.
 func (s *session) finishCommand(message []byte) {
 	s.reply(message)
--- a/internal/front/admin/admin.go
+++ b/internal/front/admin/admin.go
@@ -67,6 +67,7 @@
 	drainingListener *link.DrainingListener
 	server           netpoll.EventLoop
 	conns            core.SlotMap[*conn]
+	closed           bool
 }
 
 // conn is one connection of an operator.
@@ -120,12 +121,31 @@
 	return f.drainingListener.IsClosed() && !f.drainingListener.HasPendingAccepts()
 }
 
-// Close closes the listener and every connection.
+// IsClosed reports whether the listener is closed and no connection is left.
+func (f *Front) IsClosed() bool { return f.IsListenerClosed() && f.conns.Len() == 0 }
+
+// Close closes the listener and answers every connection that waits for an answer or has not sent its call, also those that
+// the listener's drain still accepts.
 func (f *Front) Close() {
+	f.closed = true
 	f.listener.Close()
-	f.conns.Each(func(_ core.Ref, c *conn) { c.Close(link.Shutdown) })
+	f.conns.Each(func(_ core.Ref, c *conn) { f.refuse(c) })
+}
+
+// refuse answers a connection that has no answer yet, as the process ends.
+func (f *Front) refuse(c *conn) {
+	switch {
+	case c.answered || c.ClosedLocally:
+	case c.received:
+		f.answer(c, link.Shutdown, 503, unconfirmedText)
+	default:
+		f.answer(c, link.Shutdown, 503, "this process ends; call again\n")
+	}
 }
 
+// unconfirmedText answers a change that is not known to be in force in all processes.
+const unconfirmedText = "in force here, but not confirmed in time; ask again\n"
+
 // prepare sets up a new connection. It runs on the poller, before anything is read from the connection.
 func (f *Front) prepare(nc netpoll.Connection) context.Context {
 	c := &conn{}
@@ -146,12 +166,14 @@
 			switch {
 			case c.answered || c.ClosedLocally:
 			case c.received:
-				f.answer(c, link.NoAnswer, 503, "in force here, but not confirmed in time; ask again\n")
+				f.answer(c, link.NoAnswer, 503, unconfirmedText)
 			default:
 				f.answer(c, link.SlowInput, 408, "no whole call came within 900 ms\n")
 			}
 		})
-		if f.conns.Len() > MaxConnections {
+		if f.closed {
+			f.refuse(c)
+		} else if f.conns.Len() > MaxConnections {
 			f.closeOldest(c)
 		}
 	})
--- a/internal/front/http2/front.go
+++ b/internal/front/http2/front.go
@@ -115,6 +115,8 @@
 	c.write(appendSettings(nil, settingMaxConcurrentStreams, uint32(f.limits.MaxStreams), settingMaxHeaderListSize, uint32(f.limits.MaxHeaderListBytes),
 		settingHeaderTableSize, uint32(f.limits.HeaderTableBytes)))
 	switch {
+	case f.closed:
+		c.closeWithGoAway(NoError, link.Shutdown, "")
 	case f.conns.Len() > f.limits.MaxConnections:
 		c.closeWithGoAway(EnhanceYourCalm, link.OverBudget, "max_connections is reached")
 	case f.draining:
@@ -218,11 +220,15 @@
 	return f.drainingListener.IsClosed() && !f.drainingListener.HasPendingAccepts()
 }
 
-// Close closes the listener and all connections.
+// IsClosed reports whether the listener is closed and no connection is left.
+func (f *Front) IsClosed() bool { return f.IsListenerClosed() && f.conns.Len() == 0 }
+
+// Close closes the listener and all connections, also those that the listener's drain still accepts. Each gets a GOAWAY with
+// the last stream that was accepted on it, so that its client may send later ones elsewhere.
 func (f *Front) Close() {
 	f.closed = true
 	f.listener.Close()
-	f.conns.Each(func(_ core.Ref, c *conn) { c.Close(link.Shutdown) })
+	f.conns.Each(func(_ core.Ref, c *conn) { c.closeWithGoAway(NoError, link.Shutdown, "") })
 }
 
 // conn is a client's connection. Its fields belong to the loop, except for those that belong to netpoll's goroutine.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -160,6 +160,7 @@
 const (
 	closeCheckPeriod = 5 * core.Millisecond
 	maxCloseWait     = 2 * core.Second
+	lastLinger       = 100 * core.Millisecond // for the peers to close their connections
 )
 
 // closableFront is a front that ends after the HTTP/1.1 front.
@@ -168,8 +169,10 @@
 	CloseListener(hasOneSuccessor bool)
 	// IsListenerClosed reports whether that drain is complete.
 	IsListenerClosed() bool
-	// Close closes the front's listener and connections.
+	// Close closes the front's listener and connections, which are read over until their peers close them.
 	Close()
+	// IsClosed reports whether that is complete.
+	IsClosed() bool
 }
 
 // otherFronts returns the fronts besides the HTTP/1.1 front.
@@ -208,6 +211,19 @@
 	for _, front := range g.otherFronts() {
 		front.Close()
 	}
+	g.awaitClose(now + lastLinger)
+}
+
+// awaitClose ends the loop when the other fronts have no connection left, or at until.
+func (g *Gateway) awaitClose(until core.Time) {
+	now, isOpen := g.Loop.Now(), false
+	for _, front := range g.otherFronts() {
+		isOpen = isOpen || !front.IsClosed()
+	}
+	if isOpen && now < until {
+		g.Loop.At(now+closeCheckPeriod, func() { g.awaitClose(until) })
+		return
+	}
 	g.Loop.Post(g.Loop.Stop) // behind the ends of the connections, which are logged
 }
 
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -6,8 +6,12 @@
 	"cobaltflow/rules"
 )
 
-// shutdownPollInterval is the interval of pollShutdown.
-const shutdownPollInterval = 20 * core.Millisecond
+const (
+	shutdownPollInterval = 20 * core.Millisecond // interval of pollShutdown
+	// lastLinger is how long the last connections, whose write side is closed, are read over until their peers close them.
+	lastLinger       = 100 * core.Millisecond
+	lastPollInterval = 5 * core.Millisecond // interval of the looks at them
+)
 
 // shutdownSchedule holds the steps of a shutdown, each as the time after SIGTERM. It ends before the platform may kill the
 // process.
@@ -196,9 +200,27 @@
 // a successor has come. It must be called before Stop.
 func (f *Front) OnListenerDrain(begin func()) { f.onListenerDrain = begin }
 
-// endConnections closes what is left when nothing is pending and the listener is closed.
+// endConnections ends what is left when nothing is pending and the listener is closed: connections that have brought
+// callbacks, and ones whose write side is closed. A callback that arrives behind the end of our side is read over; its worker
+// reads the end and repeats it.
 func (f *Front) endConnections() {
 	f.log.Info("stopped taking", "foreign_call_backs", f.unknownCallbacks, "passed_on", f.forwardedCallbacks)
+	f.isEnding = true
+	f.clients.Each(func(_ core.Ref, c *clientConn) {
+		if !c.HasPendingMessage() && c.IsWriterIdle() { // else it is closed behind its answer
+			c.CloseWrite(f.loop, link.Shutdown)
+		}
+	})
+	f.closeLastConnections(f.loop.Now() + lastLinger)
+}
+
+// closeLastConnections ends the front when all connections have ended, or at until.
+func (f *Front) closeLastConnections(until core.Time) {
+	now := f.loop.Now()
+	if f.clients.Len() > 0 && now < until {
+		f.loop.At(now+lastPollInterval, func() { f.closeLastConnections(until) })
+		return
+	}
 	f.clients.Each(func(_ core.Ref, c *clientConn) { c.Close(link.Shutdown) })
 	f.pool.close()
 	f.watch.stop()
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -98,6 +98,7 @@
 	onListenerDrain  func()    // called when the listener begins to drain; nil: nobody
 	shutdownTimer    *core.Timer
 	isListenerClosed bool   // the listener has begun to drain
+	isEnding         bool   // nothing is pending: the last connections are being closed
 	beforeIdleClose  func() // test hook: runs between the check that a connection is idle and its close; nil: none
 	// afterAccept is a test hook that runs on the poller between an accept and the count of its connection; nil: none.
 	afterAccept atomic.Pointer[func()]
--- a/internal/platform/requests.go
+++ b/internal/platform/requests.go
@@ -187,7 +187,7 @@
 		return
 	}
 	keepAlive = keepAlive && (f.stoppingSince == 0 || f.loop.Now() < f.stoppingSince+f.shutdownTimes.acceptUntil || c.isCallback) &&
-		c.CloseReason == "" && (f.drainingSince == 0 || c.isCallback)
+		c.CloseReason == "" && (f.drainingSince == 0 || c.isCallback) && !f.isEnding
 	if string(c.request.Method) == "HEAD" {
 		body = nil
 	}
