--- a/internal/faktory/front.go
+++ b/internal/faktory/front.go
@@ -48,13 +48,15 @@
 	conf *config.Config
 	log  *slog.Logger
 
-	listener        netpoll.Listener
-	server          netpoll.EventLoop // serves the listener's connections
-	sessions        core.SlotMap[*session]
-	sessionsToFlush []*session         // have replies from this turn
-	newFetches      []*session         // their FETCH came in this turn
-	workers         map[string]*worker // by wid
-	queuePools      map[string]*core.Pool
+	// listener is what CloseListener closes: drainingListener, unless a test has put a hook before it.
+	listener         netpoll.Listener
+	drainingListener *link.DrainingListener
+	server           netpoll.EventLoop // serves the listener's connections
+	sessions         core.SlotMap[*session]
+	sessionsToFlush  []*session         // have replies from this turn
+	newFetches       []*session         // their FETCH came in this turn
+	workers          map[string]*worker // by wid
+	queuePools       map[string]*core.Pool
 	// jobs is the state machine of all pushed jobs.
 	jobs            *jobs.Machine
 	requests        map[*jobs.Job]*jobRequest // the jobs with a request in the core
@@ -101,11 +103,12 @@
 
 // Start opens the listener and begins to serve; a *config.Error says that the address cannot be used.
 func (f *Front) Start() error {
-	ln, err := netpoll.CreateListener("tcp", f.conf.Faktory.Listen)
+	ln, err := link.Listen(f.conf.Faktory.Listen)
 	if err != nil {
 		return &config.Error{Key: "faktory.listen", Text: err.Error()}
 	}
-	f.listener = ln
+	f.drainingListener = link.NewDrainingListener(ln, "faktory", f.loop, f.log)
+	f.listener = f.drainingListener
 	f.server, err = netpoll.NewEventLoop(onRequest, netpoll.WithOnPrepare(f.accept),
 		netpoll.WithOnDisconnect(func(ctx context.Context, _ netpoll.Connection) {
 			s := ctx.Value(sessionKey{}).(*session)
@@ -114,7 +117,7 @@
 	if err != nil {
 		return err
 	}
-	go f.server.Serve(ln)
+	go f.server.Serve(f.drainingListener)
 	f.loop.AfterTurn(f.afterTurn)
 	f.loop.Post(func() {
 		f.jobs.SetTableWorkersReady(f.loop.Now(), f.core.MainPool().HasReadyWorker(f))
@@ -142,11 +145,29 @@
 	})
 }
 
-// Close ends all sessions.
+// CloseListener begins the drain of the listener, which closes when its accept queue is empty. hasOneSuccessor says that
+// exactly one other process listens at the address, which gets the new connections.
+func (f *Front) CloseListener(hasOneSuccessor bool) {
+	if hasOneSuccessor {
+		f.drainingListener.SteerToSuccessor()
+	}
+	f.listener.Close()
+}
+
+// IsListenerClosed reports whether the listener's drain is complete and every connection that came out of it is registered.
+func (f *Front) IsListenerClosed() bool {
+	return f.drainingListener.IsClosed() && !f.drainingListener.HasPendingAccepts()
+}
+
+// IsClosed reports whether the listener is closed and no connection is left.
+func (f *Front) IsClosed() bool { return f.IsListenerClosed() && f.sessions.Len() == 0 }
+
+// Close closes the listener and ends all sessions, also those that the listener's drain still accepts. Each gets an error
+// first, which is the reply to a command that is on its way.
 func (f *Front) Close() {
 	f.closed = true
 	f.listener.Close()
-	f.sessions.Each(func(_ core.Ref, s *session) { s.Close(link.Shutdown) })
+	f.sessions.Each(func(_ core.Ref, s *session) { s.refuse() })
 }
 
 func (f *Front) accept(nc netpoll.Connection) context.Context {
@@ -164,11 +185,16 @@
 
 // greet adds a new connection to the sessions and sends HI, or closes it when max_sessions is reached.
 func (f *Front) greet(s *session) {
+	f.drainingListener.Registered()
 	if s.Ended {
 		return
 	}
 	s.Opened = f.loop.Now()
 	s.ref = f.sessions.Add(s)
+	if f.closed {
+		s.refuse()
+		return
+	}
 	if f.sessions.Len() > f.conf.Faktory.MaxSessions {
 		f.rejected["max_sessions"]++
 		s.replyAndClose(errorReplyf("refused, max_sessions is reached, return in 1.000 s"), link.OverBudget)
--- a/internal/front/admin/admin.go
+++ b/internal/front/admin/admin.go
@@ -62,9 +62,12 @@
 	directives Directives
 	log        *slog.Logger
 
-	listener netpoll.Listener
-	server   netpoll.EventLoop
-	conns    core.SlotMap[*conn]
+	// listener is what CloseListener closes: drainingListener, unless a test has put a hook before it.
+	listener         netpoll.Listener
+	drainingListener *link.DrainingListener
+	server           netpoll.EventLoop
+	conns            core.SlotMap[*conn]
+	closed           bool
 }
 
 // conn is one connection of an operator.
@@ -91,24 +94,58 @@
 	if err != nil {
 		return &config.Error{Key: "admin", Text: err.Error()}
 	}
-	f.listener = ln
+	f.drainingListener = link.NewDrainingListener(ln, "admin", f.loop, f.log)
+	f.listener = f.drainingListener
 	f.server, err = netpoll.NewEventLoop(f.onRequest, netpoll.WithOnPrepare(f.prepare))
 	if err != nil {
 		return err
 	}
-	go f.server.Serve(ln)
+	go f.server.Serve(f.drainingListener)
 	return nil
 }
 
 // Address returns the address at which the front listens.
 func (f *Front) Address() string { return f.listener.Addr().String() }
 
-// Close closes the listener and every connection.
+// CloseListener begins the drain of the listener, which closes when its accept queue is empty. hasOneSuccessor says that
+// exactly one other process listens at the address, which gets the new connections.
+func (f *Front) CloseListener(hasOneSuccessor bool) {
+	if hasOneSuccessor {
+		f.drainingListener.SteerToSuccessor()
+	}
+	f.listener.Close()
+}
+
+// IsListenerClosed reports whether the listener's drain is complete and every connection that came out of it is registered.
+func (f *Front) IsListenerClosed() bool {
+	return f.drainingListener.IsClosed() && !f.drainingListener.HasPendingAccepts()
+}
+
+// IsClosed reports whether the listener is closed and no connection is left.
+func (f *Front) IsClosed() bool { return f.IsListenerClosed() && f.conns.Len() == 0 }
+
+// Close closes the listener and answers every connection that waits for an answer or has not sent its call, also those that
+// the listener's drain still accepts.
 func (f *Front) Close() {
+	f.closed = true
 	f.listener.Close()
-	f.conns.Each(func(_ core.Ref, c *conn) { c.Close(link.Shutdown) })
+	f.conns.Each(func(_ core.Ref, c *conn) { f.refuse(c) })
+}
+
+// refuse answers a connection that has no answer yet, as the process ends.
+func (f *Front) refuse(c *conn) {
+	switch {
+	case c.answered || c.ClosedLocally:
+	case c.received:
+		f.answer(c, link.Shutdown, 503, unconfirmedText)
+	default:
+		f.answer(c, link.Shutdown, 503, "this process ends; call again\n")
+	}
 }
 
+// unconfirmedText answers a change that is not known to be in force in all processes.
+const unconfirmedText = "in force here, but not confirmed in time; ask again\n"
+
 // prepare sets up a new connection. It runs on the poller, before anything is read from the connection.
 func (f *Front) prepare(nc netpoll.Connection) context.Context {
 	c := &conn{}
@@ -119,6 +156,7 @@
 		return nil
 	})
 	f.loop.Post(func() {
+		f.drainingListener.Registered()
 		if c.Ended {
 			return
 		}
@@ -128,12 +166,14 @@
 			switch {
 			case c.answered || c.ClosedLocally:
 			case c.received:
-				f.answer(c, link.NoAnswer, 503, "in force here, but not confirmed in time; ask again\n")
+				f.answer(c, link.NoAnswer, 503, unconfirmedText)
 			default:
 				f.answer(c, link.SlowInput, 408, "no whole call came within 900 ms\n")
 			}
 		})
-		if f.conns.Len() > MaxConnections {
+		if f.closed {
+			f.refuse(c)
+		} else if f.conns.Len() > MaxConnections {
 			f.closeOldest(c)
 		}
 	})
--- a/internal/front/http2/front.go
+++ b/internal/front/http2/front.go
@@ -33,14 +33,16 @@
 	admission *admission.Controller
 	ledger    *admission.Ledger
 
-	listener        netpoll.Listener
-	server          netpoll.EventLoop
-	conns           core.SlotMap[*conn]
-	connsToFlush    []*conn
-	draining        bool
-	finalGoAwaySent bool // the second GOAWAY has been sent
-	closed          bool
-	Stats           Stats
+	// listener is what CloseListener closes: drainingListener, unless a test has put a hook before it.
+	listener         netpoll.Listener
+	drainingListener *link.DrainingListener
+	server           netpoll.EventLoop
+	conns            core.SlotMap[*conn]
+	connsToFlush     []*conn
+	draining         bool
+	finalGoAwaySent  bool // the second GOAWAY has been sent
+	closed           bool
+	Stats            Stats
 }
 
 // Stats are counters since the start of the process.
@@ -64,11 +66,12 @@
 
 // Start opens the listener and begins to serve; a *config.Error says that the address cannot be used.
 func (f *Front) Start() error {
-	ln, err := netpoll.CreateListener("tcp", f.conf.HTTP2.Listen)
+	ln, err := link.Listen(f.conf.HTTP2.Listen)
 	if err != nil {
 		return &config.Error{Key: "http2.listen", Text: err.Error()}
 	}
-	f.listener = ln
+	f.drainingListener = link.NewDrainingListener(ln, "http2", f.loop, f.log)
+	f.listener = f.drainingListener
 	f.server, err = netpoll.NewEventLoop(onRequest, netpoll.WithOnPrepare(f.accept),
 		netpoll.WithOnDisconnect(func(ctx context.Context, _ netpoll.Connection) {
 			c := ctx.Value(connKey{}).(*conn)
@@ -77,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	go f.server.Serve(ln)
+	go f.server.Serve(f.drainingListener)
 	f.loop.AfterTurn(f.afterTurn)
 	f.loop.Post(f.sweep)
 	return nil
@@ -101,6 +104,7 @@
 
 // greet adds a new connection and sends our SETTINGS, which need not wait for the client's (RFC 9113, section 3.4).
 func (f *Front) greet(c *conn) {
+	f.drainingListener.Registered()
 	if c.Ended {
 		return
 	}
@@ -111,6 +115,8 @@
 	c.write(appendSettings(nil, settingMaxConcurrentStreams, uint32(f.limits.MaxStreams), settingMaxHeaderListSize, uint32(f.limits.MaxHeaderListBytes),
 		settingHeaderTableSize, uint32(f.limits.HeaderTableBytes)))
 	switch {
+	case f.closed:
+		c.closeWithGoAway(NoError, link.Shutdown, "")
 	case f.conns.Len() > f.limits.MaxConnections:
 		c.closeWithGoAway(EnhanceYourCalm, link.OverBudget, "max_connections is reached")
 	case f.draining:
@@ -200,11 +206,29 @@
 	return done
 }
 
-// Close closes all connections.
+// CloseListener begins the drain of the listener, which closes when its accept queue is empty. hasOneSuccessor says that
+// exactly one other process listens at the address, which gets the new connections.
+func (f *Front) CloseListener(hasOneSuccessor bool) {
+	if hasOneSuccessor {
+		f.drainingListener.SteerToSuccessor()
+	}
+	f.listener.Close()
+}
+
+// IsListenerClosed reports whether the listener's drain is complete and every connection that came out of it is registered.
+func (f *Front) IsListenerClosed() bool {
+	return f.drainingListener.IsClosed() && !f.drainingListener.HasPendingAccepts()
+}
+
+// IsClosed reports whether the listener is closed and no connection is left.
+func (f *Front) IsClosed() bool { return f.IsListenerClosed() && f.conns.Len() == 0 }
+
+// Close closes the listener and all connections, also those that the listener's drain still accepts. Each gets a GOAWAY with
+// the last stream that was accepted on it, so that its client may send later ones elsewhere.
 func (f *Front) Close() {
 	f.closed = true
 	f.listener.Close()
-	f.conns.Each(func(_ core.Ref, c *conn) { c.Close(link.Shutdown) })
+	f.conns.Each(func(_ core.Ref, c *conn) { c.closeWithGoAway(NoError, link.Shutdown, "") })
 }
 
 // conn is a client's connection. Its fields belong to the loop, except for those that belong to netpoll's goroutine.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 
+	"cobaltflow/internal/clock"
 	"cobaltflow/internal/config"
 	"cobaltflow/internal/core"
 	"cobaltflow/internal/faktory"
@@ -21,15 +22,15 @@
 
 // Gateway is one scheduler in this process.
 type Gateway struct {
-	Conf        *config.Config
-	Loop        *core.Loop
-	Core        *core.Core
-	Front       *platform.Front // HTTP/1.1
-	Faktory     *faktory.Front  // nil: off
-	HTTP2       *http2.Front    // nil: off
-	Admin       *admin.Front    // nil: no admin address is configured
-	log         *slog.Logger
-	closeChecks int // how often closeFronts has waited for the HTTP/2 front
+	Conf       *config.Config
+	Loop       *core.Loop
+	Core       *core.Core
+	Front      *platform.Front // HTTP/1.1
+	Faktory    *faktory.Front  // nil: off
+	HTTP2      *http2.Front    // nil: off
+	Admin      *admin.Front    // nil: no admin address is configured
+	log        *slog.Logger
+	closeUntil core.Time // when closeFronts ends its wait; 0: it has not begun
 
 	directives *directives
 	onReload   func()
@@ -51,6 +52,7 @@
 	}
 	controller := admission.NewController(g.Core, &conf.Names)
 	g.Front = platform.New(g.Core, conf, controller, log)
+	g.Front.OnListenerDrain(g.closeListeners)
 	if conf.HTTP2.IsEnabled() {
 		g.HTTP2 = http2.New(g.Core, conf, controller, log)
 	}
@@ -135,6 +137,8 @@
 // Stop begins a graceful shutdown: all accepted requests are answered first. It may be called from any
 // goroutine.
 func (g *Gateway) Stop() {
+	// The schedule counts from here, however late the loop's next turn is.
+	since := g.Loop.FromWall(clock.Wall())
 	// Called before the event is posted, since hasSuccessor reads files and the loop goroutine must not block on I/O.
 	handOver := g.directives.hasSuccessor()
 	g.Loop.Post(func() {
@@ -147,35 +151,90 @@
 			g.Faktory.Drain()
 		}
 		if g.HTTP2 != nil {
-			g.HTTP2.Drain(g.Front.AnswerTimeout())
+			g.HTTP2.Drain(max(0, since+g.Front.AnswerTimeout()-g.Loop.Now()))
 		}
-		g.Front.Stop(g.closeFronts)
+		g.Front.StopSince(since, g.closeFronts)
 	})
 }
 
 const (
-	closeCheckPeriod = 20 * core.Millisecond // also the time between the fronts' close and the end of the loop
-	maxCloseChecks   = 100
+	closeCheckPeriod = 5 * core.Millisecond
+	maxCloseWait     = 2 * core.Second
+	lastLinger       = 100 * core.Millisecond // for the peers to close their connections
 )
 
+// closableFront is a front that ends after the HTTP/1.1 front.
+type closableFront interface {
+	// CloseListener begins the drain of the front's listener, which steers new connections to the one successor, if any.
+	CloseListener(hasOneSuccessor bool)
+	// IsListenerClosed reports whether that drain is complete.
+	IsListenerClosed() bool
+	// Close closes the front's listener and connections, which are read over until their peers close them.
+	Close()
+	// IsClosed reports whether that is complete.
+	IsClosed() bool
+}
+
+// otherFronts returns the fronts besides the HTTP/1.1 front.
+func (g *Gateway) otherFronts() (fronts []closableFront) {
+	if g.Faktory != nil {
+		fronts = append(fronts, g.Faktory)
+	}
+	if g.HTTP2 != nil {
+		fronts = append(fronts, g.HTTP2)
+	}
+	if g.Admin != nil {
+		fronts = append(fronts, g.Admin)
+	}
+	return fronts
+}
+
+// closeListeners begins the drain of the other fronts' listeners together with that of the HTTP/1.1 front.
+func (g *Gateway) closeListeners() {
+	for _, front := range g.otherFronts() {
+		front.CloseListener(g.Front.HasOneSuccessor())
+	}
+}
+
 // closeFronts closes the other fronts once the HTTP/1.1 front has ended. The core then has no open requests, theirs
-// included, and only answers may still be unsent: the HTTP/2 front gets up to maxCloseChecks periods to send them.
+// included. Only their listeners may still drain and the answers of the HTTP/2 front may be unsent, which get up to
+// maxCloseWait.
 func (g *Gateway) closeFronts() {
-	if g.HTTP2 != nil && !g.HTTP2.IsDrained() && g.closeChecks < maxCloseChecks {
-		g.closeChecks++
-		g.Loop.At(g.Loop.Now()+closeCheckPeriod, g.closeFronts)
+	now := g.Loop.Now()
+	if g.closeUntil == 0 {
+		g.closeUntil = now + maxCloseWait
+	}
+	if !g.areFrontsDrained() && now < g.closeUntil {
+		g.Loop.At(now+closeCheckPeriod, g.closeFronts)
 		return
 	}
-	if g.Faktory != nil {
-		g.Faktory.Close()
+	for _, front := range g.otherFronts() {
+		front.Close()
 	}
-	if g.HTTP2 != nil {
-		g.HTTP2.Close()
+	g.awaitClose(now + lastLinger)
+}
+
+// awaitClose ends the loop when the other fronts have no connection left, or at until.
+func (g *Gateway) awaitClose(until core.Time) {
+	now, isOpen := g.Loop.Now(), false
+	for _, front := range g.otherFronts() {
+		isOpen = isOpen || !front.IsClosed()
 	}
-	if g.Admin != nil {
-		g.Admin.Close()
+	if isOpen && now < until {
+		g.Loop.At(now+closeCheckPeriod, func() { g.awaitClose(until) })
+		return
+	}
+	g.Loop.Post(g.Loop.Stop) // behind the ends of the connections, which are logged
+}
+
+// areFrontsDrained reports whether the other fronts' listeners are closed and the HTTP/2 front has sent its answers.
+func (g *Gateway) areFrontsDrained() bool {
+	for _, front := range g.otherFronts() {
+		if !front.IsListenerClosed() {
+			return false
+		}
 	}
-	g.Loop.At(g.Loop.Now()+closeCheckPeriod, g.Loop.Stop)
+	return g.HTTP2 == nil || g.HTTP2.IsDrained()
 }
 
 // ApplyLimits sets the Go runtime's limits (GOMAXPROCS, the memory limit and the collector's pace) from the configured ones.
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -6,8 +6,12 @@
 	"cobaltflow/rules"
 )
 
-// shutdownPollInterval is the interval of pollShutdown, and the delay from closing the last connections to onStopped.
-const shutdownPollInterval = 20 * core.Millisecond
+const (
+	shutdownPollInterval = 20 * core.Millisecond // interval of pollShutdown
+	// lastLinger is how long the last connections, whose write side is closed, are read over until their peers close them.
+	lastLinger       = 100 * core.Millisecond
+	lastPollInterval = 5 * core.Millisecond // interval of the looks at them
+)
 
 // shutdownSchedule holds the steps of a shutdown, each as the time after SIGTERM. It ends before the platform may kill the
 // process.
@@ -15,8 +19,8 @@
 	// Until acceptUntil, requests are admitted and connections are kept as before: clients go on using the connections they
 	// have, and in a rolling restart of a zone there may be no other scheduler to go to yet.
 	acceptUntil core.Time
-	// If a successor serves at the same address, jobs that arrive after refuseJobsAfter are refused, and the listener is
-	// closed at answerBy, since until the kill the kernel would go on assigning half of all new connections to this process.
+	// If a successor serves at the same address, jobs that arrive after refuseJobsAfter are refused, and the listener closes
+	// about answerBy, since until the kill the kernel would go on assigning half of all new connections to this process.
 	refuseJobsAfter core.Time
 	answerBy        core.Time // requests that are still open are answered at this time
 }
@@ -31,8 +35,9 @@
 	if longest == 0 {
 		longest = maxCountedDeadline
 	}
-	answerBy := min(longest, maxCountedDeadline) + killDelay - killMargin
-	acceptUntil := max(answerBy*11/30, min(newConnectionWindow, answerBy*3/4))
+	kill := min(longest, maxCountedDeadline) + killDelay
+	answerBy := max(kill-killMargin, minAnswerTime)
+	acceptUntil := max(answerBy*11/30, min(newConnectionWindow, answerBy*9/10))
 	return shutdownSchedule{acceptUntil: acceptUntil, refuseJobsAfter: max(answerBy*17/30, (3*acceptUntil+answerBy)/4), answerBy: answerBy}
 }
 
@@ -47,9 +52,10 @@
 	if f.stoppingSince == 0 {
 		f.stoppingSince, f.onStopped = min(since, f.loop.Now()), done
 		f.log.Info("stopping", "open", f.core.OpenRequests())
-		f.loop.At(f.stoppingSince+f.shutdownTimes.acceptUntil, f.pollShutdown)
+		f.pollShutdownAt(f.stoppingSince + f.shutdownTimes.acceptUntil)
 		f.loop.At(f.stoppingSince+f.shutdownTimes.answerBy, func() {
 			f.core.AbortRequests(func(client core.Client) bool { _, isOwn := client.(*clientConn); return isOwn })
+			f.pollShutdownNow()
 		})
 	}
 }
@@ -58,7 +64,7 @@
 func (f *Front) AnswerTimeout() core.Time { return f.shutdownTimes.answerBy }
 
 // HandOver prepares the front for its end while a successor serves at the same address. Clients are drained at once; after
-// SIGTERM, jobs that arrive later than refuseJobsAfter are refused and the listener closes at answerBy.
+// SIGTERM, jobs that arrive later than refuseJobsAfter are refused and the listener begins to drain at answerBy.
 func (f *Front) HandOver() {
 	f.isHandingOver = true
 	f.Drain()
@@ -115,15 +121,49 @@
 	c.CloseWrite(c.front.loop, reason)
 }
 
-// pollShutdown runs every shutdownPollInterval from acceptUntil after SIGTERM on. Once nothing is pending it closes the
-// listener; connections that were accepted until then are served too, so the front ends only at a later run that finds
-// nothing pending either.
+// pollShutdown runs every shutdownPollInterval from acceptUntil after SIGTERM on. Once nothing is pending, or with a
+// successor at answerBy, it closes the listener, which drains first (see link.DrainingListener). Connections that
+// come out of the drain are served too, so the front ends only at a later run, with the listener closed, that finds nothing
+// pending either.
 func (f *Front) pollShutdown() {
-	now, pending := f.loop.Now(), 0
+	f.shutdownTimer = nil
+	now := f.loop.Now()
+	isPending := f.closeIdleAndCountPending(now) > 0
+	if !isPending && f.drainingListener.IsClosed() {
+		f.endConnections()
+		return
+	}
+	// With a successor the listener closes in time whatever is pending: a request that arrives later could not end.
+	if !f.isListenerClosed && (!isPending || f.isHandingOver && now >= f.stoppingSince+f.shutdownTimes.answerBy) {
+		f.closeListener()
+	}
+	f.pollShutdownAt(now + shutdownPollInterval)
+}
+
+// pollShutdownAt schedules the next run of pollShutdown.
+func (f *Front) pollShutdownAt(at core.Time) {
+	f.loop.CancelTimer(f.shutdownTimer)
+	f.shutdownTimer = f.loop.At(at, f.pollShutdown)
+}
+
+// pollShutdownNow runs pollShutdown, when an event may have ended what it waits for.
+func (f *Front) pollShutdownNow() {
+	if f.shutdownTimer != nil {
+		f.loop.CancelTimer(f.shutdownTimer)
+		f.pollShutdown()
+	}
+}
+
+// closeIdleAndCountPending closes the idle connections of clients and returns how many connections, requests and calls the
+// shutdown still waits for.
+func (f *Front) closeIdleAndCountPending(now core.Time) (pending int) {
 	isPastAnswers := now >= f.stoppingSince+f.shutdownTimes.answerBy
 	f.clients.Each(func(_ core.Ref, c *clientConn) {
 		switch {
 		case c.isCallback:
+			if !isPastAnswers && (c.HasPendingMessage() || !c.IsWriterIdle()) {
+				pending++
+			}
 		case c.IsWriteClosed():
 			if !isPastAnswers { // afterwards only the peer's close is missing
 				pending++
@@ -136,23 +176,56 @@
 		}
 	})
 	pending += f.core.OpenRequests() + f.pool.inUse
-	pending += int(f.acceptedConns.Load()) - f.clients.Len() // accepted, and not registered on the loop yet
-	if pending == 0 && f.isListenerClosed {
-		f.log.Info("stopped taking", "foreign_call_backs", f.unknownCallbacks, "passed_on", f.forwardedCallbacks)
-		f.clients.Each(func(_ core.Ref, c *clientConn) { c.Close(link.Shutdown) })
-		f.pool.close()
-		f.watch.stop()
-		if f.peers != nil {
-			f.peers.close()
+	return pending + int(f.acceptedConns.Load()) - f.clients.Len() // being accepted, or not registered on the loop yet
+}
+
+// closeListener begins the drain of the listener, after which it closes. In the same event admission ends in all fronts:
+// the worker of a job that is admitted later could not reach this process with its callbacks.
+func (f *Front) closeListener() {
+	f.isListenerClosed = true
+	f.admission.Stop()
+	if f.HasOneSuccessor() {
+		f.drainingListener.SteerToSuccessor()
+	}
+	f.listener.Close()
+	if f.onListenerDrain != nil {
+		f.onListenerDrain()
+	}
+}
+
+// HasOneSuccessor reports whether a successor serves at the same address and no other process besides.
+func (f *Front) HasOneSuccessor() bool { return f.isHandingOver && f.processes == 2 }
+
+// OnListenerDrain sets a function that is called when the listener begins to drain, since nothing is pending or the time of
+// a successor has come. It must be called before Stop.
+func (f *Front) OnListenerDrain(begin func()) { f.onListenerDrain = begin }
+
+// endConnections ends what is left when nothing is pending and the listener is closed: connections that have brought
+// callbacks, and ones whose write side is closed. A callback that arrives behind the end of our side is read over; its worker
+// reads the end and repeats it.
+func (f *Front) endConnections() {
+	f.log.Info("stopped taking", "foreign_call_backs", f.unknownCallbacks, "passed_on", f.forwardedCallbacks)
+	f.isEnding = true
+	f.clients.Each(func(_ core.Ref, c *clientConn) {
+		if !c.HasPendingMessage() && c.IsWriterIdle() { // else it is closed behind its answer
+			c.CloseWrite(f.loop, link.Shutdown)
 		}
-		f.loop.At(now+shutdownPollInterval, f.onStopped)
+	})
+	f.closeLastConnections(f.loop.Now() + lastLinger)
+}
+
+// closeLastConnections ends the front when all connections have ended, or at until.
+func (f *Front) closeLastConnections(until core.Time) {
+	now := f.loop.Now()
+	if f.clients.Len() > 0 && now < until {
+		f.loop.At(now+lastPollInterval, func() { f.closeLastConnections(until) })
 		return
 	}
-	// With a successor the listener closes at answerBy whatever is pending: a request that arrives later could not end in
-	// time. If a connection is closed with an unread request, the client sends that again, to the successor.
-	if !f.isListenerClosed && (pending == 0 || f.isHandingOver && isPastAnswers) {
-		f.isListenerClosed = true
-		f.listener.Close()
+	f.clients.Each(func(_ core.Ref, c *clientConn) { c.Close(link.Shutdown) })
+	f.pool.close()
+	f.watch.stop()
+	if f.peers != nil {
+		f.peers.close()
 	}
-	f.loop.At(now+shutdownPollInterval, f.pollShutdown)
+	f.loop.Post(f.onStopped) // behind the ends of the connections, which are logged
 }
--- a/internal/platform/export_test.go
+++ b/internal/platform/export_test.go
@@ -117,3 +117,11 @@
 // SetListLimits sets the bounds of the lists that are read on connections to discovery opened from now on. It is called on
 // the loop.
 func (f *Front) SetListLimits(limits discovery.Limits) { f.listLimits = limits }
+
+// ReplaceListener sets the listener that the shutdown closes to the result of replace. It is called on the loop.
+func (f *Front) ReplaceListener(replace func(netpoll.Listener) netpoll.Listener) {
+	f.listener = replace(f.listener)
+}
+
+// SetAfterAccept sets a function that runs between the accept of a connection and its count. It is called on the poller.
+func (f *Front) SetAfterAccept(hook func()) { f.afterAccept.Store(&hook) }
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -44,10 +44,12 @@
 	firstRequestGrace = 200 * core.Millisecond
 	// The platform kills a scheduler, at the earliest, the longest class deadline plus killDelay after SIGTERM; a longest
 	// deadline above maxCountedDeadline counts as that. Requests that are still open killMargin before the kill are
-	// answered then, so that their answers have time to arrive.
+	// answered then, so that their answers have time to arrive and the process to end, also if it gets only a quarter of the
+	// processor's time, in turns of up to 0.2 s. minAnswerTime keeps the rest for new connections where deadlines are short.
 	maxCountedDeadline  = 3 * core.Second
 	killDelay           = 700 * core.Millisecond
-	killMargin          = 150 * core.Millisecond
+	killMargin          = 500 * core.Millisecond
+	minAnswerTime       = 500 * core.Millisecond
 	newConnectionWindow = 450 * core.Millisecond // after SIGTERM, in which new connections may still arrive
 	// initialListTimeout bounds the wait for the first worker list at startup: the local discovery server may not
 	// respond, and the front must become ready nonetheless.
@@ -68,13 +70,16 @@
 	dialFailures log.FailureThrottle // limits the log lines of peers that can't be reached
 	isStarted    bool                // startup is over, see markReady
 
-	listener      netpoll.Listener
-	server        netpoll.EventLoop
-	clients       core.SlotMap[*clientConn]
-	budget        connBudget
-	spareSockets  int          // descriptors outside of both budgets
-	acceptedConns atomic.Int64 // open accepted connections, including those not yet registered on the loop
-	acceptLimit   atomic.Int64 // bound of acceptedConns, above which the poller closes new connections
+	// listener is what the shutdown closes: drainingListener, unless a test has put a hook before it. It stays open while
+	// it drains.
+	listener         netpoll.Listener
+	drainingListener *link.DrainingListener
+	server           netpoll.EventLoop
+	clients          core.SlotMap[*clientConn]
+	budget           connBudget
+	spareSockets     int          // descriptors outside of both budgets
+	acceptedConns    atomic.Int64 // open accepted connections, including those not yet registered on the loop
+	acceptLimit      atomic.Int64 // bound of acceptedConns, above which the poller closes new connections
 
 	pool          connPool
 	watch         *discoveryWatch
@@ -90,9 +95,14 @@
 	onStopped        func()    // called once when the shutdown is complete
 	drainingSince    core.Time // start of the operator's drain; 0: none is in force
 	isHandingOver    bool      // a successor serves at this address: after SIGTERM this process ends as early as it can
-	isListenerClosed bool
+	onListenerDrain  func()    // called when the listener begins to drain; nil: nobody
+	shutdownTimer    *core.Timer
+	isListenerClosed bool   // the listener has begun to drain
+	isEnding         bool   // nothing is pending: the last connections are being closed
 	beforeIdleClose  func() // test hook: runs between the check that a connection is idle and its close; nil: none
-	relayed          uint64 // requests written completely to the workers
+	// afterAccept is a test hook that runs on the poller between an accept and the count of its connection; nil: none.
+	afterAccept atomic.Pointer[func()]
+	relayed     uint64 // requests written completely to the workers
 	// processes is the number of live processes of this scheduler, this one included, which divide its limits.
 	processes          int
 	unknownCallbacks   uint64 // callbacks refused because no process knows their job ID
@@ -156,7 +166,9 @@
 	if err != nil {
 		return &config.Error{Key: "listen", Text: err.Error()}
 	}
-	f.listener = ln
+	f.drainingListener = link.NewDrainingListener(ln, "http1", f.loop, f.log)
+	f.drainingListener.OnClosed(f.pollShutdownNow)
+	f.listener = f.drainingListener
 	f.server, err = netpoll.NewEventLoop(onRequest,
 		netpoll.WithOnPrepare(f.onAccept),
 		netpoll.WithOnDisconnect(func(ctx context.Context, _ netpoll.Connection) {
@@ -169,7 +181,7 @@
 	if err := f.openPeerSocket(); err != nil {
 		return err
 	}
-	go f.server.Serve(limitedListener{ln, f})
+	go f.server.Serve(limitedListener{f.drainingListener, f})
 	f.loop.Post(func() {
 		f.watch.open(0)
 		if f.watch.needsFullList && f.conf.Discovery != "" {
