Test that a callback is forwarded before the other processes are known (fails)

Two processes that have not been told of each other yet; the worker's connections all go to the one without the job.

Seen: TestCallbackIsForwardedBeforeOtherProcessesAreKnown fails in the subtest 'others known: false': ten responses 503 to the ten tries, and no connection on which the callback was offered to another process. The subtest 'others known: true' passes with one 204. Cause: forwardCallback returns at f.processes < 2, which is 1 until the first poll of package replica after the start has been posted to the loop.

The order is fixed by the test, with no sleep: what a process sends to the shared address reaches a listener of the test, which relays it to the process that it chooses.

--- /dev/null
+++ b/internal/platform/callback_order_test.go
@@ -0,0 +1,130 @@
+package platform_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cobaltflow/internal/config"
+	"cobaltflow/internal/platform"
+	"cobaltflow/internal/standin"
+)
+
+// Tests that a callback reaches the process that has its job in every order of events. Which process gets a connection, and
+// what happens meanwhile, is fixed by the test.
+
+// workerTries is how often a worker sends a callback that is not accepted.
+const workerTries = 10
+
+// processBeside is a process of a scheduler that does not have the job. What it sends to the scheduler's shared address, to
+// forward a callback, reaches a listener of the test, which relays each connection to the process that the test chooses; with
+// a really shared address the kernel would choose.
+type processBeside struct {
+	*standin.Node
+	listensAt string       // the address at which the test reaches this process alone
+	forwarded atomic.Int32 // connections on which it has forwarded callbacks
+}
+
+// startBeside starts such a process. route returns, for each connection to the shared address counted from 1, the address to
+// relay it to; an empty one closes it.
+func startBeside(t *testing.T, route func(connection int) string) *processBeside {
+	shared, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { shared.Close() })
+	beside := &processBeside{Node: standin.Start(t, nil)}
+	beside.listensAt = beside.Front.Address()
+	beside.RunOnLoop(func() { beside.Front.SetSharedAddress(shared.Addr()) })
+	go func() {
+		for {
+			c, err := shared.Accept()
+			if err != nil {
+				return
+			}
+			go relayConn(c, route(int(beside.forwarded.Add(1))))
+		}
+	}()
+	return beside
+}
+
+// relayConn copies both directions of a connection to an address.
+func relayConn(c net.Conn, address string) {
+	defer c.Close()
+	if address == "" {
+		return
+	}
+	to, err := net.Dial("tcp", address)
+	if err != nil {
+		return
+	}
+	defer to.Close()
+	go func() {
+		io.Copy(to, c)
+		to.(*net.TCPConn).CloseWrite()
+	}()
+	io.Copy(c, to)
+}
+
+// knowsOthers sets the number of processes that the process counts to two.
+func (p *processBeside) knowsOthers() { p.RunOnLoop(func() { p.Front.DivideLimits(2) }) }
+
+// sendCallbackTo reports a job of worker s-1 as done at an address, on a connection of its own, and returns the status of the
+// response; 0 means that there was none.
+func sendCallbackTo(address, id string) int {
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: standin.WaitTimeout}
+	body := fmt.Sprintf(`{"id":%q,"from":"s-1","state":"done","result":"ok"}`, id)
+	r, err := client.Post("http://"+address+platform.PathEvents, "application/json", strings.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	r.Body.Close()
+	return r.StatusCode
+}
+
+// sendCallbackAsWorker repeats a callback as a worker does: until it is accepted, workerTries times at most. It returns the
+// statuses of the responses.
+func sendCallbackAsWorker(address, id string) (statuses []int) {
+	for range workerTries {
+		statuses = append(statuses, sendCallbackTo(address, id))
+		if statuses[len(statuses)-1] == http.StatusNoContent {
+			break
+		}
+	}
+	return statuses
+}
+
+// startWithJob starts a process with one job that its worker has accepted, and returns the channel of the client's answer.
+func startWithJob(t *testing.T, id string, change func(*config.Config)) (*standin.Node, chan standin.Answer) {
+	w := standin.NewWorker(t, "s-1", acceptOnly)
+	n := standin.Start(t, change, w)
+	got := submit(n, "move", id)
+	n.Eventually(func() bool { return len(w.Jobs()) == 1 })
+	return n, got
+}
+
+var done = standin.Answer{Status: 200, Body: "ok"}
+
+// A callback is not refused by a process only because that process does not know yet that there are others: it is forwarded
+// until the process with the job accepts it. Guards against a lost callback: in the first milliseconds of an upgrade each
+// process counts itself alone, refused callbacks of the other's jobs without forwarding them, and a worker made all of its
+// ten tries in that time.
+func TestCallbackIsForwardedBeforeOtherProcessesAreKnown(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		t.Run(fmt.Sprintf("others known: %v", known), func(t *testing.T) {
+			n, got := startWithJob(t, "id-1", nil)
+			beside := startBeside(t, func(int) string { return n.Front.Address() })
+			if known {
+				beside.knowsOthers()
+			}
+			assert.Equal(t, []int{204}, sendCallbackAsWorker(beside.listensAt, "id-1"), "responses to the worker's tries")
+			require.NotZero(t, beside.forwarded.Load(), "the callback was not offered to any other process")
+			assert.Equal(t, done, receive(t, got))
+		})
+	}
+}
--- a/internal/platform/export_test.go
+++ b/internal/platform/export_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"net"
 	"slices"
 	"testing"
 	"time"
@@ -117,3 +118,30 @@
 // SetListLimits sets the bounds of the lists that are read on connections to discovery opened from now on. It is called on
 // the loop.
 func (f *Front) SetListLimits(limits discovery.Limits) { f.listLimits = limits }
+
+// hookedListener is a front's listener with another address or with a step before its close.
+type hookedListener struct {
+	netpoll.Listener
+	address     net.Addr
+	beforeClose func()
+}
+
+// Addr implements net.Listener.
+func (l hookedListener) Addr() net.Addr { return l.address }
+
+// Close implements net.Listener.
+func (l hookedListener) Close() error {
+	l.beforeClose()
+	return l.Listener.Close()
+}
+
+// SetSharedAddress sets the address that Address returns, at which the scheduler's other processes listen too. It is called
+// on the loop.
+func (f *Front) SetSharedAddress(address net.Addr) {
+	f.listener = hookedListener{f.listener, address, func() {}}
+}
+
+// SetBeforeListenerClose sets a function that runs just before the listener is closed. It is called on the loop.
+func (f *Front) SetBeforeListenerClose(hook func()) {
+	f.listener = hookedListener{f.listener, f.listener.Addr(), hook}
+}
