Test that a callback is not refused while many are forwarded (fails)

Seen: TestCallbackIsNotRefusedWhileManyAreForwarded fails 3 of 3 times: the process with the job stands still, maxForwarding (64) other callbacks wait for it, and the next callback's ten tries are all refused with 503 at once; the process that resumes after that never hears that the job is done, and its client gets 500 at its deadline (9.0 s). Cause: forwardCallback returns at f.forwarding >= maxForwarding, and a refusal there says nothing about who has the job.

--- a/internal/platform/callback_order_test.go
+++ b/internal/platform/callback_order_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
@@ -74,6 +75,38 @@
 // knowsOthers sets the number of processes that the process counts to two.
 func (p *processBeside) knowsOthers() { p.RunOnLoop(func() { p.Front.DivideLimits(2) }) }
 
+// awaitTriesOrHeld waits until a worker has made its last try, whose responses it returns, or until the process holds the
+// given number of callbacks without a response.
+func (p *processBeside) awaitTriesOrHeld(statuses chan []int, callbacks int) (tries []int, ended bool) {
+	p.Eventually(func() bool {
+		select {
+		case tries = <-statuses:
+			ended = true
+		default:
+		}
+		return ended || p.holds(callbacks)
+	})
+	return tries, ended
+}
+
+// holds reports whether the process has handled that many callbacks, none of which it has answered or refused.
+func (p *processBeside) holds(callbacks int) bool {
+	var refusedBefore, refusedAfter uint64
+	var before, after int
+	p.RunOnLoop(func() { refusedBefore = p.Front.RefusedCallbacks(); _, _, before = p.Front.ClientCounts() })
+	p.RunOnLoop(func() { refusedAfter = p.Front.RefusedCallbacks(); _, _, after = p.Front.ClientCounts() })
+	return before == callbacks && after == callbacks && refusedBefore == refusedAfter
+}
+
+// holdLoop makes a process stand still until resume is called, which happens at the end of the test at the latest.
+func holdLoop(n *standin.Node) (resume func()) {
+	held := make(chan struct{})
+	resume = sync.OnceFunc(func() { close(held) })
+	n.T.Cleanup(resume)
+	n.Loop.Post(func() { <-held })
+	return resume
+}
+
 // sendCallbackTo reports a job of worker s-1 as done at an address, on a connection of its own, and returns the status of the
 // response; 0 means that there was none.
 func sendCallbackTo(address, id string) int {
@@ -128,3 +161,28 @@
 		})
 	}
 }
+
+// The callback of an open job is not lost while many others are being forwarded. Guards against a lost callback: the process
+// with the jobs does not respond for a moment, maxForwarding callbacks wait for it, and the next one's ten tries were all
+// refused at once, within milliseconds.
+func TestCallbackIsNotRefusedWhileManyAreForwarded(t *testing.T) {
+	n, got := startWithJob(t, "id-1", nil)
+	beside := startBeside(t, func(int) string { return n.Front.Address() })
+	beside.knowsOthers()
+	resume := holdLoop(n)
+	var others sync.WaitGroup
+	for i := range platform.MaxForwarding {
+		others.Go(func() { sendCallbackTo(beside.listensAt, fmt.Sprint("other-", i)) })
+	}
+	eventuallyOnLoop(beside.Node, func() bool { return beside.Front.Forwarding() == platform.MaxForwarding })
+	statuses := make(chan []int, 1)
+	go func() { statuses <- sendCallbackAsWorker(beside.listensAt, "id-1") }()
+	tries, ended := beside.awaitTriesOrHeld(statuses, platform.MaxForwarding+1)
+	resume()
+	if !ended {
+		tries = receive(t, statuses)
+	}
+	others.Wait()
+	require.Equal(t, 204, tries[len(tries)-1], "responses to the worker's tries: %v", tries)
+	assert.Equal(t, done, receive(t, got))
+}
--- a/internal/platform/export_test.go
+++ b/internal/platform/export_test.go
@@ -145,3 +145,13 @@
 func (f *Front) SetBeforeListenerClose(hook func()) {
 	f.listener = hookedListener{f.listener, f.listener.Addr(), hook}
 }
+
+// MaxForwarding is the number of callbacks that are forwarded at a time.
+const MaxForwarding = maxForwarding
+
+// Forwarding returns the number of callbacks that are being forwarded. It is called on the loop.
+func (f *Front) Forwarding() int { return f.forwarding }
+
+// RefusedCallbacks returns the number of callbacks that were refused since no process is known to have their job. It is
+// called on the loop.
+func (f *Front) RefusedCallbacks() uint64 { return f.unknownCallbacks }
