--- a/internal/platform/callback_order_test.go
+++ b/internal/platform/callback_order_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cobaltflow/internal/config"
+	"cobaltflow/internal/core"
 	"cobaltflow/internal/platform"
 	"cobaltflow/internal/standin"
 )
@@ -186,3 +187,71 @@
 	require.Equal(t, 204, tries[len(tries)-1], "responses to the worker's tries: %v", tries)
 	assert.Equal(t, done, receive(t, got))
 }
+
+// A callback is accepted at the worker's first try although the first connections on which it is forwarded end at a process
+// without the job, or are closed. Excludes these orders as causes of a lost callback.
+func TestForwardedCallbackIsTriedOn(t *testing.T) {
+	const inVain = 19
+	third := standin.Start(t, nil)
+	third.RunOnLoop(func() { third.Front.DivideLimits(3) })
+	for name, address := range map[string]string{"a third process": third.Front.Address(), "closed connections": ""} {
+		t.Run(name, func(t *testing.T) {
+			n, got := startWithJob(t, "id-1", nil)
+			beside := startBeside(t, func(connection int) string {
+				if connection <= inVain {
+					return address
+				}
+				return n.Front.Address()
+			})
+			beside.knowsOthers()
+			assert.Equal(t, []int{204}, sendCallbackAsWorker(beside.listensAt, "id-1"))
+			assert.Equal(t, done, receive(t, got))
+		})
+	}
+}
+
+// A callback is accepted at a later try of the worker if all connections on which a process forwards it reach that process
+// itself. The test fixes what has a probability of 1 in 2^20 for each try with two processes; ten such tries on end lose the
+// callback.
+func TestCallbackOutlastsConnectionsToTheOwnProcess(t *testing.T) {
+	n, got := startWithJob(t, "id-1", nil)
+	var own atomic.Value
+	beside := startBeside(t, func(connection int) string {
+		if connection <= 20 {
+			return own.Load().(string)
+		}
+		return n.Front.Address()
+	})
+	own.Store(beside.listensAt)
+	beside.knowsOthers()
+	tries := sendCallbackAsWorker(beside.listensAt, "id-1")
+	assert.Equal(t, 204, tries[len(tries)-1], "responses to the worker's tries: %v", tries)
+	assert.Equal(t, done, receive(t, got))
+}
+
+// A callback that was forwarded to a process that stands still takes effect when that process goes on, although its worker
+// was refused meanwhile and does not try again. Excludes a stop of any length as a cause, as long as one connection of the
+// callback has reached the process.
+func TestCallbackTakesEffectAfterItsProcessStoodStill(t *testing.T) {
+	n, got := startWithJob(t, "id-1", nil)
+	beside := startBeside(t, func(int) string { return n.Front.Address() })
+	beside.knowsOthers()
+	resume := holdLoop(n)
+	assert.Equal(t, 503, sendCallbackTo(beside.listensAt, "id-1"), "no response within the time to forward")
+	resume()
+	assert.Equal(t, done, receive(t, got))
+}
+
+// While a successor serves, the listener closes at the end of a shutdown whatever is pending, but not before the open jobs are
+// answered: no job is open whose callback could not arrive. Excludes this order as a cause of a lost callback.
+func TestHandOverClosesListenerAfterOpenJobsAreAnswered(t *testing.T) {
+	n, got := startWithJob(t, "id-1", nil)
+	open := make(chan int, 1)
+	n.RunOnLoop(func() {
+		n.Front.SetBeforeListenerClose(func() { open <- n.Core.OpenRequests() })
+		n.Front.HandOver()
+		n.Front.StopSince(n.Loop.Now()-n.Front.AnswerTimeout()+100*core.Millisecond, func() {})
+	})
+	assert.Zero(t, receive(t, open), "open requests as the listener closes")
+	assert.Equal(t, 500, receive(t, got).Status, "answered by the shutdown")
+}
