Test that no job is open behind a closed listener (fails)

Cause: pollShutdown reads acceptedConns first and closes the listener after it, and a connection accepted in between is served. A fix that refuses such a job passes as well.

--- a/internal/platform/callback_order_test.go
+++ b/internal/platform/callback_order_test.go
@@ -255,3 +255,33 @@
 	assert.Zero(t, receive(t, open), "open requests as the listener closes")
 	assert.Equal(t, 500, receive(t, got).Status, "answered by the shutdown")
 }
+
+// The callbacks of a job reach its process as long as the job is open. Guards against a lost callback: the poller accepted a
+// client's connection between the shutdown's check that nothing is pending and the close of the listener; its job was
+// admitted and ran, and its callbacks found no listener.
+func TestListenerStaysOpenForTheLastJobsCallback(t *testing.T) {
+	w := standin.NewWorker(t, "s-1", acceptOnly)
+	n := standin.Start(t, nil, w)
+	address := n.Front.Address()
+	answered := make(chan int, 1)
+	n.RunOnLoop(func() {
+		n.Front.SetBeforeListenerClose(sync.OnceFunc(func() {
+			c := standin.Dial(t, address)
+			c.Send(fmt.Sprintf(completeRequest, "id-1"))
+			blockUntil(t, func() bool { return n.Front.AcceptedConns() == 1 })
+			go func() {
+				if r, err := http.ReadResponse(c.Reader, nil); err == nil {
+					answered <- r.StatusCode
+				}
+			}()
+		}))
+		n.Front.StopSince(n.Loop.Now()-2*core.Second, n.Loop.Stop) // pollShutdown runs in this turn
+	})
+	n.Eventually(func() bool { return len(w.Jobs()) == 1 || len(answered) == 1 })
+	if len(w.Jobs()) == 0 {
+		assert.Equal(t, 503, <-answered, "a job that is not sent to a worker is refused")
+		return
+	}
+	tries := sendCallbackAsWorker(address, "id-1")
+	assert.Equal(t, 204, tries[len(tries)-1], "responses to the worker's tries: %v; 0: no connection", tries)
+}
