Test that a late HTTP/2 stream's callback finds a listener (fails)

Seen: TestListenerStaysOpenForTheLastStreamsCallback fails 2 of 2 times, with deadlines of 1 s: the HTTP/1.1 listener, to which workers send their callbacks, closes 0.57 s after SIGTERM as nothing is pending; a stream that the loop reads after that and before the final GOAWAY, at 0.78 s, is admitted and its job sent to a worker, and all ten tries of the callback find no listener. Cause: shutdownSchedule.acceptUntil is 11/30 of answerBy, the final GOAWAY comes at the half of it or 1 s, so that it is later for answerBy from 0.9 to 2.7 s (deadlines of 0.4 to 2.2 s), and pollShutdown does not wait for the HTTP/2 front. The order is forced: the stream is sent while the loop closes the listener.

--- a/internal/platform/callback_order_test.go
+++ b/internal/platform/callback_order_test.go
@@ -1,6 +1,7 @@
 package platform_test
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
 
 	"cobaltflow/internal/config"
 	"cobaltflow/internal/core"
@@ -285,3 +288,69 @@
 	tries := sendCallbackAsWorker(address, "id-1")
 	assert.Equal(t, 204, tries[len(tries)-1], "responses to the worker's tries: %v; 0: no connection", tries)
 }
+
+// An HTTP/2 stream whose job is admitted during a shutdown gets its worker's callback. Guards against a lost callback: with
+// deadlines from about 0.4 to 2.2 s the final GOAWAY comes after the time from which the HTTP/1.1 listener closes as soon as
+// nothing is pending, and the jobs of streams that come in between are sent to workers whose callbacks find no listener.
+func TestListenerStaysOpenForTheLastStreamsCallback(t *testing.T) {
+	w := standin.NewWorker(t, "s-1", acceptOnly)
+	n := startHTTP2(t, func(c *config.Config) {
+		for i := range c.Settings.Classes {
+			c.Settings.Classes[i].Deadline = core.Second
+		}
+	}, w)
+	address := n.Front.Address()
+	c := standin.Dial(t, n.HTTP2.Address())
+	c.Send(http2.ClientPreface)
+	framer := http2.NewFramer(c, c.Reader)
+	require.NoError(t, framer.WriteSettings())
+	request, listenerCloses := encodeHTTP2Request("id-1"), make(chan struct{})
+	n.RunOnLoop(func() {
+		n.Front.SetBeforeListenerClose(func() { // the loop reads the stream after the close
+			assert.NoError(t, framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: request, EndStream: true, EndHeaders: true}))
+			close(listenerCloses)
+		})
+	})
+	n.Gateway.Stop()
+	receive(t, listenerCloses)
+	refused := make(chan struct{})
+	go func() {
+		defer close(refused)
+		for {
+			frame, err := framer.ReadFrame()
+			if err != nil {
+				return
+			}
+			if reset, ok := frame.(*http2.RSTStreamFrame); ok && reset.ErrCode == http2.ErrCodeRefusedStream {
+				return
+			}
+		}
+	}()
+	n.Eventually(func() bool { return len(w.Jobs()) == 1 || isClosed(refused) })
+	if len(w.Jobs()) == 0 {
+		return // a stream that is refused may be sent elsewhere
+	}
+	tries := sendCallbackAsWorker(address, "id-1")
+	assert.Equal(t, 204, tries[len(tries)-1], "responses to the worker's tries: %v; 0: no connection", tries)
+}
+
+// encodeHTTP2Request returns the header block of a request without a body.
+func encodeHTTP2Request(id string) []byte {
+	var block bytes.Buffer
+	encoder := hpack.NewEncoder(&block)
+	for _, field := range [][2]string{{":method", "POST"}, {":scheme", "http"}, {":path", "/move/k"}, {":authority", "x"},
+		{"x-correlation-id", id}, {"x-time-left-ms", longTimeLeft}} {
+		encoder.WriteField(hpack.HeaderField{Name: field[0], Value: field[1]})
+	}
+	return block.Bytes()
+}
+
+// isClosed reports whether a channel is closed.
+func isClosed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
