Test that callbacks are accepted while clients use all connections (fails)

Seen: TestCallbackIsAcceptedWhileClientsUseAllConnections fails 2 of 2 times in both subtests: all ten tries of the callback of an open job are closed unread, at the clients' budget by enforceClientBudget (all others are busy, so it evicts the newest, and a worker's connection that has brought no byte yet is the newest), and at the accept limit by limitedListener.Accept. The callback would have ended a job and freed a connection. A forwarded connection is treated alike.

The test fixes that the first byte comes after the registration.

--- a/internal/platform/callback_order_test.go
+++ b/internal/platform/callback_order_test.go
@@ -354,3 +354,69 @@
 		return false
 	}
 }
+
+// startWithBusyClients starts a process whose connections are all in use by clients that wait for their jobs: as many as the
+// budget for clients or, with upToAcceptLimit, as many as the poller accepts. The first job's ID is id-0, and its client's
+// connection is returned.
+func startWithBusyClients(t *testing.T, upToAcceptLimit bool) (*standin.Node, *standin.RawConn) {
+	w := standin.NewWorker(t, "s-1", acceptOnly)
+	n := standin.Start(t, func(c *config.Config) { c.Limits.Sockets = 64 }, w)
+	clients := 0
+	connect := func() *standin.RawConn {
+		c := standin.Dial(t, n.Front.Address())
+		c.Send(fmt.Sprintf(completeRequest, fmt.Sprint("id-", clients)))
+		clients++
+		return c
+	}
+	first := connect()
+	eventuallyOnLoop(n, func() bool { return len(w.Jobs()) == 1 && n.Front.IdleConns() == 1 })
+	n.RunOnLoop(func() { // the requests are complete when the loop registers their connections
+		limit, acceptLimit := n.Front.ConnLimits()
+		if upToAcceptLimit {
+			limit = acceptLimit
+		}
+		for clients < limit {
+			connect()
+			blockUntil(t, func() bool { return n.Front.AcceptedConns() == clients })
+		}
+	})
+	eventuallyOnLoop(n, func() bool { return n.Core.OpenRequests() == clients })
+	return n, first
+}
+
+// sendCallbackAfterConnecting sends a callback on a connection whose end, if the process closes it at once, or whose
+// registration came before the first byte. It returns the status of the response; 0 means that there was none.
+func sendCallbackAfterConnecting(n *standin.Node, id string) int {
+	registered := 0
+	n.RunOnLoop(func() { registered, _, _ = n.Front.ClientCounts() })
+	n.ClearLog()
+	c := standin.Dial(n.T, n.Front.Address())
+	eventuallyOnLoop(n, func() bool {
+		now, _, _ := n.Front.ClientCounts()
+		return now > registered || n.HasLogged("reason=over-budget")
+	})
+	body := fmt.Sprintf(`{"id":%q,"from":"s-1","state":"done","result":"ok"}`, id)
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", platform.PathEvents, len(body), body)
+	r, err := http.ReadResponse(c.Reader, nil)
+	if err != nil {
+		return 0
+	}
+	return r.StatusCode
+}
+
+// A callback is accepted although clients use all connections: it is what ends their jobs. Guards against a lost callback: the
+// process closed each connection that was made over its limits, unread, so that all ten tries of a worker ended unanswered
+// within milliseconds.
+func TestCallbackIsAcceptedWhileClientsUseAllConnections(t *testing.T) {
+	for name, upToAcceptLimit := range map[string]bool{"budget": false, "accept limit": true} {
+		t.Run(name, func(t *testing.T) {
+			n, client := startWithBusyClients(t, upToAcceptLimit)
+			var tries []int
+			for len(tries) < workerTries && (len(tries) == 0 || tries[len(tries)-1] != 204) {
+				tries = append(tries, sendCallbackAfterConnecting(n, "id-0"))
+			}
+			require.Equal(t, 204, tries[len(tries)-1], "responses to the worker's tries: %v; 0: closed", tries)
+			assert.Equal(t, 200, readStatus(t, client))
+		})
+	}
+}
--- a/internal/platform/export_test.go
+++ b/internal/platform/export_test.go
@@ -155,3 +155,10 @@
 // RefusedCallbacks returns the number of callbacks that were refused since no process is known to have their job. It is
 // called on the loop.
 func (f *Front) RefusedCallbacks() uint64 { return f.unknownCallbacks }
+
+// ConnLimits returns the budget of client connections and the number of connections that the poller accepts at present. It is
+// called on the loop.
+func (f *Front) ConnLimits() (budget, accepted int) {
+	f.updateAcceptLimit()
+	return f.budget.clients, int(f.acceptLimit.Load())
+}
