Test that a process whose poll is held forwards callbacks (fails)

Two real processes. The old one's poll of the state directory is held (it reads a FIFO) while the new one starts and reads the directory, so that the old one does not know of it. Seen, 3 of 3 times: TestCallbackIsForwardedByAProcessWhosePollIsHeld gets 17, 22 and 21 refusals (503) for 40 callbacks of an open job of the new process, and 204 for the others: every callback that the kernel gives to the old process is refused. The same as in TestCallbackIsForwardedBeforeOtherProcessesAreKnown, for as long as the poll takes, whether 50 ms or a directory that hangs. That the new process scans before it listens does not help here; only a process that forwards without knowing of others passes.

--- a/cmd/cobaltflow/upgrade_callback_test.go
+++ b/cmd/cobaltflow/upgrade_callback_test.go
@@ -1,7 +1,10 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -34,7 +37,7 @@
 	require.NoError(t, old.cmd.Process.Signal(syscall.SIGSTOP))
 	isRefused := false
 	for tries := 0; tries < 20 && !isRefused; tries++ { // until the kernel gives one to the new process
-		isRefused = postCallbackOnce(h.listen, "id-1") == http.StatusServiceUnavailable
+		isRefused = postCallbackOnce(h.listen, "id-1", "done") == http.StatusServiceUnavailable
 	}
 	require.True(t, isRefused, "the new process forwards the callback and gets no response in time")
 	require.NoError(t, old.cmd.Process.Signal(syscall.SIGCONT))
@@ -46,13 +49,73 @@
 	}
 }
 
-// postCallbackOnce reports a job of worker s-1 as done and returns the status of the response, or 0 if there is none in time.
-func postCallbackOnce(address, id string) int {
+// postCallbackOnce reports the state of a job of worker s-1 and returns the status of the response, or 0 if there is none in time.
+func postCallbackOnce(address, id, state string) int {
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 800 * time.Millisecond}
-	r, err := client.Post("http://"+address+"/v1/job-events", "application/json", strings.NewReader(`{"id":"`+id+`","from":"s-1","state":"done","result":"ok"}`))
+	body := fmt.Sprintf(`{"id":%q,"from":"s-1","state":%q,"result":"ok"}`, id, state)
+	r, err := client.Post("http://"+address+"/v1/job-events", "application/json", strings.NewReader(body))
 	if err != nil {
 		return 0
 	}
 	r.Body.Close()
 	return r.StatusCode
 }
+
+// A callback is not refused by a process that has not polled the state directory since another process was started. Guards
+// against a lost callback: the process refused callbacks of the other's jobs without forwarding them, since it counted itself
+// alone until its next poll, which a slow directory delays without bound.
+func TestCallbackIsForwardedByAProcessWhosePollIsHeld(t *testing.T) {
+	const callbacks = 40 // with even chances, none reaches the old process once in 2^40 runs
+	h := newUpgradeHarness(t, "s-1")
+	h.callbackAttempts = -1 // the test sends the callbacks
+	old := h.start()
+	holdPoll(t, h.stateDir)
+	fresh := h.start()
+	eventually(t, func() bool { return fresh.logged("alive=1") })
+	require.False(t, old.logged("alive=1"), "the old process knows of the new one")
+	id := h.openJobAt(fresh, old)
+	statuses := map[int]int{}
+	for range callbacks {
+		statuses[postCallbackOnce(h.listen, id, "started")]++
+	}
+	assert.Equal(t, map[int]int{http.StatusNoContent: callbacks}, statuses, "number of callbacks by status")
+}
+
+// holdPoll makes the process that runs stand still in its poll of the state directory until the test ends: it reads a file
+// that never ends. Processes that are started later do not find that file.
+func holdPoll(t *testing.T, stateDir string) {
+	dirs, err := filepath.Glob(filepath.Join(stateDir, "cobaltflow-directives-*"))
+	require.NoError(t, err)
+	require.Len(t, dirs, 1)
+	path := filepath.Join(dirs[0], "00000099.set")
+	require.NoError(t, syscall.Mkfifo(path, 0o600))
+	eventually(t, func() bool {
+		file, err := os.OpenFile(path, os.O_WRONLY|syscall.O_NONBLOCK, 0) // fails while nobody reads
+		if err == nil {
+			t.Cleanup(func() { file.Close() })
+		}
+		return err == nil
+	})
+	require.NoError(t, os.Remove(path))
+}
+
+// openJobAt sends jobs, which stay open, until the given process has sent one to a worker, and returns that one's ID.
+func (h *upgradeHarness) openJobAt(process, other *instance) string {
+	for n := range 40 {
+		id, before := fmt.Sprint("id-", n), process.relayed()
+		go func() {
+			q, _ := http.NewRequest("POST", "http://"+h.listen+"/move/k", nil)
+			q.Header.Set("X-Correlation-Id", id)
+			q.Header.Set("X-Time-Left-Ms", "10000")
+			if r, err := http.DefaultClient.Do(q); err == nil {
+				r.Body.Close()
+			}
+		}()
+		eventually(h.t, func() bool { return process.relayed()+other.relayed() == n+1 })
+		if process.relayed() > before {
+			return id
+		}
+	}
+	h.t.Fatal("the process got no job")
+	return ""
+}
