--- a/internal/platform/callback_order_test.go
+++ b/internal/platform/callback_order_test.go
@@ -245,6 +245,25 @@
 	assert.Equal(t, done, receive(t, got))
 }
 
+// A callback takes effect although the process that forwards it ends before it has a response. Excludes this order as a cause
+// of a lost callback, as long as one connection has reached the process with the job; the worker's try ends unanswered.
+func TestCallbackTakesEffectAfterItsForwarderEnded(t *testing.T) {
+	n, got := startWithJob(t, "id-1", nil)
+	beside := startBeside(t, func(int) string { return n.Front.Address() })
+	beside.knowsOthers()
+	resume := holdLoop(n)
+	status := make(chan int, 1)
+	go func() { status <- sendCallbackTo(beside.listensAt, "id-1") }()
+	n.Eventually(func() bool { return n.Front.AcceptedConns() == 2 }) // the client's connection and a forwarded one
+	beside.RunOnLoop(func() {
+		beside.Front.StopSince(beside.Loop.Now()-beside.Front.AnswerTimeout(), beside.Loop.Stop)
+	})
+	receive(t, beside.Ended)
+	assert.Zero(t, receive(t, status), "the try ends without a response")
+	resume()
+	assert.Equal(t, done, receive(t, got))
+}
+
 // While a successor serves, the listener closes at the end of a shutdown whatever is pending, but not before the open jobs are
 // answered: no job is open whose callback could not arrive. Excludes this order as a cause of a lost callback.
 func TestHandOverClosesListenerAfterOpenJobsAreAnswered(t *testing.T) {
