Let callbacks over the limit of forwarding wait for their turn

Callers saw: while 64 callbacks were being forwarded to a process that stood still for a moment, the next callback's ten tries were all refused within milliseconds, and its client got a failure at the deadline.

Cause: forwardCallback refused at maxForwarding, which says nothing about who has the job.

Fix: such a callback waits in the order of arrival until one of the 64 has ended, on its connection. The queue holds at most 256 messages and at most half of the clients' budget; where it is full a callback is refused as before. A callback that is byte-equal to one that is forwarded or waits gets that one's outcome and takes no place. One whose connection ends leaves the queue, and the timer of one that leaves the check for other processes no longer forwards it.

Why no order of events can lose it, up to the bound: a callback is answered only with an outcome of its own message. What a retry joins has been, or will be, offered on up to 20 connections, and what reaches the process with the job takes effect however late it is read.

Remains: over 64 + 256 different callbacks at once (or half of the budget) are refused. The last of a full queue waits for up to about 2.8 s if nothing answers. The connections on which callbacks are forwarded are not counted in the limit on descriptors, as before.

--- a/internal/platform/export_test.go
+++ b/internal/platform/export_test.go
@@ -150,7 +150,17 @@
 const MaxForwarding = maxForwarding
 
 // Forwarding returns the number of callbacks that are being forwarded. It is called on the loop.
-func (f *Front) Forwarding() int { return f.forwarding }
+func (f *Front) Forwarding() int { return f.forwards.active }
+
+// QueuedForwards returns the number of callbacks that wait to be forwarded, and its bound. It is called on the loop.
+func (f *Front) QueuedForwards() (queued, bound int) {
+	return len(f.forwards.waiting), min(maxQueuedForwards, f.budget.clients/2)
+}
+
+// SetOffer replaces the function that offers a forwarded callback to the other processes. It is called on the loop.
+func (f *Front) SetOffer(offer func(message []byte) bool) {
+	f.forwards.offer = func(_ string, message []byte) bool { return offer(message) }
+}
 
 // RefusedCallbacks returns the number of callbacks that were refused since no process is known to have their job. It is
 // called on the loop.
--- a/internal/platform/forward.go
+++ b/internal/platform/forward.go
@@ -21,18 +21,23 @@
 	maxForwardAttempts    = 20
 	forwardAttemptTimeout = 100 * time.Millisecond // for connecting, and again for the answer
 	forwardTimeout        = 500 * time.Millisecond // for all connections of a callback, while its worker waits
-	// maxForwarding bounds the callbacks that are forwarded at a time; one above it is refused, and its worker retries.
-	maxForwarding = 64
 )
 
 // heldCallback is a callback of an ID that this process does not know. The connection that it arrived on waits for its answer.
 type heldCallback struct {
 	conn      *clientConn
 	keepAlive bool
-	message   []byte      // as it is sent to the other processes; a copy, since the connection may end first
+	message   string      // as it is sent to the other processes; a copy, since the connection may end first
 	timeout   *core.Timer // of the check for other processes; nil: there was none
 }
 
+// dropHeldCallback removes a callback whose connection has ended from where it waits. One that is being forwarded goes on.
+func (f *Front) dropHeldCallback(held *heldCallback) {
+	f.othersCheck.remove(held)
+	f.loop.CancelTimer(held.timeout)
+	f.forwards.remove(held)
+}
+
 // handleUnknownCallback forwards a callback of an ID that this process does not know, unless that is conclusively in vain:
 // another process has forwarded it here, or there is no other process. The result reports whether it is answered later.
 func (f *Front) handleUnknownCallback(c *clientConn, req *http1.Request) (waits bool) {
@@ -41,7 +46,7 @@
 		return false
 	}
 	message := http1.AppendRequest(nil, "POST", PathEvents, f.Address(), len(req.Body), nil, headerForwarded, "1", "Connection", "close")
-	held := &heldCallback{conn: c, keepAlive: req.KeepAlive, message: append(message, req.Body...)}
+	held := &heldCallback{conn: c, keepAlive: req.KeepAlive, message: string(append(message, req.Body...))}
 	c.callback = held
 	if f.processes > 1 {
 		f.forwardCallback(held)
@@ -51,31 +56,8 @@
 	return true
 }
 
-// forwardCallback offers a callback to the other processes of this scheduler. It is refused if none of them accepts it, or if
-// too many callbacks are being forwarded.
-func (f *Front) forwardCallback(held *heldCallback) {
-	if f.forwarding >= maxForwarding {
-		f.refuseHeldCallback(held)
-		return
-	}
-	f.forwarding++
-	address := f.Address()
-	go func() { // the calls block, so they run outside of the loop
-		isAccepted := offerCallback(address, held.message)
-		f.loop.Post(func() {
-			f.forwarding--
-			if isAccepted {
-				f.acceptHeldCallback(held)
-			} else {
-				f.refuseHeldCallback(held)
-			}
-		})
-	}()
-}
-
 // acceptHeldCallback answers a callback that another process has accepted.
 func (f *Front) acceptHeldCallback(held *heldCallback) {
-	f.forwardedCallbacks++
 	held.conn.callback = nil
 	f.reply(held.conn, 204, nil, held.keepAlive)
 	held.conn.ReleaseBuffer()
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -97,7 +97,7 @@
 	processes          int
 	unknownCallbacks   uint64 // callbacks refused because no process knows their job ID
 	othersCheck        othersCheck
-	forwarding         int    // callbacks being forwarded to the scheduler's other processes
+	forwards           forwardQueue
 	forwardedCallbacks uint64 // callbacks that another process of the scheduler accepted
 }
 
@@ -134,7 +134,8 @@
 func New(c *core.Core, conf *config.Config, controller *admission.Controller, logger *slog.Logger) *Front {
 	f := &Front{loop: c.Loop, core: c, conf: conf, admission: controller, log: logger, listLimits: discovery.DefaultLimits,
 		processes: 1, shutdownTimes: newShutdownSchedule(conf.Settings.Classes),
-		othersCheck: othersCheck{isAlone: func() (bool, error) { return true, nil }, timeout: othersCheckTimeout}}
+		othersCheck: othersCheck{isAlone: func() (bool, error) { return true, nil }, timeout: othersCheckTimeout},
+		forwards:    forwardQueue{offer: offerCallback, byMessage: map[string]*forward{}}}
 	f.pool = newConnPool(f)
 	f.applyBudgets()
 	return f
--- a/internal/platform/requests.go
+++ b/internal/platform/requests.go
@@ -209,7 +209,7 @@
 	f.acceptedConns.Add(-1)
 	f.clients.Free(c.ref)
 	if c.callback != nil {
-		f.othersCheck.remove(c.callback)
+		f.dropHeldCallback(c.callback)
 	}
 	if c.inFlight != nil {
 		f.core.ClientDisconnected(c.inFlight)
