--- a/internal/platform/export_test.go
+++ b/internal/platform/export_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"net"
 	"slices"
 	"testing"
 	"time"
@@ -125,3 +126,65 @@
 
 // SetAfterAccept sets a function that runs between the accept of a connection and its count. It is called on the poller.
 func (f *Front) SetAfterAccept(hook func()) { f.afterAccept.Store(&hook) }
+
+// hookedListener is a front's listener with another address or with a step before its close.
+type hookedListener struct {
+	netpoll.Listener
+	address     net.Addr
+	beforeClose func()
+}
+
+// Addr implements net.Listener.
+func (l hookedListener) Addr() net.Addr { return l.address }
+
+// Close implements net.Listener.
+func (l hookedListener) Close() error {
+	l.beforeClose()
+	return l.Listener.Close()
+}
+
+// SetSharedAddress sets the address that Address returns, at which the scheduler's other processes listen too. It is called
+// on the loop.
+func (f *Front) SetSharedAddress(address net.Addr) {
+	f.listener = hookedListener{f.listener, address, func() {}}
+}
+
+// SetBeforeListenerClose sets a function that runs just before the listener is closed. It is called on the loop.
+func (f *Front) SetBeforeListenerClose(hook func()) {
+	f.listener = hookedListener{f.listener, f.listener.Addr(), hook}
+}
+
+// MaxForwarding is the number of callbacks that are forwarded at a time.
+const MaxForwarding = maxForwarding
+
+// Forwarding returns the number of callbacks that are being forwarded. It is called on the loop.
+func (f *Front) Forwarding() int { return f.forwards.active }
+
+// QueuedForwards returns the number of callbacks that wait to be forwarded, and its bound. It is called on the loop.
+func (f *Front) QueuedForwards() (queued, bound int) {
+	return len(f.forwards.waiting), min(maxQueuedForwards, f.budget.clients/2)
+}
+
+// SetOffer replaces the function that offers a forwarded callback to the other processes. It is called on the loop.
+func (f *Front) SetOffer(offer func(message []byte) bool) {
+	f.forwards.offer = func(_ string, message []byte) bool { return offer(message) }
+}
+
+// RefusedCallbacks returns the number of callbacks that were refused since no process is known to have their job. It is
+// called on the loop.
+func (f *Front) RefusedCallbacks() uint64 { return f.unknownCallbacks }
+
+// AwaitingScan returns the number of callbacks that wait for a scan for other processes. It is called on the loop.
+func (f *Front) AwaitingScan() int { return len(f.othersCheck.current) + len(f.othersCheck.next) }
+
+// SetOthersCheckTimeout sets the longest wait for a scan for other processes. It is called on the loop.
+func (f *Front) SetOthersCheckTimeout(timeout time.Duration) {
+	f.othersCheck.timeout = timeout.Microseconds()
+}
+
+// ConnLimits returns the budget of client connections and the number of connections that the poller accepts at present. It is
+// called on the loop.
+func (f *Front) ConnLimits() (budget, accepted int) {
+	f.updateAcceptLimit()
+	return f.budget.clients, int(f.acceptLimit.Load())
+}
--- a/internal/platform/requests.go
+++ b/internal/platform/requests.go
@@ -213,6 +213,9 @@
 	}
 	f.acceptedConns.Add(-1)
 	f.clients.Free(c.ref)
+	if c.callback != nil {
+		f.dropHeldCallback(c.callback)
+	}
 	if c.inFlight != nil {
 		f.core.ClientDisconnected(c.inFlight)
 	}
