Keep a connection whose request the kernel holds

Clients on kept connections read the end with no answer to requests that had come before the process looked for idle connections: the look counted the bytes in the read buffer alone, and after a stop of the process the loop's overdue timers run before the poller reads.

The look asks the kernel too (FIONREAD). A connection with unread input is not idle, in a drain, after SIGTERM and at an idle timeout, and a worker's connection with an unread callback keeps the front from ending before the last answers. Where the kernel does not tell, the read buffer decides as before.

TestUnreadRequestOnKeptConnectionIsServed forces the order with the poller held and failed before in both cases.

What remains, as decided: a request that comes behind the look is read over, and its client reads the end.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -167,6 +167,22 @@
 // HasPendingMessage reports whether a complete message waits for the loop or is being processed by it.
 func (l *Link) HasPendingMessage() bool { return l.hasPendingMessage.Load() }
 
+// HasUnreadInput reports whether input has arrived that was not read: in the read buffer, or in the kernel, where it is while
+// the poller is behind. It is called on the loop.
+func (l *Link) HasUnreadInput() bool {
+	if l.Conn.Reader().Len() > 0 {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	conn, ok := l.Conn.(netpoll.Conn)
+	if !ok || l.isFDClosed {
+		return false
+	}
+	n, err := unix.IoctlGetInt(conn.Fd(), unix.TIOCINQ)
+	return err == nil && n > 0 // an error means that the kernel does not tell: the read buffer decides
+}
+
 // CloseWrite closes the writing side of the connection (TCP FIN) behind all that was written, which must already have
 // been passed to the system. Further input is skipped and never processed: the peer reads the end and may send
 // elsewhere any request that was under way.
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -108,7 +108,7 @@
 // that arrives between this check and the close is discarded. On a connection without any message so far that could be the
 // first request, whose client would take a close without an answer for a lost request: such a connection gets a 503 first.
 func (c *clientConn) closeIfIdle(reason string) {
-	if c.inFlight != nil || c.CloseReason != "" || c.Conn.Reader().Len() > 0 || !c.IsWriterIdle() {
+	if c.inFlight != nil || c.CloseReason != "" || c.HasUnreadInput() || !c.IsWriterIdle() {
 		return
 	}
 	if c.front.beforeIdleClose != nil {
@@ -161,7 +161,7 @@
 	f.clients.Each(func(_ core.Ref, c *clientConn) {
 		switch {
 		case c.isCallback:
-			if !isPastAnswers && (c.HasPendingMessage() || !c.IsWriterIdle()) {
+			if !isPastAnswers && (c.HasPendingMessage() || c.HasUnreadInput() || !c.IsWriterIdle()) {
 				pending++
 			}
 		case c.IsWriteClosed():
--- a/internal/platform/upgrade_race_test.go
+++ b/internal/platform/upgrade_race_test.go
@@ -199,3 +199,30 @@
 		assert.ErrorIs(t, err, io.EOF)
 	}
 }
+
+// Guards against a close over a request that the kernel holds on a kept connection, as the poller is behind: it is served.
+// After a stop of the process the loop's overdue timers run before the poller reads.
+func TestUnreadRequestOnKeptConnectionIsServed(t *testing.T) {
+	for name, end := range map[string]func(n *standin.Node){
+		"drain": func(n *standin.Node) { n.RunOnLoop(n.Front.Drain) },
+		"SIGTERM": func(n *standin.Node) {
+			n.RunOnLoop(func() { n.Front.StopSince(n.Loop.Now()-2*core.Second, n.Loop.Stop) })
+			n.RunOnLoop(func() {}) // the turn after, in which the first look at idle connections is due
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := standin.Start(t, nil, standin.NewWorker(t, "s-1", nil))
+			c := standin.Dial(t, n.Front.Address())
+			c.Send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+			require.Equal(t, 200, readStatus(t, c))
+			resume := standin.PausePoller(t)
+			c.Send("GET /-/healthy HTTP/1.1\r\nHost: x\r\n\r\n")
+			end(n)
+			resume()
+			r, err := http.ReadResponse(c.Reader, nil)
+			if assert.NoError(t, err) {
+				assert.Equal(t, 503, r.StatusCode, "not ready, as the process drains or ends")
+			}
+		})
+	}
+}
