--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -128,14 +128,20 @@
 func (f *Front) pollShutdown() {
 	f.shutdownTimer = nil
 	now := f.loop.Now()
-	isPending := f.closeIdleAndCountPending(now) > 0
-	if !isPending && f.drainingListener.IsClosed() {
+	isPastAnswers := now >= f.stoppingSince+f.shutdownTimes.answerBy
+	pending := f.closeIdleAndCountPending(now, isPastAnswers)
+	isPending := pending.total() > 0
+	switch {
+	case !isPending && f.drainingListener.IsClosed():
+		f.logShutdownStep("stopped-taking", pending)
 		f.endConnections()
 		return
-	}
 	// With a successor the listener closes in time whatever is pending: a request that arrives later could not end.
-	if !f.isListenerClosed && (!isPending || f.isHandingOver && now >= f.stoppingSince+f.shutdownTimes.answerBy) {
+	case !f.isListenerDraining && (!isPending || f.isHandingOver && isPastAnswers):
+		f.logShutdownStep("listener-drains", pending)
 		f.closeListener()
+	case isPastAnswers:
+		f.logShutdownStep("waiting", pending)
 	}
 	f.pollShutdownAt(now + shutdownPollInterval)
 }
@@ -154,35 +160,35 @@
 	}
 }
 
-// closeIdleAndCountPending closes the idle connections of clients and returns how many connections, requests and calls the
-// shutdown still waits for.
-func (f *Front) closeIdleAndCountPending(now core.Time) (pending int) {
-	isPastAnswers := now >= f.stoppingSince+f.shutdownTimes.answerBy
+// closeIdleAndCountPending closes the idle connections of clients and returns what the shutdown still waits for.
+// isPastAnswers says that the open requests have been answered for the last time.
+func (f *Front) closeIdleAndCountPending(now core.Time, isPastAnswers bool) (pending pendingCounts) {
 	f.clients.Each(func(_ core.Ref, c *clientConn) {
 		switch {
 		case c.isCallback:
 			if !isPastAnswers && (c.HasPendingMessage() || c.HasUnreadInput() || !c.IsWriterIdle()) {
-				pending++
+				pending.callbacks++
 			}
 		case c.IsWriteClosed():
 			if !isPastAnswers { // afterwards only the peer's close is missing
-				pending++
+				pending.lingering++
 			}
 		case c.awaitsFirstRequest(now) && !(f.isHandingOver && isPastAnswers):
-			pending++
+			pending.awaitingRequest++
 		default:
-			pending++
+			pending.closing++
 			c.closeIfIdle(link.Shutdown)
 		}
 	})
-	pending += f.core.OpenRequests() + f.pool.inUse
-	return pending + int(f.acceptedConns.Load()) - f.clients.Len() // being accepted, or not registered on the loop yet
+	pending.requests, pending.workerConnections = f.core.OpenRequests(), f.pool.inUse
+	pending.unregistered = int(f.acceptedConns.Load()) - f.clients.Len()
+	return pending
 }
 
 // closeListener begins the drain of the listener, after which it closes. In the same event admission ends in all fronts:
 // the worker of a job that is admitted later could not reach this process with its callbacks.
 func (f *Front) closeListener() {
-	f.isListenerClosed = true
+	f.isListenerDraining = true
 	f.admission.Stop()
 	if f.HasOneSuccessor() {
 		f.drainingListener.SteerToSuccessor()
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -91,15 +91,15 @@
 
 	peers *peers // nil: no peers are configured
 
-	stoppingSince    core.Time // time of SIGTERM; 0: none was received
-	onStopped        func()    // called once when the shutdown is complete
-	drainingSince    core.Time // start of the operator's drain; 0: none is in force
-	isHandingOver    bool      // a successor serves at this address: after SIGTERM this process ends as early as it can
-	onListenerDrain  func()    // called when the listener begins to drain; nil: nobody
-	shutdownTimer    *core.Timer
-	isListenerClosed bool   // the listener has begun to drain
-	isEnding         bool   // nothing is pending: the last connections are being closed
-	beforeIdleClose  func() // test hook: runs between the check that a connection is idle and its close; nil: none
+	stoppingSince      core.Time // time of SIGTERM; 0: none was received
+	onStopped          func()    // called once when the shutdown is complete
+	drainingSince      core.Time // start of the operator's drain; 0: none is in force
+	isHandingOver      bool      // a successor serves at this address: after SIGTERM this process ends as early as it can
+	onListenerDrain    func()    // called when the listener begins to drain; nil: nobody
+	shutdownTimer      *core.Timer
+	isListenerDraining bool   // the listener has begun to drain, and closes behind that
+	isEnding           bool   // nothing is pending: the last connections are being closed
+	beforeIdleClose    func() // test hook: runs between the check that a connection is idle and its close; nil: none
 	// afterAccept is a test hook that runs on the poller between an accept and the count of its connection; nil: none.
 	afterAccept atomic.Pointer[func()]
 	relayed     uint64 // requests written completely to the workers
