--- a/internal/link/drain.go
+++ b/internal/link/drain.go
@@ -28,7 +28,7 @@
 // accepting, and the socket is closed once its accept queue is empty. With SteerToSuccessor, the kernel gives new
 // connections to the successor at once.
 //
-// Accept runs on the poller, all other methods on the loop.
+// Accept runs on the poller, Registered on any goroutine, all other methods on the loop.
 type DrainingListener struct {
 	netpoll.Listener
 	name   string // of the front, for the log
--- a/internal/platform/accept.go
+++ b/internal/platform/accept.go
@@ -78,14 +78,14 @@
 // arrive faster than the loop turns would use up the descriptors. A connection is counted before it leaves the kernel's
 // accept queue: one that is in neither would be missed by a shutdown that looks for what is pending.
 type limitedListener struct {
-	netpoll.Listener
+	*link.DrainingListener
 	f *Front
 }
 
 // Accept runs on the poller, which goes on after a result without a connection and without an error.
 func (l limitedListener) Accept() (net.Conn, error) {
 	count := l.f.acceptedConns.Add(1)
-	nc, err := l.Listener.Accept()
+	nc, err := l.DrainingListener.Accept()
 	if nc == nil || err != nil {
 		l.f.acceptedConns.Add(-1)
 		return nc, err
@@ -98,6 +98,7 @@
 	}
 	peer := nc.RemoteAddr().String()
 	nc.Close()
+	l.Registered()
 	l.f.acceptedConns.Add(-1)
 	l.f.loop.Post(func() {
 		link.LogEnd(l.f.log, "agent", peer, link.OverBudget, 0, 0)
@@ -120,6 +121,7 @@
 		return nil
 	})
 	f.loop.Post(func() {
+		f.drainingListener.Registered()
 		if c.Ended {
 			return
 		}
