Read what new connections bring while clients use all of them

Callers saw: while clients' jobs used all connections, a worker's new connection was closed before its first byte, up to ten times within milliseconds. The callback would have ended a job and freed a connection; its client got a failure at the deadline.

Cause: until its first bytes a worker's connection looks like any client's. At the clients' budget enforceClientBudget evicted the newest silent one, and above the accept limit the poller closed each connection.

Fix: a third of what the poller may take of the descriptors' reserve, one place at least, is for connections that would be turned away. What such a connection brings is read: a callback is served, a job is answered 503 with Retry-After: 1, and either is its last message. One that brings nothing is closed after firstRequestGrace, or when a newer one needs its place.

The limit on descriptors holds as before: the places are taken out of the accept limit (48 + 4 of 64 descriptors in place of 52).

Why a callback is not lost while there is a place: the decision to close a connection over the limits comes after its first message, or after its time.

Remains: with all places held (half a message holds one for up to 2 s, a forwarded callback until it is answered) a new connection is closed unread.

--- a/internal/platform/accept.go
+++ b/internal/platform/accept.go
@@ -64,29 +64,36 @@
 
 // updateAcceptLimit sets the number of connections that the poller admits: everything that the workers leave free at
 // present, and half of the reserve. A burst then does not displace connections in use before the loop has reduced it to
-// the clients' budget.
+// the clients' budget. A part of that half is for callbacks, see callbackReserve.
 func (f *Front) updateAcceptLimit() {
 	free := (f.spareSockets - f.otherFrontSockets()) / 2 / f.processes
+	forCallbacks := max(1, free/3)
 	used := f.pool.links.Len() + f.pool.pendingDials
-	f.acceptLimit.Store(int64(f.budget.clients + f.budget.workers + free - used))
+	f.acceptLimit.Store(int64(f.budget.clients + f.budget.workers + free - forCallbacks - used))
+	f.callbackReserve.limit.Store(int64(forCallbacks))
 }
 
 // connKey is the context key of a connection's *clientConn.
 type connKey struct{}
 
-// limitedListener closes connections above the accept limit. Without it, connections that arrive faster than the loop
-// turns would use up the descriptors.
+// limitedListener closes connections above the accept limit that the callback reserve does not hold either. Without it,
+// connections that arrive faster than the loop turns would use up the descriptors.
 type limitedListener struct {
 	netpoll.Listener
 	f *Front
 }
 
-// Accept runs on the poller, which goes on after a result without a connection and without an error.
+// Accept runs on the poller, which goes on after a result without a connection and without an error, and calls onAccept before
+// the next Accept.
 func (l limitedListener) Accept() (net.Conn, error) {
 	nc, err := l.Listener.Accept()
-	if nc == nil || err != nil || l.f.acceptedConns.Load() < l.f.acceptLimit.Load() {
+	if nc == nil || err != nil {
 		return nc, err
 	}
+	isOverLimit := l.f.acceptedConns.Load()-l.f.callbackReserve.used.Load() >= l.f.acceptLimit.Load()
+	if l.f.acceptedOnReserve = isOverLimit && l.f.callbackReserve.acquire(); l.f.acceptedOnReserve || !isOverLimit {
+		return nc, nil
+	}
 	peer := nc.RemoteAddr().String()
 	nc.Close()
 	l.f.loop.Post(func() {
@@ -98,7 +105,7 @@
 // onAccept registers a new connection. It runs on the poller, before anything is read from the connection.
 func (f *Front) onAccept(nc netpoll.Connection) context.Context {
 	f.acceptedConns.Add(1)
-	c := &clientConn{front: f}
+	c := &clientConn{front: f, isOnReserve: f.acceptedOnReserve}
 	c.Init(nc, "agent", nc.RemoteAddr().String(), 0)
 	c.OnClose = func() {
 		if c.inFlight != nil {
@@ -115,6 +122,9 @@
 		}
 		c.Opened, c.lastUsed, c.partialSince = f.loop.Now(), f.loop.Now(), f.loop.Now()
 		c.ref = f.clients.Add(c)
+		if c.isOnReserve {
+			f.closeIfSilentAfterGrace(c)
+		}
 		if f.clients.Len() > f.budget.clients {
 			f.enforceClientBudget(c)
 		}
@@ -124,13 +134,13 @@
 
 // enforceClientBudget closes one connection if there are more than the budget allows. It prefers, in this order, one that
 // is closing anyway or has been silent for a while, one that never brought a job, a new one, and an idle one, and among
-// equals the one that was used least recently; if all are busy it closes the newest. Connections that flood or stay silent
-// thus do not displace clients with jobs.
+// equals the one that was used least recently; if all are busy it moves the newest to the callback reserve, or closes it.
+// Connections that flood or stay silent thus do not displace clients with jobs.
 func (f *Front) enforceClientBudget(newest *clientConn) {
 	victim, bestRank, excess := newest, busyRank, f.clients.Len()-f.budget.clients
 	f.clients.Each(func(_ core.Ref, c *clientConn) {
-		if c.ClosedLocally || c.CloseReason == link.OverBudget {
-			excess-- // it is closing already
+		if c.ClosedLocally || c.CloseReason == link.OverBudget || c.isOnReserve {
+			excess-- // it is closing already, or not in the budget
 			return
 		}
 		if rank := c.evictionRank(); c != newest && rank < busyRank && (rank < bestRank || rank == bestRank && c.lastUsed < victim.lastUsed) {
@@ -138,11 +148,12 @@
 		}
 	})
 	// A newest connection whose request is complete is served: the accept limit still bounds the connections.
-	if excess > 0 && !(victim == newest && newest.HasPendingMessage()) {
-		f.log.Info("client connection evicted", "peer", victim.Peer, "rank", bestRank, "unread", victim.Conn.Reader().Len(),
-			"clients", f.clients.Len(), "budget", f.budget.clients, "processes", f.processes)
-		f.evictClient(victim)
+	if excess <= 0 || victim == newest && (newest.HasPendingMessage() || f.moveToReserve(newest)) {
+		return
 	}
+	f.log.Info("client connection evicted", "peer", victim.Peer, "rank", bestRank, "unread", victim.Conn.Reader().Len(),
+		"clients", f.clients.Len(), "budget", f.budget.clients, "processes", f.processes)
+	f.evictClient(victim)
 }
 
 // evictClient closes a connection to keep the budget. If part of a request has been read the client gets a 503,
@@ -162,8 +173,7 @@
 // evictionRank orders connections for eviction, lowest first: 0 is closing or has been silent for too long, 1 has brought
 // no job, 2 is new, 3 is idle, 4 has unread input and busyRank has a request or an answer in flight.
 func (c *clientConn) evictionRank() int {
-	unread := c.Conn.Reader().Len()
-	silent := c.MessageCount == 0 && unread == 0
+	unread, silent := c.Conn.Reader().Len(), c.isSilent()
 	switch {
 	case c.inFlight != nil || c.HasPendingMessage() || !c.IsWriterIdle() || c.isCallback && unread > 0:
 		return busyRank // a request is unanswered, or its answer is not written completely
--- a/internal/platform/callback_order_test.go
+++ b/internal/platform/callback_order_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -398,15 +399,32 @@
 		if upToAcceptLimit {
 			limit = acceptLimit
 		}
+		before, more := connsWithPendingMessage(), limit-clients
 		for clients < limit {
 			connect()
 			blockUntil(t, func() bool { return n.Front.AcceptedConns() == clients })
 		}
+		blockUntil(t, func() bool { return connsWithPendingMessage() == before+more })
 	})
 	eventuallyOnLoop(n, func() bool { return n.Core.OpenRequests() == clients })
 	return n, first
 }
 
+// connsWithPendingMessage returns the number of connections in this program whose message is complete and waits for a loop or
+// is in processing. It counts the goroutines that wait in link.Link.Read, since a loop that stands still knows of no new
+// connection.
+func connsWithPendingMessage() (n int) {
+	stacks := make([]byte, 8<<20)
+	stacks = stacks[:runtime.Stack(stacks, true)]
+	for goroutine := range bytes.SplitSeq(stacks, []byte("\n\n")) {
+		state, calls, _ := bytes.Cut(goroutine, []byte("\n"))
+		if bytes.Contains(state, []byte("[chan receive")) && bytes.HasPrefix(calls, []byte("cobaltflow/internal/link.(*Link).Read(")) {
+			n++
+		}
+	}
+	return n
+}
+
 // sendCallbackAfterConnecting sends a callback on a connection whose end, if the process closes it at once, or whose
 // registration came before the first byte. It returns the status of the response; 0 means that there was none.
 func sendCallbackAfterConnecting(n *standin.Node, id string) int {
--- a/internal/platform/export_test.go
+++ b/internal/platform/export_test.go
@@ -180,3 +180,19 @@
 	f.updateAcceptLimit()
 	return f.budget.clients, int(f.acceptLimit.Load())
 }
+
+// CallbackReserve returns the number of places of the callback reserve that are used, and of all. It is called on the loop.
+func (f *Front) CallbackReserve() (used, limit int) {
+	return int(f.callbackReserve.used.Load()), int(f.callbackReserve.limit.Load())
+}
+
+// RegisteredOnReserve returns the number of connections on the callback reserve that the loop knows and that are not closing. It
+// is called on the loop.
+func (f *Front) RegisteredOnReserve() (n int) {
+	f.clients.Each(func(_ core.Ref, c *clientConn) {
+		if c.isOnReserve && !c.ClosedLocally && c.CloseReason == "" {
+			n++
+		}
+	})
+	return n
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -74,7 +74,10 @@
 	budget        connBudget
 	spareSockets  int          // descriptors outside of both budgets
 	acceptedConns atomic.Int64 // open accepted connections, including those not yet registered on the loop
-	acceptLimit   atomic.Int64 // bound of acceptedConns, above which the poller closes new connections
+	acceptLimit   atomic.Int64 // bound of acceptedConns without those on the callback reserve
+
+	callbackReserve   callbackReserve
+	acceptedOnReserve bool // of the connection that the poller accepts; the poller's alone
 
 	pool          connPool
 	watch         *discoveryWatch
@@ -125,6 +128,7 @@
 	inFlight     *core.Request // the request that is not answered yet; nil: none
 	callback     *heldCallback // the callback that is not answered yet; nil: none, or it was answered at once
 	isCallback   bool          // a worker's connection: it has sent a callback
+	isOnReserve  bool          // it is over the limits and on the callback reserve
 	jobCount     int           // requests that were admitted
 	lastUsed     core.Time     // when the last message arrived or the last request was released
 	partialSince core.Time     // when an incomplete message was first seen, or the connection opened; 0: no message is due
--- a/internal/platform/requests.go
+++ b/internal/platform/requests.go
@@ -45,11 +45,14 @@
 	}
 	path := string(req.Path)
 	r, isFixed := routes[path]
+	if !isFixed && c.isOnReserve {
+		f.refuseJob(c, link.OverBudget, "too many connections; try again\n", "1")
+		return
+	}
+	req.KeepAlive = req.KeepAlive && !c.isOnReserve // whose place is for the next callback
 	if !isFixed && f.isTooLateForJobs() {
 		// The job could not end before this process does. It is refused at once, so that the client retries elsewhere.
-		c.CloseReason = link.Shutdown
-		f.reply(c, 503, []byte("this process ends; try again\n"), false, "Retry-After", "0")
-		c.ReleaseBuffer()
+		f.refuseJob(c, link.Shutdown, "this process ends; try again\n", "0")
 		return
 	}
 	if !isFixed {
@@ -66,6 +69,13 @@
 	c.ReleaseBuffer()
 }
 
+// refuseJob answers a job with 503 and the time after which to retry, in seconds, and closes its connection.
+func (f *Front) refuseJob(c *clientConn, reason, text, retryAfter string) {
+	c.CloseReason = reason
+	f.reply(c, 503, []byte(text), false, "Retry-After", retryAfter)
+	c.ReleaseBuffer()
+}
+
 // isTooLateForJobs reports whether a job that arrives now could not end before this process does: the open requests have
 // been answered already, or a successor at the same address has more time left for the job.
 func (f *Front) isTooLateForJobs() bool {
@@ -206,6 +216,9 @@
 	if !c.MarkEnded(f.log, f.loop.Now()) {
 		return
 	}
+	if c.isOnReserve {
+		f.callbackReserve.used.Add(-1) // before acceptedConns: in between, the poller may accept one less, not one more
+	}
 	f.acceptedConns.Add(-1)
 	f.clients.Free(c.ref)
 	if c.callback != nil {
