Let the tests of the drain wait for the kernel, not for time

A dial returns before the kernel has put its connection into the accept queue, and a drain that nobody accepts from closes after 0.15 s; on a busy machine the tests could have failed for either. They wait for the connections, and the loop stands still while they are accepted. What they demand is unchanged: the counts of each listener, to the connection.

--- a/internal/link/drain_test.go
+++ b/internal/link/drain_test.go
@@ -45,16 +45,34 @@
 	return conns, longest
 }
 
-// acceptAll accepts and closes what is in the accept queue of a listener.
-func acceptAll(t *testing.T, l netpoll.Listener) (n int) {
-	for ; ; n++ {
-		c, err := l.Accept()
-		require.NoError(t, err)
-		if c == nil {
-			return n
+// acceptFrom accepts and closes n connections in the accept queues of listeners, and returns how many each had. The kernel
+// puts a connection there when the last packet of its handshake is handled, which a dial does not wait for.
+func acceptFrom(t *testing.T, n int, listeners ...netpoll.Listener) (counts []int) {
+	counts = make([]int, len(listeners))
+	total := 0
+	require.Eventually(t, func() bool {
+		for i, l := range listeners {
+			for {
+				c, err := l.Accept()
+				require.NoError(t, err)
+				if c == nil {
+					break
+				}
+				c.Close()
+				counts[i]++
+				total++
+			}
 		}
-		c.Close()
-	}
+		return total >= n
+	}, 5*time.Second, time.Millisecond)
+	return counts
+}
+
+// queuedAt returns the length of the accept queue of a listener.
+func queuedAt(t *testing.T, l netpoll.Listener) int {
+	n, err := l.(tolerantListener).Listener.(drainableSocket).queuedConnections()
+	require.NoError(t, err)
+	return n
 }
 
 // runLoop returns a loop that runs until the end of the test.
@@ -81,19 +99,20 @@
 	closed := make(chan struct{})
 	d.OnClosed(func() { close(closed) })
 	dialMany(t, old, 32)
-	queued, err := d.socket.queuedConnections()
-	require.NoError(t, err)
+	require.Eventually(t, func() bool { return queuedAt(t, old)+queuedAt(t, successor) == 32 }, 5*time.Second, time.Millisecond)
+	queued := queuedAt(t, old)
 	require.Positive(t, queued)
 	var longest time.Duration
+	var counts []int
 	runOn(loop, func() {
 		d.SteerToSuccessor()
 		d.Close()
 		_, longest = dialMany(t, old, 32) // in the turn of the drain's begin, so that the old listener is open
+		counts = acceptFrom(t, 64, d, successor)
 	})
-	assert.Equal(t, queued, acceptAll(t, d), "the queue is whole and has no new connection")
+	assert.Equal(t, []int{queued, 64 - queued}, counts, "the queue is whole and has no new connection")
 	<-closed
 	assert.Less(t, longest, retransmissionTime)
-	assert.Equal(t, 64-queued, acceptAll(t, successor))
 }
 
 // A drain without steering: the kernel ignores connection attempts at the old listener, and none of the clients is reset or
@@ -117,8 +136,7 @@
 	for range clients {
 		require.NoError(t, <-connected)
 	}
-	assert.Zero(t, acceptAll(t, d))
-	assert.Equal(t, clients, acceptAll(t, successor))
+	assert.Equal(t, []int{0, clients}, acceptFrom(t, clients, d, successor))
 }
 
 // A connection whose handshake ends behind the begin of the drain inherits the option that ignores segments. It is undone.
@@ -164,10 +182,9 @@
 			}
 			third := listenBeside(t, second)
 			dialMany(t, second, 64)
-			toSecond, toThird := acceptAll(t, second), acceptAll(t, third)
-			assert.Positive(t, toSecond)
-			assert.Positive(t, toThird)
-			assert.Equal(t, 64, toSecond+toThird)
+			counts := acceptFrom(t, 64, second, third)
+			assert.Positive(t, counts[0])
+			assert.Positive(t, counts[1])
 		})
 	}
 }
