Let a site be lost when all its enabled workers are silent, however few

What operators saw: with the failover policy on, a scheduler that had disabled some workers of a small site alone kept the site suspect when the others fell silent too. No line state=lost came, and its jobs in hand there waited for their deadlines or the site's return; repeatable ones were not retried meanwhile.

Cause: a site was lost when five workers were silent, or all it has where it has fewer. Workers that are disabled are not counted as silent but were counted among all, so with fewer than five enabled ones and one disabled the number could not be reached. One crashed machine in a site of up to five is enough.

Where fewer than five are enabled, all enabled ones have to be silent now. Disabled ones stay uncounted: a probe that a dead worker does not answer says nothing about its site, and a site of which a third is gone would be lost by it in a quiet second. A site with five or more enabled workers is judged as before.

TestSiteWithADisabledWorkerIsLost forces the order in virtual time, for sites of 2 to 6 workers; it failed before (1 of 2 disabled: suspect, not lost).

--- a/internal/sites/api.go
+++ b/internal/sites/api.go
@@ -16,7 +16,7 @@
 	OwnSite   int  // index of this scheduler's site
 	MayProbe  bool // workers may be probed; otherwise only jobs show which workers respond
 
-	MinSilentWorkers int  // silent workers, with no response from their site, that make it lost; 0: 5
+	MinSilentWorkers int  // silent workers, with no response from their site, that make it lost; 0: 5; all enabled ones if they are fewer
 	MinReplyTimeout  Time // lower bound of the adaptive reply timeout; 0: 75 ms
 	MaxReplyTimeout  Time // upper bound, however slow past replies were; 0: 600 ms
 	ProbeInterval    Time // between probes of a lost site; 0: 500 ms
@@ -40,7 +40,7 @@
 const (
 	Whole     State = iota
 	Suspect         // a worker is silent and the site has not responded since: other workers are probed
-	Lost            // Settings.MinSilentWorkers, or all if it has fewer, are silent: all its workers are disabled
+	Lost            // Settings.MinSilentWorkers, or all enabled ones if they are fewer, are silent: all its workers are disabled
 	CutOff          // as Lost, while all sites but the own one are lost: the own site is likely partitioned
 	Returning       // it responds again: its workers are enabled in steps
 )
--- a/internal/sites/machine.go
+++ b/internal/sites/machine.go
@@ -149,9 +149,10 @@
 		}
 		m.recheckSilent(now, w)
 	}
-	minSilent := min(m.cfg.MinSilentWorkers, len(s.members))
+	// A worker that was disabled alone is not counted, so it must not be needed either.
+	minSilent := min(m.cfg.MinSilentWorkers, len(s.members)-s.disabledCount)
 	switch {
-	case silentWorkers >= minSilent && m.enabledWorkers(i) > 0:
+	case silentWorkers > 0 && silentWorkers >= minSilent && m.enabledWorkers(i) > 0:
 		m.markSiteLost(now, i)
 		return true
 	case silentWorkers > 0:
--- a/internal/sites/machine_test.go
+++ b/internal/sites/machine_test.go
@@ -140,6 +140,29 @@
 	}
 }
 
+// A site of few workers is lost when all that were still enabled are silent. A worker that was disabled alone before does not
+// keep the site from being lost, with which the last jobs there would wait for their deadlines.
+func TestSiteWithADisabledWorkerIsLost(t *testing.T) {
+	for size := 2; size <= 6; size++ {
+		for alone := 1; alone < size; alone++ {
+			w := newWorld(Settings{MayProbe: true}, size, size)
+			w.run(w.now+5*second, 20*millisecond, alternateSites(size))
+			w.setReachable(1, alone, false)
+			w.run(w.now+3*second, 20*millisecond, alternateSites(size))
+			require.Equal(t, alone, w.disabledAt(1), "%d of %d workers", alone, size)
+			require.NotContains(t, w.states, "1:lost")
+			w.setReachable(1, size, false)
+			w.run(w.now+2*second, 20*millisecond, alternateSites(size))
+			require.Equal(t, Lost, w.state(1), "%d of %d workers were disabled before", alone, size)
+			require.Equal(t, size, w.disabledAt(1))
+			w.setReachable(1, size, true)
+			w.run(w.now+5*second, 20*millisecond, alternateSites(size))
+			require.Equal(t, Whole, w.state(1))
+			require.Zero(t, w.disabledAt(1))
+		}
+	}
+}
+
 // Without probes the loss and the return of a site are detected by jobs alone.
 func TestLostSiteIsDetectedWithoutProbes(t *testing.T) {
 	w := newWorld(Settings{}, 10, 10)
