--- a/internal/sites/machine_test.go
+++ b/internal/sites/machine_test.go
@@ -297,6 +297,41 @@
 	require.Equal(t, orders[0], orders[1])
 }
 
+// A site whose workers all respond again returns as fast as the design states: it is probed twice a second, at drawn times,
+// has to respond for half of the backoff, and then gets all its workers back within the return window, no worker before its
+// turn. That holds at whatever time between two probes it returns, and for few workers as for many.
+func TestSiteReturnsWithinTheStatedTimes(t *testing.T) {
+	const (
+		returnWindow = 2 * second
+		firstBy      = 750*millisecond + 125*millisecond // the longest drawn probe delay, and half of the backoff
+		turns        = 2 * busyTurnInterval              // each of the two steps may wait for a turn
+	)
+	for _, size := range []int{4, 30} {
+		for offset := Time(0); offset < second; offset += 20 * millisecond {
+			w := newWorld(Settings{MayProbe: true}, size, size)
+			w.run(w.now+5*second, 20*millisecond, alternateSites(size))
+			w.setReachable(1, size, false)
+			w.run(w.now+3*second+offset, 20*millisecond, alternateSites(size))
+			require.Equal(t, Lost, w.state(1))
+			require.Equal(t, size, w.disabledAt(1))
+			w.setReachable(1, size, true)
+			returned := w.now
+			for w.disabledAt(1) == size && w.now < returned+firstBy+turns+w.replyDelay {
+				w.run(w.now+5*millisecond, 20*millisecond, alternateSites(size))
+			}
+			require.Less(t, w.disabledAt(1), size, "no worker is enabled %d us after the return", w.now-returned)
+			_, returning := w.m.State(1)
+			for w.now < returning+returnWindow {
+				enabled := size - w.disabledAt(1)
+				require.LessOrEqual(t, enabled, int(int64(size)*(w.now-returning)/returnWindow)+1, "%d us after the first worker", w.now-returning)
+				w.run(w.now+5*millisecond, 20*millisecond, alternateSites(size))
+			}
+			require.Zero(t, w.disabledAt(1), "%d us after the first worker", w.now-returning)
+			require.Equal(t, Whole, w.state(1))
+		}
+	}
+}
+
 // A flapping site has to respond for longer after each loss before it returns.
 func TestFlappingSiteReturnsLater(t *testing.T) {
 	w := newWorld(Settings{MayProbe: true}, 10, 10)
