Create demand for the other site in the test of a cut's end

What callers saw: nothing; the program was on time. TestCutOffSitesGoOnAlone failed now and then as no job of site a came to site b within 2 s of a cut's end.

Cause: as with the lost site's return, the check counted on chance.

Change: from the cut's end on an operator's call has the workers of site a out at each scheduler, so that every job of its schedulers must cross. New and stricter, with bounds from the design and the settings: within the 2 s each of the four schedulers gets jobs done at two workers of b, and all of them send at least 11 jobs.

--- a/internal/fleet/failover_test.go
+++ b/internal/fleet/failover_test.go
@@ -112,13 +112,14 @@
 }
 
 // While the network between the sites is cut, each site serves its clients alone; afterwards they send each other jobs
-// again.
+// again, as many and as soon as the failover policy states.
 func TestCutOffSitesGoOnAlone(t *testing.T) {
-	rec := playWithFailoverPolicy(t, `{"at_s":1,"for_s":2,"what":"cut","site":"a","to":"b","paths":["job","back"]}`)
+	rec := playWithFailoverPolicy(t, `{"at_s":1,"for_s":2,"what":"cut","site":"a","to":"b","paths":["job","back"]},`+disableSiteA)
 	require.Zero(t, count(rec.Attempts, func(a *record.Attempt) bool {
 		return a.Worker/4 != a.Scheduler/4 && a.ArrivedUS > 1_200_000 && a.ArrivedUS < 3_000_000
 	}))
 	require.Positive(t, countCrossSiteAttempts(rec, 3_000_000, 5_000_000))
+	requirePacedReturn(t, rec, 3_000_000)
 	for i := range rec.Tries {
 		if try := &rec.Tries[i]; try.SentUS > 2_000_000 && try.SentUS < 2_900_000 {
 			require.EqualValues(t, 200, try.Status, "%+v", try)
