Wait for no peer in the last 0.2 s before the kill

The linger of the last connections, 0.1 s at most, could fall into the last moments before the earliest kill in a process that is stopped in turns. It ends 0.2 s before the kill now; connections that are closed after that have been told and are closed at once. The other fronts' linger has the same bound.

All tests of packages link, platform, admin, admission, http2 and faktory pass with -race.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -160,7 +160,6 @@
 const (
 	closeCheckPeriod = 5 * core.Millisecond
 	maxCloseWait     = 2 * core.Second
-	lastLinger       = 100 * core.Millisecond // for the peers to close their connections
 )
 
 // closableFront is a front that ends after the HTTP/1.1 front.
@@ -211,7 +210,7 @@
 	for _, front := range g.otherFronts() {
 		front.Close()
 	}
-	g.awaitClose(now + lastLinger)
+	g.awaitClose(g.Front.LingerUntil())
 }
 
 // awaitClose ends the loop when the other fronts have no connection left, or at until.
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -23,6 +23,7 @@
 	// about answerBy, since until the kill the kernel would go on assigning half of all new connections to this process.
 	refuseJobsAfter core.Time
 	answerBy        core.Time // requests that are still open are answered at this time
+	closeBy         core.Time // connections are not kept open for their peers' ends beyond this time
 }
 
 // newShutdownSchedule derives the schedule from the longest deadline of the classes, or from maxCountedDeadline if no class
@@ -38,7 +39,8 @@
 	kill := min(longest, maxCountedDeadline) + killDelay
 	answerBy := max(kill-killMargin, minAnswerTime)
 	acceptUntil := max(answerBy*11/30, min(newConnectionWindow, answerBy*9/10))
-	return shutdownSchedule{acceptUntil: acceptUntil, refuseJobsAfter: max(answerBy*17/30, (3*acceptUntil+answerBy)/4), answerBy: answerBy}
+	return shutdownSchedule{acceptUntil: acceptUntil, refuseJobsAfter: max(answerBy*17/30, (3*acceptUntil+answerBy)/4), answerBy: answerBy,
+		closeBy: kill - closeMargin}
 }
 
 // Stop starts the shutdown after SIGTERM. New connections are accepted as long as the platform's front may still send
@@ -217,7 +219,13 @@
 			c.CloseWrite(f.loop, link.Shutdown)
 		}
 	})
-	f.closeLastConnections(f.loop.Now() + lastLinger)
+	f.closeLastConnections(f.LingerUntil())
+}
+
+// LingerUntil returns the time until which connections that are ended now may wait for their peers' ends. It has passed if
+// the kill may be near.
+func (f *Front) LingerUntil() core.Time {
+	return min(f.loop.Now()+lastLinger, f.stoppingSince+f.shutdownTimes.closeBy)
 }
 
 // closeLastConnections ends the front when all connections have ended, or at until.
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -50,6 +50,7 @@
 	killDelay           = 700 * core.Millisecond
 	killMargin          = 500 * core.Millisecond
 	minAnswerTime       = 500 * core.Millisecond
+	closeMargin         = 200 * core.Millisecond // before the kill, in which the process waits for no peer
 	newConnectionWindow = 450 * core.Millisecond // after SIGTERM, in which new connections may still arrive
 	// initialListTimeout bounds the wait for the first worker list at startup: the local discovery server may not
 	// respond, and the front must become ready nonetheless.
