Record when a try was written, when a worker's machine had an attempt, and how late the harness runs

Records now also hold when a client's connection was there and had taken the whole request (httptrace), when a worker's connection had an attempt's first bytes, before the path's delay, and the harness's own lag: for each 50 ms the greatest delay of a goroutine that sleeps 5 ms at a time. The wall clock of the run's start ties them to the schedulers' logs.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cobaltflow/internal/draw"
@@ -175,9 +176,18 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, giveUpAt)
 	defer cancel()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) {
-		try.ReusedConn, try.ClientAddress = c.Reused, c.Conn.LocalAddr().String()
-	}})
+	var connectedUS, writtenUS atomic.Int64 // the transport's goroutines may still set them when the try has ended
+	defer func() { try.ConnectedUS, try.WrittenUS = connectedUS.Load(), writtenUS.Load() }()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(c httptrace.GotConnInfo) {
+			connectedUS.Store(h.recorder.ElapsedUS())
+			try.ReusedConn, try.ClientAddress = c.Reused, c.Conn.LocalAddr().String()
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if info.Err == nil {
+				writtenUS.Store(h.recorder.ElapsedUS())
+			}
+		}})
 	name := h.scenario.Classes[request.Class].Name
 	for isResend := false; ; isResend = true {
 		httpReq, _ := http.NewRequestWithContext(ctx, "POST", fmt.Sprintf("http://%s/%s/k%d", s.listen, name, request.Key), strings.NewReader("{}"))
--- a/internal/fleet/endpoints/recorder.go
+++ b/internal/fleet/endpoints/recorder.go
@@ -91,6 +91,13 @@
 	r.rec.Events = append(r.rec.Events, event)
 }
 
+// AddLag records how late the harness was in an interval.
+func (r *Recorder) AddLag(lag record.Lag) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rec.Lags = append(r.rec.Lags, lag)
+}
+
 // Records returns what was recorded. Nothing may be recorded after it.
 func (r *Recorder) Records() *record.Records {
 	r.mu.Lock()
--- a/internal/fleet/endpoints/worker.go
+++ b/internal/fleet/endpoints/worker.go
@@ -246,10 +246,12 @@
 	collapsed                     // the connection is aborted
 )
 
-// accept adds a job to the queue, unless the worker is down, collapses, fails or has a full queue.
-func (w *Worker) accept(try record.Try, connectTime time.Duration, timeLeftMS int64) acceptResult {
+// accept adds a job to the queue, unless the worker is down, collapses, fails or has a full queue. received is when the
+// machine had the first bytes of its request.
+func (w *Worker) accept(try record.Try, connectTime time.Duration, timeLeftMS int64, received time.Time) acceptResult {
 	now := time.Now()
-	attempt := record.Attempt{ID: try.ID, Worker: int32(w.Number), Scheduler: try.Scheduler, ArrivedUS: w.recorder.ElapsedUS(), TimeLeftMS: timeLeftMS}
+	attempt := record.Attempt{ID: try.ID, Worker: int32(w.Number), Scheduler: try.Scheduler, ArrivedUS: w.recorder.ElapsedUS(), TimeLeftMS: timeLeftMS,
+		ReceivedUS: received.Sub(w.recorder.TimeAt(0)).Microseconds()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	attempt.QueueLength = int32(len(w.queue))
--- a/internal/fleet/endpoints/worker_server.go
+++ b/internal/fleet/endpoints/worker_server.go
@@ -32,7 +32,10 @@
 type connKey struct{}
 
 // connState is a worker's state of one connection.
-type connState struct{ isUsed bool }
+type connState struct {
+	conn   *relay.Conn
+	isUsed bool
+}
 
 // workerHost is the address of all workers. It differs from the address of outgoing connections, so that none of those
 // takes the port of a worker that is down.
@@ -61,8 +64,8 @@
 	}
 	srv := &workerServer{worker: w, listener: ln, openConns: map[*relay.Conn]struct{}{}}
 	srv.server = &http.Server{Handler: srv, IdleTimeout: time.Duration(w.cfg.IdleS * float64(time.Second)), ErrorLog: log.New(io.Discard, "", 0),
-		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, &connState{})
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, &connState{conn: c.(*relay.Conn)})
 		},
 		ConnState: func(c net.Conn, state http.ConnState) {
 			conn := c.(*relay.Conn)
@@ -130,7 +133,8 @@
 		return
 	}
 	connectTime := time.Duration(0)
-	if state := r.Context().Value(connKey{}).(*connState); !state.isUsed {
+	state := r.Context().Value(connKey{}).(*connState)
+	if !state.isUsed {
 		state.isUsed = true
 		connectTime = time.Duration(w.cfg.ConnectMS * float64(time.Millisecond))
 	}
@@ -138,7 +142,7 @@
 	if err != nil {
 		timeLeftMS = -1
 	}
-	switch w.accept(try, connectTime, timeLeftMS) {
+	switch w.accept(try, connectTime, timeLeftMS, state.conn.LastReceived()) {
 	case accepted:
 		rw.WriteHeader(202)
 	case queueFull:
--- a/internal/fleet/harness.go
+++ b/internal/fleet/harness.go
@@ -238,11 +238,9 @@
 	senders := newClients(h)
 	done := make(chan struct{})
 	var background sync.WaitGroup
-	background.Add(2)
-	go func() {
-		defer background.Done()
-		h.sampleWorkers(done, progress)
-	}()
+	background.Go(func() { h.sampleWorkers(done, progress) })
+	background.Go(func() { h.measureLag(done) })
+	background.Add(1)
 	go func() {
 		defer background.Done()
 		for _, e := range events {
@@ -304,9 +302,34 @@
 	}
 }
 
+const (
+	lagProbeInterval = 5 * time.Millisecond
+	lagWindow        = 50 * time.Millisecond
+)
+
+// measureLag records how late this process runs, until done is closed: for each lagWindow by how much the latest of a row of
+// sleeps of lagProbeInterval was too long.
+func (h *harness) measureLag(done chan struct{}) {
+	fromUS, greatest := h.recorder.ElapsedUS(), time.Duration(0)
+	for {
+		slept := time.Now()
+		select {
+		case <-time.After(lagProbeInterval):
+		case <-done:
+			return
+		}
+		greatest = max(greatest, time.Since(slept)-lagProbeInterval)
+		if toUS := h.recorder.ElapsedUS(); toUS-fromUS >= lagWindow.Microseconds() {
+			h.recorder.AddLag(record.Lag{FromUS: fromUS, ToUS: toUS, LagUS: greatest.Microseconds()})
+			fromUS, greatest = toUS, 0
+		}
+	}
+}
+
 // fillAbout sets the records' description of the run and its totals.
 func (h *harness) fillAbout(a *record.About) {
 	a.Scenario, _ = json.Marshal(h.scenario)
+	a.StartUnixUS = h.recorder.TimeAt(0).UnixMicro()
 	a.Seed, a.Build, a.Arm, a.Paths = h.seed, h.build.Name, h.build.Arm, map[string]record.PathTraffic{}
 	for k := range relay.KindCount {
 		t := h.network.Traffic(k)
--- a/internal/fleet/record/record.go
+++ b/internal/fleet/record/record.go
@@ -1,5 +1,5 @@
 // Package record defines the records of a run: tries of clients, attempts at table workers, load samples, worker list
-// updates and events. Packages fleet and endpoints fill them, and soak and experiment save them: one Parquet file for each
+// updates, events and the harness's own lag. Packages fleet and endpoints fill them, and soak and experiment save them: one Parquet file for each
 // table, beside about.json.
 package record
 
@@ -24,6 +24,8 @@
 	RunUS         int64  `parquet:"run_us"` // running time at speed 1
 	DueUS         int64  `parquet:"due_us"` // of the request, not of the retry
 	SentUS        int64  `parquet:"sent_us"`
+	ConnectedUS   int64  `parquet:"connected_us"` // the client had its connection; 0: it never had one
+	WrittenUS     int64  `parquet:"written_us"`   // the connection had taken the whole request; 0: it never did
 	EndedUS       int64  `parquet:"ended_us"`
 	TimeLeftMS    int64  `parquet:"left_ms"`   // until the client's deadline
 	CancelUS      int64  `parquet:"leaves_us"` // time drawn for the client to disconnect before its deadline; 0: none
@@ -49,6 +51,7 @@
 	ID          string `parquet:"id"`
 	Worker      int32  `parquet:"worker"`
 	Scheduler   int32  `parquet:"scheduler"`
+	ReceivedUS  int64  `parquet:"received_us"` // the worker's machine had its first bytes, before the path's delay
 	ArrivedUS   int64  `parquet:"arrived_us"`
 	StartedUS   int64  `parquet:"started_us"` // 0: not started
 	EndedUS     int64  `parquet:"ended_us"`
@@ -96,6 +99,14 @@
 	CalledUS  int64  `parquet:"called_us"` // time of the operator's call that caused the event; 0: none
 }
 
+// Lag is how late the harness itself ran: the greatest delay of a goroutine that does nothing but wake every few
+// milliseconds. Clients and table workers are goroutines of the same process, and are late as it is.
+type Lag struct {
+	FromUS int64 `parquet:"from_us"` // start of the interval
+	ToUS   int64 `parquet:"to_us"`
+	LagUS  int64 `parquet:"lag_us"`
+}
+
 // Records holds the records of one run.
 type Records struct {
 	Tries       []Try
@@ -103,6 +114,7 @@
 	Samples     []Sample
 	ListUpdates []ListUpdate
 	Events      []Event
+	Lags        []Lag
 	About       About
 }
 
@@ -110,6 +122,7 @@
 type About struct {
 	Scenario         json.RawMessage        `json:"scenario"`
 	Seed             uint64                 `json:"seed"`
+	StartUnixUS      int64                  `json:"start_unix_us"` // wall clock at the time that all recorded times count from
 	Build            string                 `json:"build"`
 	Arm              string                 `json:"arm"`
 	Paths            map[string]PathTraffic `json:"paths"`
@@ -134,7 +147,7 @@
 	for _, save := range []func() error{
 		func() error { return write(dir, "tries", r.Tries) }, func() error { return write(dir, "runs", r.Attempts) },
 		func() error { return write(dir, "samples", r.Samples) }, func() error { return write(dir, "told", r.ListUpdates) },
-		func() error { return write(dir, "events", r.Events) },
+		func() error { return write(dir, "events", r.Events) }, func() error { return write(dir, "lags", r.Lags) },
 	} {
 		if err == nil {
 			err = save()
@@ -154,6 +167,7 @@
 		func() (err error) { r.Tries, err = read[Try](dir, "tries"); return }, func() (err error) { r.Attempts, err = read[Attempt](dir, "runs"); return },
 		func() (err error) { r.Samples, err = read[Sample](dir, "samples"); return }, func() (err error) { r.ListUpdates, err = read[ListUpdate](dir, "told"); return },
 		func() (err error) { r.Events, err = read[Event](dir, "events"); return },
+		func() (err error) { r.Lags, err = read[Lag](dir, "lags"); return },
 	} {
 		if err == nil {
 			err = readTable()
--- a/internal/fleet/record/record_test.go
+++ b/internal/fleet/record/record_test.go
@@ -9,7 +9,7 @@
 // Records that are saved and opened again are the same.
 func TestSavedRecordsReadBack(t *testing.T) {
 	records := &Records{Tries: []Try{{Request: 3, ID: "x", Status: 200, End: EndAnswered, IsCorrect: true, RetryAfterMS: -1}}, Attempts: []Attempt{{ID: "x", Worker: 2, Outcome: OutcomeDone}},
-		Samples: []Sample{{AtUS: 5, UsableSlots: 1.5}}, ListUpdates: []ListUpdate{{Status: "up"}}, Events: []Event{{Kind: "cut", IsEnd: true}},
+		Samples: []Sample{{AtUS: 5, UsableSlots: 1.5}}, ListUpdates: []ListUpdate{{Status: "up"}}, Events: []Event{{Kind: "cut", IsEnd: true}}, Lags: []Lag{{FromUS: 1, ToUS: 2, LagUS: 3}},
 		About: About{Scenario: []byte(`{"name": "a"}`), Seed: 9, Paths: map[string]PathTraffic{"job": {Opened: 1}}}}
 	dir := t.TempDir()
 	require.NoError(t, records.Save(dir))
--- a/internal/fleet/relay/conn.go
+++ b/internal/fleet/relay/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -20,12 +21,13 @@
 // is, and held while that direction is cut.
 type Conn struct {
 	net.Conn
-	network   *Network
-	path      Path
-	isOpener  bool          // this process opened the connection
-	listener  *Listener     // that accepted the connection; nil: none
-	closed    chan struct{} // closed by Close
-	closeOnce sync.Once
+	network    *Network
+	path       Path
+	isOpener   bool          // this process opened the connection
+	listener   *Listener     // that accepted the connection; nil: none
+	closed     chan struct{} // closed by Close
+	closeOnce  sync.Once
+	receivedNS atomic.Int64 // Unix time of the last data that came, before its transit time
 }
 
 // Wrap returns a connection whose data is impaired as the path is. isOpener says whether this process opened it.
@@ -41,11 +43,15 @@
 // Path returns the path of the connection.
 func (c *Conn) Path() Path { return c.path }
 
+// LastReceived returns when the last data came, before its transit time.
+func (c *Conn) LastReceived() time.Time { return time.Unix(0, c.receivedNS.Load()) }
+
 // Read returns received data after its transit time. It fails with ECONNRESET if a cut held the data and the other end has
 // reset the connection meanwhile.
 func (c *Conn) Read(b []byte) (int, error) {
 	size, err := c.Conn.Read(b)
 	if size > 0 {
+		c.receivedNS.Store(time.Now().UnixNano())
 		from, to := c.path.To, c.path.From
 		if !c.isOpener {
 			from, to = to, from
