Draw upgrades and ends whose processes are stopped in turns, for soak seeds from 10000 on

A fault's new key stopped_ms: from its SIGTERM to its end a process of end-schedulers or upgrade-schedulers is stopped for so long and runs for a third of that, in turns. The kill comes at the earliest moment as before, and clients use their open connections until then. Seeds from 10000 on draw one such fault (30, 60, 100 or 150 ms), half of them with a crowd; its draws come from a source of their own.

Earlier seeds keep their scenarios bit for bit: a test holds the digests of eight, taken before this change.

--- a/internal/fleet/faults_processes.go
+++ b/internal/fleet/faults_processes.go
@@ -24,11 +24,16 @@
 	switch f.What {
 	case "end-schedulers":
 		schedulers := in.drawSchedulers()
-		in.atStart(0, func() { h.signalSchedulers(schedulers, syscall.SIGTERM) })
+		in.atStart(0, func() {
+			h.signalSchedulers(schedulers, syscall.SIGTERM)
+			each(schedulers, func(s *scheduler) {
+				each(s.running(), func(p *process) { s.startStops(p, f.StoppedMS) })
+			})
+		})
 		in.atStart(h.killDelay().Seconds(), func() { h.restartSchedulers(ctx, schedulers) })
 	case "upgrade-schedulers":
 		schedulers := in.drawSchedulers()
-		in.atStart(0, func() { each(schedulers, func(s *scheduler) { go h.upgrade(ctx, s) }) })
+		in.atStart(0, func() { each(schedulers, func(s *scheduler) { go h.upgrade(ctx, s, f.StoppedMS) }) })
 	case "reload-schedulers":
 		schedulers, seed := in.drawSchedulers(), in.rng.Uint64()
 		rng := rand.New(rand.NewPCG(seed, 1))
@@ -79,13 +84,37 @@
 	return l.rng.IntN(n)
 }
 
-// upgrade upgrades a scheduler and records a failure as a crash.
-func (h *harness) upgrade(ctx context.Context, s *scheduler) {
-	if err := s.upgrade(ctx); err != nil && ctx.Err() == nil {
+// upgrade upgrades a scheduler and records a failure as a crash. stoppedMS is as in startStops.
+func (h *harness) upgrade(ctx context.Context, s *scheduler, stoppedMS float64) {
+	if err := s.upgrade(ctx, stoppedMS); err != nil && ctx.Err() == nil {
 		h.addEvent(record.Event{Kind: "crashed", Text: err.Error(), Scheduler: int32(s.index), Worker: -1})
 	}
 }
 
+// startStops stops an ending process for stoppedMS and lets it run for a third of that, in turns until it has exited. It
+// does not wait; with 0 it does nothing. The process must have been sent SIGTERM and be killed later, which bounds the turns.
+func (s *scheduler) startStops(p *process, stoppedMS float64) {
+	if stoppedMS <= 0 {
+		return
+	}
+	stopped := time.Duration(stoppedMS * float64(time.Millisecond))
+	go func() {
+		for {
+			for _, turn := range []struct {
+				signal syscall.Signal
+				length time.Duration
+			}{{syscall.SIGSTOP, stopped}, {syscall.SIGCONT, stopped / 3}} {
+				s.signalTo(p, turn.signal)
+				select {
+				case <-time.After(turn.length):
+				case <-p.exited:
+					return
+				}
+			}
+		}
+	}()
+}
+
 // minSignalAge is the age from which a process is sent SIGHUP. A younger one may not have its signal handlers yet: until
 // the Go runtime has installed them, SIGHUP ends the process, which no program can prevent.
 const minSignalAge = 100 * time.Millisecond
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -85,8 +85,8 @@
 }
 
 // upgrade starts a new process beside the latest one. When the new process is ready the old one gets SIGTERM, and SIGKILL
-// after killDelay. It does nothing if no process runs.
-func (s *scheduler) upgrade(ctx context.Context) error {
+// after killDelay; until then it is stopped in turns, see startStops. It does nothing if no process runs.
+func (s *scheduler) upgrade(ctx context.Context, stoppedMS float64) error {
 	old := s.latest()
 	if old == nil {
 		return nil // the scheduler is down
@@ -101,6 +101,7 @@
 	}
 	s.harness.addEvent(record.Event{Kind: "upgraded", Text: s.name(), Scheduler: int32(s.index), Worker: -1})
 	s.terminate(old)
+	s.startStops(old, stoppedMS)
 	return nil
 }
 
--- a/internal/fleet/scenario/scenario.go
+++ b/internal/fleet/scenario/scenario.go
@@ -196,6 +196,8 @@
 	Back   string  // how lost workers return: cold (the default), warm or never
 	Hung   bool    // of silent workers: the kernel still accepts connections
 	LaterS float64 `json:"later_s"` // of lose-site: schedulers return this long after the workers; below 0: before them
+	// StoppedMS is, of end-schedulers and upgrade-schedulers, for how long an ending process is stopped at a time; 0: never.
+	StoppedMS float64 `json:"stopped_ms,omitempty"`
 }
 
 // Window is a part of the run with figures of its own.
--- a/internal/fleet/soak/draw.go
+++ b/internal/fleet/soak/draw.go
@@ -22,6 +22,7 @@
 	quietFraction          = 0.55  // part of a run after which its faults begin, if it begins with a quiet time
 	settleSeconds          = 5.0   // time at the end of a run without new faults
 	firstFaultSeconds      = 1.5   // earliest time of a fault
+	firstSeedWithStops     = 10000 // seeds below it keep the scenarios that they had before drawStoppedEnd
 )
 
 // DrawScenario returns the scenario of a seed. A seed always gives the same scenario.
@@ -31,6 +32,9 @@
 	d.drawFleet()
 	d.drawSettings()
 	d.drawSchedule()
+	if seed >= firstSeedWithStops {
+		d.drawStoppedEnd(rand.New(rand.NewPCG(seed, 0x73746f70)))
+	}
 	text, err := json.Marshal(object{
 		"name": fmt.Sprint("soak-", seed), "seed": seed, "seconds": d.seconds, "drain_grace_s": d.grace, "sites": d.sites, "classes": d.classes,
 		"workers":   object{"warm_s": d.between(3, 9), "overload_factor": 3, "idle_connect_s": d.between(2, 60), "probes": d.chance(0.8)},
@@ -113,9 +117,36 @@
 		atS := d.between(earliestS, d.seconds-settleSeconds)
 		faultGroups[d.rng.IntN(len(faultGroups))](d, atS)
 	}
+	d.sortFaults()
+}
+
+// sortFaults sorts the faults by their times.
+func (d *scenarioDraw) sortFaults() {
 	sort.SliceStable(d.faults, func(i, j int) bool { return d.faults[i]["at_s"].(float64) < d.faults[j]["at_s"].(float64) })
 }
 
+// stoppedMS holds for how long an ending process is stopped at a time, up to what the operators' terms name.
+var stoppedMS = []float64{30, 60, 100, 150}
+
+// drawStoppedEnd adds an upgrade, or an end, of schedulers whose ending processes are stopped in turns until they are killed,
+// in half of the runs with a crowd at the same time. Its draws come from a source of their own.
+func (d *scenarioDraw) drawStoppedEnd(rng *rand.Rand) {
+	others := d.rng
+	d.rng = rng
+	atS := d.between(firstFaultSeconds, d.seconds-settleSeconds)
+	stopped := stoppedMS[rng.IntN(len(stoppedMS))]
+	if d.chance(0.5) {
+		d.addFault(atS, "upgrade-schedulers", object{"share": d.between(0.3, 1), "stopped_ms": stopped})
+	} else {
+		d.addFault(atS, "end-schedulers", object{"count": 1 + rng.IntN(2), "stopped_ms": stopped})
+	}
+	if d.chance(0.5) {
+		d.addFault(atS+d.between(0, 0.5), "crowd", object{"share": 1, "for_s": d.between(1, 4)})
+	}
+	d.sortFaults()
+	d.rng = others
+}
+
 // addFault adds a fault with settings. Its time is limited to the run.
 func (d *scenarioDraw) addFault(atS float64, kind string, settings object) {
 	fault := object{"at_s": math.Round(1000*max(0.1, min(atS, d.seconds-1))) / 1000, "what": kind}
--- a/internal/fleet/soak/soak_test.go
+++ b/internal/fleet/soak/soak_test.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -91,6 +94,59 @@
 	assert.Greater(t, quietStarts, seeds/10, "runs with a long quiet time")
 }
 
+// A seed keeps its scenario from one build to the next: what is drawn since then is drawn for seeds from firstSeedWithStops
+// on only.
+func TestOldSeedsKeepTheirScenarios(t *testing.T) {
+	for seed, digest := range map[uint64]string{
+		1:    "d4683f448a1fce86a7a7dc674561a6e80ed2eb53408ca22cce4999bc11cd9e82",
+		2:    "9f67d2aa06fdd4a8b69eb9b3bcf212b05395eb50e7f818c2174a0e52919c78d5",
+		43:   "9704c1fc399585b88a2d5822f53b90305b5fdd12877a1c3f24ab0d53fad907a1",
+		2012: "89a6b1f1f77262255b3402fe3241390409cb0f4d1d2249ef7f9a0fce43e6abf6",
+		3005: "f74932082759d595acf18d66685218f46991e415466dbbe795faef346be7e8af",
+		4055: "c6e629c001b500f1207e8192766c00b5e81ed1ab7d1d23dc90b2203ecd2a5592",
+		4063: "2aa3b4460f5b06c0c18dd85b8f112be7cbc0b942b6e81e085a95bae75f8f659a",
+		9999: "46e375e41b0fe097f9f262fdecf303cd3f5bfe884faf7d53cdc234395b6dfcb7",
+	} {
+		s, err := DrawScenario(seed)
+		require.NoError(t, err)
+		text, err := json.Marshal(s)
+		require.NoError(t, err)
+		assert.Equal(t, digest, fmt.Sprintf("%x", sha256.Sum256(text)), "seed %d", seed)
+	}
+}
+
+// Each seed from firstSeedWithStops on ends processes that are stopped in turns: by upgrades and by ends, for each of the
+// drawn times, some of them beside a crowd. No earlier seed does.
+func TestDrawStoppedEnd(t *testing.T) {
+	const seeds = 200
+	kinds, times, crowds := map[string]int{}, map[float64]int{}, 0
+	for seed := range uint64(seeds) {
+		old, err := DrawScenario(firstSeedWithStops - 1 - seed)
+		require.NoError(t, err)
+		require.False(t, slices.ContainsFunc(old.Faults, func(f scenario.Fault) bool { return f.StoppedMS > 0 }))
+		s, err := DrawScenario(firstSeedWithStops + seed)
+		require.NoError(t, err)
+		end := slices.IndexFunc(s.Faults, func(f scenario.Fault) bool { return f.StoppedMS > 0 })
+		require.GreaterOrEqual(t, end, 0, "seed %d", s.Seed)
+		kinds[s.Faults[end].What]++
+		times[s.Faults[end].StoppedMS]++
+		if slices.ContainsFunc(s.Faults, func(f scenario.Fault) bool {
+			return f.What == "crowd" && f.Share == 1 && f.AtS >= s.Faults[end].AtS && f.AtS <= s.Faults[end].AtS+0.5
+		}) {
+			crowds++
+		}
+	}
+	require.Len(t, kinds, 2)
+	require.Len(t, times, len(stoppedMS))
+	for what, count := range kinds {
+		assert.Greater(t, count, seeds/4, what)
+	}
+	for stopped, count := range times {
+		assert.Greater(t, count, seeds/10, stopped)
+	}
+	assert.Greater(t, crowds, seeds/4)
+}
+
 // reduce removes all faults that a failed check does not need: here all of them, as no run can meet the limit.
 func TestReduceRemovesNeedlessFaults(t *testing.T) {
 	s, err := scenario.Parse([]byte(`{"name":"cut","seconds":2,"sites":[{"name":"a","schedulers":1,"workers":2}],
