Judge when a message was there, not when the rig acted on it

Mend: times are those at which a message had been written, had come (the kernel's time stamp of its last byte, and the path's delay) and a connection had been closed. A client waits half a second longer than its time and does not leave while an answer waits to be read; the judge decides by the answer's time, with the slack that it had. Listeners are blocked at the same time; cuts and pauses count as long as the events show.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"cobaltflow/internal/draw"
+	"cobaltflow/internal/fleet/endpoints"
 	"cobaltflow/internal/fleet/record"
 	"cobaltflow/internal/fleet/relay"
 	"cobaltflow/internal/fleet/scenario"
@@ -153,61 +154,145 @@
 	return class.Effect == "repeatable" && repeats
 }
 
+// lateAnswerWait is how much longer than its time a client waits for its answer, unless it is drawn to leave: the half second in
+// which, by the operators' terms, an answer only earns nothing. It is longer than the slack of package judge, which decides by
+// the time at which an answer came whether it was late.
+const lateAnswerWait = 500 * time.Millisecond
+
+// A client whose answer has come and is not read yet does not leave: it looks again after unreadAnswerWait, at most
+// maxUnreadAnswerWaits times.
+const (
+	unreadAnswerWait     = 100 * time.Millisecond
+	maxUnreadAnswerWaits = 50
+)
+
+// tryTrace observes the connection of a try. The transport's goroutines call it, also after the try has ended.
+type tryTrace struct {
+	recorder    *endpoints.Recorder
+	conn        atomic.Pointer[relay.Conn]
+	isReused    atomic.Bool
+	dialedUS    atomic.Int64
+	connectedUS atomic.Int64
+	writtenUS   atomic.Int64
+	onWritten   func()
+}
+
+// withContext returns a context whose request t observes.
+func (t *tryTrace) withContext(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		ConnectStart: func(string, string) { t.dialedUS.Store(t.recorder.ElapsedUS()) },
+		GotConn: func(c httptrace.GotConnInfo) {
+			t.connectedUS.Store(t.recorder.ElapsedUS())
+			t.conn.Store(c.Conn.(*relay.Conn))
+			t.isReused.Store(c.Reused)
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if info.Err == nil {
+				t.writtenUS.Store(t.recorder.ElapsedUS())
+				t.onWritten()
+			}
+		}})
+}
+
+// startPatience starts the timer with which a client leaves for want of an answer: wait after it has sent its request, or
+// after now where that never comes about, and not while an answer waits to be read.
+func (t *tryTrace) startPatience(wait time.Duration, leave func()) *time.Timer {
+	var timer *time.Timer
+	looks := 0
+	created := make(chan struct{})
+	timer = time.AfterFunc(wait, func() {
+		<-created
+		if looks++; looks > maxUnreadAnswerWaits || !t.hasUnreadAnswer() {
+			leave()
+			return
+		}
+		timer.Reset(unreadAnswerWait)
+	})
+	close(created)
+	t.onWritten = func() { timer.Reset(wait) }
+	return timer
+}
+
+// hasUnreadAnswer reports whether something of the answer has come to the client's machine.
+func (t *tryTrace) hasUnreadAnswer() bool {
+	conn, writtenUS := t.conn.Load(), t.writtenUS.Load()
+	return conn != nil && writtenUS > 0 && (conn.HasUnread() || t.recorder.USAt(conn.LastReceived()) > writtenUS)
+}
+
+// maxCloseWait bounds how long a client that disconnects waits until its connection is closed, to record when it was.
+const maxCloseWait = 2 * time.Second
+
+// fill sets what t has observed in the record of an ended try.
+func (t *tryTrace) fill(try *record.Try) {
+	try.DialedUS, try.ConnectedUS, try.WrittenUS = t.dialedUS.Load(), t.connectedUS.Load(), t.writtenUS.Load()
+	conn := t.conn.Load()
+	if conn == nil {
+		return
+	}
+	try.ReusedConn, try.ClientAddress = t.isReused.Load(), conn.LocalAddr().String()
+	switch try.End {
+	case record.EndAnswered:
+		try.AnsweredUS = min(try.EndedUS, t.recorder.USAt(conn.LastArrived()))
+	case record.EndCancelled:
+		if closed := conn.WaitClosed(maxCloseWait); !closed.IsZero() {
+			try.ClosedUS = t.recorder.USAt(closed)
+		}
+	}
+}
+
+// newTry returns the record of a try that is about to be sent to a scheduler of the balancer's choice.
+func (c *clients) newTry(index, number int, request *Request, deadline time.Time) record.Try {
+	h := c.harness
+	return record.Try{Request: int32(index), Number: int32(number), ID: fmt.Sprintf("%08x%08x", index, uint32(number)<<24|uint32(h.seed)&0xffffff),
+		Class: int32(request.Class), Site: int32(request.Site), Key: int32(request.Key), RunUS: request.RunUS, DueUS: request.DueUS,
+		Scheduler: int32(h.balancer.choose(request.Site, request.RandomDraws[(2*number)%len(request.RandomDraws)])),
+		SentUS:    h.recorder.ElapsedUS(), TimeLeftMS: time.Until(deadline).Milliseconds(), RetryAfterMS: -1, End: record.EndUnreachable}
+}
+
 // sendTry sends one try of a request and returns its record, which it also adds to the recorder.
 func (c *clients) sendTry(ctx context.Context, index, number int, request *Request, deadline time.Time) record.Try {
 	h := c.harness
-	try := record.Try{Request: int32(index), Number: int32(number), ID: fmt.Sprintf("%08x%08x", index, uint32(number)<<24|uint32(h.seed)&0xffffff), Class: int32(request.Class),
-		Site: int32(request.Site), Scheduler: int32(h.balancer.choose(request.Site, request.RandomDraws[(2*number)%len(request.RandomDraws)])), Key: int32(request.Key), RunUS: request.RunUS, DueUS: request.DueUS,
-		SentUS: h.recorder.ElapsedUS(), TimeLeftMS: time.Until(deadline).Milliseconds(), RetryAfterMS: -1, End: record.EndUnreachable}
+	try := c.newTry(index, number, request, deadline)
+	trace := &tryTrace{recorder: h.recorder, onWritten: func() {}}
 	defer func() {
 		try.EndedUS = h.recorder.ElapsedUS()
+		trace.fill(&try)
 		h.recorder.TryEnded(try)
 	}()
 	if try.Scheduler < 0 || try.TimeLeftMS < 1 {
 		return try
 	}
-	s := h.schedulers[try.Scheduler]
 	h.recorder.TrySent(try)
-	paused := h.scenario.PausedUS(try.SentUS, try.SentUS+try.TimeLeftMS*1000)
-	giveUpAt := deadline.Add(60*time.Millisecond + time.Duration(paused)*time.Microsecond)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	paused := time.Duration(h.scenario.PausedUS(try.SentUS, try.SentUS+try.TimeLeftMS*1000)) * time.Microsecond
+	wait := time.Duration(try.TimeLeftMS)*time.Millisecond + lateAnswerWait + paused
 	if request.RandomDraws[6] < h.scenario.Clients.Leave {
-		giveUpAt = time.Now().Add(time.Duration(request.RandomDraws[5] * float64(time.Until(deadline))))
-		try.CancelUS = max(1, giveUpAt.Sub(h.recorder.TimeAt(0)).Microseconds())
+		wait = time.Duration(request.RandomDraws[5] * float64(time.Until(deadline)))
+		try.CancelUS = max(1, h.recorder.USAt(time.Now().Add(wait)))
 	}
-	ctx, cancel := context.WithDeadline(ctx, giveUpAt)
-	defer cancel()
-	var connectedUS, writtenUS atomic.Int64 // the transport's goroutines may still set them when the try has ended
-	defer func() { try.ConnectedUS, try.WrittenUS = connectedUS.Load(), writtenUS.Load() }()
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(c httptrace.GotConnInfo) {
-			connectedUS.Store(h.recorder.ElapsedUS())
-			try.ReusedConn, try.ClientAddress = c.Reused, c.Conn.LocalAddr().String()
-		},
-		WroteRequest: func(info httptrace.WroteRequestInfo) {
-			if info.Err == nil {
-				writtenUS.Store(h.recorder.ElapsedUS())
-			}
-		}})
-	name := h.scenario.Classes[request.Class].Name
+	if try.CancelUS > 0 {
+		patience := time.AfterFunc(wait, cancel)
+		defer patience.Stop()
+	} else {
+		defer trace.startPatience(wait, cancel).Stop()
+	}
+	c.exchange(trace.withContext(ctx), request, &try)
+	return try
+}
+
+// exchange sends a try's request and reads the answer, and sets how the try ended.
+func (c *clients) exchange(ctx context.Context, request *Request, try *record.Try) {
+	h := c.harness
+	s, name := h.schedulers[try.Scheduler], h.scenario.Classes[request.Class].Name
 	for isResend := false; ; isResend = true {
 		httpReq, _ := http.NewRequestWithContext(ctx, "POST", fmt.Sprintf("http://%s/%s/k%d", s.listen, name, request.Key), strings.NewReader("{}"))
 		httpReq.Header.Set("X-Correlation-Id", try.ID)
 		httpReq.Header.Set("X-Service-Class", name)
 		httpReq.Header.Set("X-Time-Left-Ms", strconv.FormatInt(try.TimeLeftMS, 10))
-		resp, err := c.http[request.Site*len(h.scenario.Sites)+s.site].Do(httpReq)
+		err := readAnswer(c.http[request.Site*len(h.scenario.Sites)+s.site], httpReq, try)
 		if err == nil {
-			var body []byte
-			body, err = io.ReadAll(resp.Body)
-			resp.Body.Close()
-			if err == nil {
-				try.Error = ""
-				try.Status, try.End = int32(resp.StatusCode), record.EndAnswered
-				try.IsCorrect = try.Status != 200 || strings.HasPrefix(string(body), try.ID+" by ")
-				if retryAfterS, parseErr := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); parseErr == nil {
-					try.RetryAfterMS = int64(retryAfterS * 1000)
-				}
-				return try
-			}
+			return
 		}
 		try.Error = err.Error()
 		var dial *net.OpError
@@ -221,8 +306,28 @@
 		default:
 			try.End = record.EndBroken
 		}
-		return try
+		return
+	}
+}
+
+// readAnswer sends a request and sets its answer in the try's record. An error means that there was no whole answer.
+func readAnswer(client *http.Client, httpReq *http.Request, try *record.Try) error {
+	resp, err := client.Do(httpReq)
+	if err != nil {
+		return err
+	}
+	body, err := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	if err != nil {
+		return err
+	}
+	try.Error = ""
+	try.Status, try.End = int32(resp.StatusCode), record.EndAnswered
+	try.IsCorrect = try.Status != 200 || strings.HasPrefix(string(body), try.ID+" by ")
+	if retryAfterS, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+		try.RetryAfterMS = int64(retryAfterS * 1000)
 	}
+	return nil
 }
 
 // close closes the idle connections.
--- a/internal/fleet/endpoints/worker.go
+++ b/internal/fleet/endpoints/worker.go
@@ -246,12 +246,12 @@
 	collapsed                     // the connection is aborted
 )
 
-// accept adds a job to the queue, unless the worker is down, collapses, fails or has a full queue. received is when the
-// machine had the first bytes of its request.
-func (w *Worker) accept(try record.Try, connectTime time.Duration, timeLeftMS int64, received time.Time) acceptResult {
+// accept adds a job to the queue, unless the worker is down, collapses, fails or has a full queue. conn is the connection
+// that its request came on.
+func (w *Worker) accept(try record.Try, connectTime time.Duration, timeLeftMS int64, conn *relay.Conn) acceptResult {
 	now := time.Now()
 	attempt := record.Attempt{ID: try.ID, Worker: int32(w.Number), Scheduler: try.Scheduler, ArrivedUS: w.recorder.ElapsedUS(), TimeLeftMS: timeLeftMS,
-		ReceivedUS: received.Sub(w.recorder.TimeAt(0)).Microseconds()}
+		ReceivedUS: w.recorder.USAt(conn.LastReceived()), ReachedUS: w.recorder.USAt(conn.LastArrived())}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	attempt.QueueLength = int32(len(w.queue))
--- a/internal/fleet/endpoints/worker_server.go
+++ b/internal/fleet/endpoints/worker_server.go
@@ -142,7 +142,7 @@
 	if err != nil {
 		timeLeftMS = -1
 	}
-	switch w.accept(try, connectTime, timeLeftMS, state.conn.LastReceived()) {
+	switch w.accept(try, connectTime, timeLeftMS, state.conn) {
 	case accepted:
 		rw.WriteHeader(202)
 	case queueFull:
--- a/internal/fleet/harness.go
+++ b/internal/fleet/harness.go
@@ -249,12 +249,7 @@
 			case <-done:
 				return
 			}
-			h.addEvent(record.Event{Kind: e.kind, IsEnd: e.isEnd, Scheduler: -1, Worker: -1})
-			if e.kind == "release-schedulers" {
-				go e.run()
-			} else {
-				e.run()
-			}
+			h.runFaultEvent(e)
 		}
 	}()
 	senders.play(ctx, requests)
@@ -267,6 +262,22 @@
 	senders.close()
 }
 
+// runFaultEvent runs the start or the end of a fault and records it: a start before it takes effect and an end when it has.
+func (h *harness) runFaultEvent(e faultEvent) {
+	event := record.Event{Kind: e.kind, IsEnd: e.isEnd, Scheduler: -1, Worker: -1}
+	if !e.isEnd {
+		h.addEvent(event)
+	}
+	if e.kind == "release-schedulers" {
+		go e.run()
+	} else {
+		e.run()
+	}
+	if e.isEnd {
+		h.addEvent(event)
+	}
+}
+
 const sampleInterval = 50 * time.Millisecond
 
 // sampleWorkers samples all workers each sampleInterval, and writes a progress line each second, until done is closed.
--- a/internal/fleet/judge/judge_test.go
+++ b/internal/fleet/judge/judge_test.go
@@ -47,6 +47,16 @@
 	require.NoError(t, err)
 }
 
+// addCut adds a cut of the job path, from atS for forS seconds.
+func addCut(t *testing.T, rec *record.Records, atS, forS float64) {
+	s := &scenario.Scenario{}
+	require.NoError(t, json.Unmarshal(rec.About.Scenario, s))
+	s.Faults = append(s.Faults, scenario.Fault{AtS: atS, ForS: forS, What: "cut", Paths: []string{"job"}})
+	var err error
+	rec.About.Scenario, err = json.Marshal(s)
+	require.NoError(t, err)
+}
+
 // delayAttempt lets the first request's attempt, which states timeLeftMS, arrive 1.7 s after the request was sent, at a
 // worker that is disabled since 1.2 s with a grace of 0.2 s. A cut of the job path begins at cutAtS and lasts 1.55 s.
 func delayAttempt(t *testing.T, rec *record.Records, timeLeftMS int64, cutAtS float64) {
@@ -63,6 +73,12 @@
 	rec.Events = []record.Event{{AtUS: 1.2e6, Kind: "out", Scheduler: 0, Worker: 0}, {AtUS: 2.95e6, Kind: "back", Scheduler: 0, Worker: 0}}
 }
 
+// addFaultEvents adds the events of the start and the end of a fault of a kind.
+func addFaultEvents(rec *record.Records, kind string, startUS, endUS int64) {
+	rec.Events = append(rec.Events, record.Event{AtUS: startUS, Kind: kind, Scheduler: -1, Worker: -1},
+		record.Event{AtUS: endUS, Kind: kind, IsEnd: true, Scheduler: -1, Worker: -1})
+}
+
 // Each rule is violated once in the records of a faultless run, and exactly the check of that rule must fail.
 func TestEachCheckDetectsItsViolation(t *testing.T) {
 	for _, c := range []struct {
@@ -85,6 +101,26 @@
 			addPause(t, r, 1.1)
 			r.Tries[0].EndedUS = r.Tries[0].SentUS + r.Tries[0].TimeLeftMS*1000 + 350_000
 		}, "one final answer, in time, for all that was taken"},
+		{"an answer as late as its scheduler's pause turned out", func(r *record.Records) {
+			addPause(t, r, 1.1)
+			addFaultEvents(r, "hold-schedulers", 1.2e6, 1.6e6)
+			r.Tries[0].EndedUS = r.Tries[0].DeadlineUS() + 540_000
+		}, ""},
+		{"an answer later than its scheduler's pause turned out", func(r *record.Records) {
+			addPause(t, r, 1.1)
+			addFaultEvents(r, "hold-schedulers", 1.2e6, 1.6e6)
+			r.Tries[0].EndedUS = r.Tries[0].DeadlineUS() + 560_000
+		}, "one final answer, in time, for all that was taken"},
+		{"an attempt that states too much time long after a cut", func(r *record.Records) {
+			addCut(t, r, 0.1, 0.2)
+			addFaultEvents(r, "cut", 0.1e6, 0.5e6)
+			r.Attempts[2].TimeLeftMS = 2400
+		}, "no attempt is told more time than its client has"},
+		{"an attempt that states too much time in a cut that ended late", func(r *record.Records) {
+			addCut(t, r, 0.1, 0.2)
+			addFaultEvents(r, "cut", 0.1e6, 2.1e6)
+			r.Attempts[2].TimeLeftMS = 2400
+		}, ""},
 		{"no answer from a scheduler that was killed", func(r *record.Records) {
 			r.Tries[0].Status, r.Tries[0].End = 0, record.EndBroken
 			r.Events = []record.Event{{AtUS: 1.1e6, Kind: "killed", Text: "n0", Scheduler: 0, Worker: -1}}
@@ -179,6 +215,81 @@
 			t.End, t.Status, t.EndedUS = record.EndCancelled, 0, t.SentUS+t.TimeLeftMS*1000+2000
 		}, "one final answer, in time, for all that was taken"},
 		{"an attempt that states more time than its client has left", func(r *record.Records) { r.Attempts[0].TimeLeftMS = 2400 }, "no attempt is told more time than its client has"},
+		{"an attempt that states more time than its client had left when it decided to send, and not when it had sent", func(r *record.Records) {
+			r.Tries[0].WrittenUS, r.Attempts[0].TimeLeftMS = r.Tries[0].SentUS+200_000, 2400
+		}, ""},
+		{"an attempt that states more time than its client has left since it had sent", func(r *record.Records) {
+			r.Tries[0].WrittenUS, r.Attempts[0].TimeLeftMS = r.Tries[0].SentUS+200_000, 2600
+		}, "no attempt is told more time than its client has"},
+		{"an attempt that reached its worker in time, at which a late worker acted later", func(r *record.Records) {
+			r.Attempts[0].ReachedUS, r.Attempts[0].TimeLeftMS = r.Attempts[0].ArrivedUS, 2000
+			r.Attempts[0].ArrivedUS += 500_000
+			r.Attempts[0].StartedUS, r.Attempts[0].EndedUS, r.Tries[0].EndedUS = r.Attempts[0].StartedUS+500_000, r.Attempts[0].EndedUS+500_000, r.Tries[0].EndedUS+500_000
+		}, ""},
+		{"an attempt that reached its worker late", func(r *record.Records) {
+			r.Attempts[0].ArrivedUS += 500_000
+			r.Attempts[0].ReachedUS, r.Attempts[0].TimeLeftMS = r.Attempts[0].ArrivedUS-10_000, 2000
+			r.Attempts[0].StartedUS, r.Attempts[0].EndedUS, r.Tries[0].EndedUS = r.Attempts[0].StartedUS+500_000, r.Attempts[0].EndedUS+500_000, r.Tries[0].EndedUS+500_000
+		}, "no attempt is told more time than its client has"},
+		{"an answer that came in time, which a late client read later", func(r *record.Records) {
+			r.Tries[0].AnsweredUS, r.Tries[0].EndedUS = r.Tries[0].DeadlineUS()+140_000, r.Tries[0].DeadlineUS()+240_000
+		}, ""},
+		{"an answer that came too late to a client that still waited", func(r *record.Records) {
+			r.Tries[0].AnsweredUS, r.Tries[0].EndedUS = r.Tries[0].DeadlineUS()+160_000, r.Tries[0].DeadlineUS()+160_000
+		}, "one final answer, in time, for all that was taken"},
+		{"an answer in time, counted from when its client had sent", func(r *record.Records) {
+			r.Tries[0].WrittenUS = r.Tries[0].SentUS + 200_000
+			r.Tries[0].EndedUS = r.Tries[0].SentUS + r.Tries[0].TimeLeftMS*1000 + 340_000
+		}, ""},
+		{"an answer too late, counted from when its client had sent", func(r *record.Records) {
+			r.Tries[0].WrittenUS = r.Tries[0].SentUS + 200_000
+			r.Tries[0].EndedUS = r.Tries[0].SentUS + r.Tries[0].TimeLeftMS*1000 + 360_000
+		}, "one final answer, in time, for all that was taken"},
+		{"a client that sent late and left for want of an answer", func(r *record.Records) {
+			t := &r.Tries[0]
+			t.WrittenUS = t.SentUS + 200_000
+			t.End, t.Status, t.EndedUS = record.EndCancelled, 0, t.DeadlineUS()+250_000
+			r.Attempts = r.Attempts[1:]
+		}, "one final answer, in time, for all that was taken"},
+		{"a client that never got to send and left for want of an answer", func(r *record.Records) {
+			t := &r.Tries[0]
+			t.End, t.Status, t.EndedUS = record.EndCancelled, 0, t.DeadlineUS()+250_000
+			r.Attempts = r.Attempts[1:]
+		}, "one final answer, in time, for all that was taken"},
+		{"an attempt for a client that left and closed its connection later", func(r *record.Records) {
+			r.Tries[0].End, r.Tries[0].Status, r.Tries[0].EndedUS = record.EndCancelled, 0, r.Tries[0].SentUS+100_000
+			r.Tries[0].ClosedUS = r.Tries[0].EndedUS + 100_000
+			r.Attempts[0].ReachedUS = r.Tries[0].ClosedUS + 240_000
+			r.Attempts[0].ArrivedUS = r.Attempts[0].ReachedUS + 100_000
+			r.Attempts[0].EndedUS = r.Attempts[0].ArrivedUS + 100_000
+		}, ""},
+		{"an attempt for a client that had closed its connection", func(r *record.Records) {
+			r.Tries[0].End, r.Tries[0].Status, r.Tries[0].EndedUS = record.EndCancelled, 0, r.Tries[0].SentUS+100_000
+			r.Tries[0].ClosedUS = r.Tries[0].EndedUS + 100_000
+			r.Attempts[0].ReachedUS = r.Tries[0].ClosedUS + 260_000
+			r.Attempts[0].ArrivedUS = r.Attempts[0].ReachedUS
+			r.Attempts[0].EndedUS = r.Attempts[0].ArrivedUS + 100_000
+		}, "no attempt for a client that has gone"},
+		{"an attempt that reached a draining worker within the grace, at which a late worker acted later", func(r *record.Records) {
+			r.ListUpdates = []record.ListUpdate{{AtUS: r.Attempts[0].ArrivedUS - 1_100_000, Scheduler: 0, Worker: 0, Status: "draining"}, {AtUS: 1.5e6, Scheduler: 0, Worker: 0, Status: "up"}}
+			r.Attempts[0].ReachedUS = r.Attempts[0].ArrivedUS
+			r.Attempts[0].ArrivedUS += 100_000
+		}, ""},
+		{"an attempt that reached a draining worker after the grace, at which a late worker acted later", func(r *record.Records) {
+			r.ListUpdates = []record.ListUpdate{{AtUS: r.Attempts[0].ArrivedUS - 1_200_000, Scheduler: 0, Worker: 0, Status: "draining"}, {AtUS: 1.5e6, Scheduler: 0, Worker: 0, Status: "up"}}
+			r.Attempts[0].ReachedUS = r.Attempts[0].ArrivedUS
+			r.Attempts[0].ArrivedUS += 100_000
+		}, "nothing new to a draining or gone table worker after the grace"},
+		{"an attempt that reached a disabled worker within the grace, at which a late worker acted later", func(r *record.Records) {
+			r.Events = []record.Event{{AtUS: r.Attempts[0].ArrivedUS - 1_100_000, Kind: "out", Scheduler: 0, Worker: 0}, {AtUS: 1.5e6, Kind: "back", Scheduler: 0, Worker: 0}}
+			r.Attempts[0].ReachedUS = r.Attempts[0].ArrivedUS
+			r.Attempts[0].ArrivedUS += 100_000
+		}, ""},
+		{"an attempt that reached a disabled worker after the grace", func(r *record.Records) {
+			r.Events = []record.Event{{AtUS: r.Attempts[0].ArrivedUS - 1_200_000, Kind: "out", Scheduler: 0, Worker: 0}, {AtUS: 1.5e6, Kind: "back", Scheduler: 0, Worker: 0}}
+			r.Attempts[0].ReachedUS = r.Attempts[0].ArrivedUS
+			r.Attempts[0].ArrivedUS += 100_000
+		}, "nothing new to a table worker that an operator took out"},
 		{"a request broken off on a reused connection, after it was sent to a worker", func(r *record.Records) {
 			r.Tries[0].Status, r.Tries[0].End, r.Tries[0].ReusedConn = 0, record.EndBroken, true
 		}, "one final answer, in time, for all that was taken"},
@@ -234,6 +345,14 @@
 	}
 }
 
+// The text of a violation says how far the client of an unsent request came.
+func TestUnsentText(t *testing.T) {
+	require.Equal(t, ", not dialed", unsentText(&record.Try{}))
+	require.Equal(t, ", not connected", unsentText(&record.Try{DialedUS: 1}))
+	require.Equal(t, ", connected and not written", unsentText(&record.Try{DialedUS: 1, ConnectedUS: 2}))
+	require.Empty(t, unsentText(&record.Try{ConnectedUS: 2, WrittenUS: 3}))
+}
+
 // Only a cut of the job path that begins before an attempt arrives and ends by then delays the attempt.
 func TestDelayedByCut(t *testing.T) {
 	try, run := &record.Try{SentUS: 1e6, TimeLeftMS: 2000, EndedUS: 2.9e6}, &record.Attempt{TimeLeftMS: 1950, ArrivedUS: 2.7e6}
--- a/internal/fleet/record/record.go
+++ b/internal/fleet/record/record.go
@@ -24,12 +24,15 @@
 	RunUS         int64  `parquet:"run_us"` // running time at speed 1
 	DueUS         int64  `parquet:"due_us"` // of the request, not of the retry
 	SentUS        int64  `parquet:"sent_us"`
+	DialedUS      int64  `parquet:"dialed_us"`    // the client began to connect; 0: it did not
 	ConnectedUS   int64  `parquet:"connected_us"` // the client had its connection; 0: it never had one
 	WrittenUS     int64  `parquet:"written_us"`   // the connection had taken the whole request; 0: it never did
-	EndedUS       int64  `parquet:"ended_us"`
-	TimeLeftMS    int64  `parquet:"left_ms"`   // until the client's deadline
-	CancelUS      int64  `parquet:"leaves_us"` // time drawn for the client to disconnect before its deadline; 0: none
-	Status        int32  `parquet:"status"`    // of the answer; 0: no answer
+	AnsweredUS    int64  `parquet:"answered_us"`  // the client's machine had the last byte of the answer, by the kernel's time stamp; 0: no answer
+	ClosedUS      int64  `parquet:"closed_us"`    // a client that disconnected had closed its connection; 0: it had none
+	EndedUS       int64  `parquet:"ended_us"`     // the client acted on the end
+	TimeLeftMS    int64  `parquet:"left_ms"`      // until the client's deadline
+	CancelUS      int64  `parquet:"leaves_us"`    // time drawn for the client to disconnect before its deadline; 0: none
+	Status        int32  `parquet:"status"`       // of the answer; 0: no answer
 	End           string `parquet:"end,dict"`
 	Error         string `parquet:"fault,dict"` // error of a try without an answer
 	RetryAfterMS  int64  `parquet:"after_ms"`   // Retry-After; below 0: none
@@ -38,6 +41,30 @@
 	ClientAddress string `parquet:"from"`       // of the connection
 }
 
+// StartUS returns the time from which the client's time left counts: when it had sent its request, or was about to where
+// that never came about.
+func (t *Try) StartUS() int64 {
+	if t.WrittenUS > 0 {
+		return t.WrittenUS
+	}
+	return t.SentUS
+}
+
+// DeadlineUS returns the time until which the client needs its answer.
+func (t *Try) DeadlineUS() int64 { return t.StartUS() + t.TimeLeftMS*1000 }
+
+// AnswerUS returns the time of an answer: that of its last byte at the client's machine. A client that runs late itself
+// acts on it later, at EndedUS.
+func (t *Try) AnswerUS() int64 {
+	if t.AnsweredUS > 0 {
+		return t.AnsweredUS
+	}
+	return t.EndedUS
+}
+
+// GoneUS returns the time at which a client that disconnected had closed its connection.
+func (t *Try) GoneUS() int64 { return max(t.ClosedUS, t.EndedUS) }
+
 // Values of Try.End.
 const (
 	EndAnswered    = "answered"
@@ -51,9 +78,10 @@
 	ID          string `parquet:"id"`
 	Worker      int32  `parquet:"worker"`
 	Scheduler   int32  `parquet:"scheduler"`
-	ReceivedUS  int64  `parquet:"received_us"` // the worker's machine had its first bytes, before the path's delay
-	ArrivedUS   int64  `parquet:"arrived_us"`
-	StartedUS   int64  `parquet:"started_us"` // 0: not started
+	ReceivedUS  int64  `parquet:"received_us"` // the worker's machine had its last bytes, by the kernel's time stamp, before the path's delay
+	ReachedUS   int64  `parquet:"reached_us"`  // ReceivedUS and the path's delay; 0: not known
+	ArrivedUS   int64  `parquet:"arrived_us"`  // the worker acted on it
+	StartedUS   int64  `parquet:"started_us"`  // 0: not started
 	EndedUS     int64  `parquet:"ended_us"`
 	QueueLength int32  `parquet:"waiting"` // jobs that waited on its arrival
 	TimeLeftMS  int64  `parquet:"left_ms"` // stated by the scheduler; below 0: not stated
@@ -61,6 +89,15 @@
 	Outcome     string `parquet:"how,dict"`
 }
 
+// ReachUS returns the time at which the attempt reached the worker's machine. A worker that runs late itself, as a part of
+// the harness, acts on it later, at ArrivedUS.
+func (a *Attempt) ReachUS() int64 {
+	if a.ReachedUS > 0 {
+		return a.ReachedUS
+	}
+	return a.ArrivedUS
+}
+
 // Values of Attempt.Outcome.
 const (
 	OutcomeDone      = "done"
--- a/internal/fleet/relay/net.go
+++ b/internal/fleet/relay/net.go
@@ -122,9 +122,11 @@
 	close(old.changed)
 	listeners := append([]*Listener(nil), n.listeners...)
 	n.mu.Unlock()
+	var group sync.WaitGroup // in parallel, as filling a backlog takes some milliseconds
 	for _, l := range listeners {
-		l.updateBacklog()
+		group.Go(l.updateBacklog)
 	}
+	group.Wait()
 }
 
 // ResetConns resets open connections between the sites, whichever opened them, and returns their number. share is the
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -269,3 +269,98 @@
 	_, tooLong := p.Counts()
 	require.EqualValues(t, 1, tooLong)
 }
+
+// A connection states when its data came and was through the path's delay, however late it is read, and when it was closed.
+func TestConnTimes(t *testing.T) {
+	const delay, readLate = 20 * time.Millisecond, 200 * time.Millisecond
+	n := New(1, [2]time.Duration{delay, delay}, [2]time.Duration{}, 1)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	peer, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	defer peer.Close()
+	accepted, err := ln.Accept()
+	require.NoError(t, err)
+	conn := n.Wrap(accepted, Path{Kind: Job}, false)
+	require.NotNil(t, conn.raw, "the kernel states time stamps")
+	before := time.Now()
+	_, err = peer.Write([]byte("hello"))
+	require.NoError(t, err)
+	written := time.Now()
+	time.Sleep(readLate)
+	buf := make([]byte, 10)
+	size, err := conn.Read(buf)
+	require.NoError(t, err)
+	require.Equal(t, "hello", string(buf[:size]))
+	const margin = time.Millisecond // the kernel's wall clock and this process's need not agree to the microsecond
+	require.WithinRange(t, conn.LastReceived(), before.Add(-margin), written.Add(margin))
+	require.Equal(t, delay, conn.LastArrived().Sub(conn.LastReceived()))
+
+	require.True(t, conn.WaitClosed(time.Millisecond).IsZero())
+	before = time.Now()
+	require.NoError(t, conn.Close())
+	require.WithinRange(t, conn.WaitClosed(time.Second), before.Add(-margin), time.Now().Add(margin))
+	require.Error(t, conn.Close())
+}
+
+// Data that a cut has held arrives when the cut is over.
+func TestHeldDataArrivesAfterTheCut(t *testing.T) {
+	const held = 150 * time.Millisecond
+	n := New(1, [2]time.Duration{}, [2]time.Duration{}, 1)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	peer, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	defer peer.Close()
+	accepted, err := ln.Accept()
+	require.NoError(t, err)
+	conn := n.Wrap(accepted, Path{Kind: Job}, false)
+	defer conn.Close()
+	n.UpdateImpairments(nil, -1, -1, true, func(i *Impairment) { i.Cuts++ })
+	_, err = peer.Write([]byte("hello"))
+	require.NoError(t, err)
+	ended := make(chan time.Time, 1)
+	time.AfterFunc(held, func() {
+		ended <- time.Now()
+		n.UpdateImpairments(nil, -1, -1, true, func(i *Impairment) { i.Cuts-- })
+	})
+	_, err = conn.Read(make([]byte, 10))
+	require.NoError(t, err)
+	require.False(t, conn.LastArrived().Before((<-ended).Round(0)))
+	require.Greater(t, conn.LastArrived().Sub(conn.LastReceived()), held/2)
+}
+
+// The end of a connection, its reset and a deadline are reported as a plain connection reports them.
+func TestReadErrors(t *testing.T) {
+	n := New(1, [2]time.Duration{}, [2]time.Duration{}, 1)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	open := func() (*Conn, *net.TCPConn) {
+		peer, err := net.Dial("tcp", ln.Addr().String())
+		require.NoError(t, err)
+		accepted, err := ln.Accept()
+		require.NoError(t, err)
+		return n.Wrap(accepted, Path{Kind: Job}, false), peer.(*net.TCPConn)
+	}
+	buf := make([]byte, 10)
+	conn, peer := open()
+	conn.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
+	_, err = conn.Read(buf)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	conn.SetReadDeadline(time.Time{})
+	peer.Close()
+	_, err = conn.Read(buf)
+	require.Equal(t, io.EOF, err)
+	conn.Close()
+	_, err = conn.Read(buf)
+	require.ErrorIs(t, err, net.ErrClosed)
+	conn, peer = open()
+	peer.SetLinger(0)
+	peer.Close()
+	_, err = conn.Read(buf)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+	conn.Close()
+}
