Count a list update from its writing, and an answer that came to a client that had left by its time

Of 1,563 list updates for a scheduler with an open watch 267 were written over 0.15 s after discovery had them, the last 10.9 s; attempts within the grace of the writing broke the grace.

Cause: the rig's discovery servers and clients are goroutines of a process that runs late itself.

Mend: an update counts as told when it was written to a watch that was open when discovery had it, 6 s after discovery had it at the latest; an answer that had passed its path when its client left counts by its time, late or not. An answer still in transit, or none, counts as none.

The operators' terms: "a change counts as told at the latest 6 s after discovery had it and could be reached"; "the time of an answer is that of its last byte". Slack, bounds and checks stay; the doubles hold both sides.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -234,6 +234,10 @@
 	case record.EndAnswered:
 		try.AnsweredUS = min(try.EndedUS, t.recorder.USAt(conn.LastArrived()))
 	case record.EndCancelled:
+		cameUS, throughUS := t.recorder.USAt(conn.LastReceived()), t.recorder.USAt(conn.LastArrived())
+		if try.WrittenUS > 0 && cameUS > try.WrittenUS && throughUS >= cameUS { // not still in transit
+			try.AnsweredUS = throughUS // the answer came, and the client left before it had acted on it
+		}
 		if closed := conn.WaitClosed(maxCloseWait); !closed.IsZero() {
 			try.ClosedUS = t.recorder.USAt(closed)
 		}
--- a/internal/fleet/endpoints/discovery.go
+++ b/internal/fleet/endpoints/discovery.go
@@ -65,7 +65,7 @@
 	mu            sync.Mutex
 	index         int
 	entries       map[string]ListEntry
-	changes       []listUpdate  // one entry each, by index
+	changes       []change      // one entry each, by index
 	updated       chan struct{} // closed at the next change
 	isFrozen      bool
 	deferred      []ListEntry   // changes that wait while the list is frozen or discovery is down
@@ -171,10 +171,40 @@
 	} else {
 		srv.entries[entry.Name] = entry
 	}
-	srv.changes = append(srv.changes, listUpdate{Index: srv.index, Endpoints: []ListEntry{entry}})
+	srv.changes = append(srv.changes, change{listUpdate{Index: srv.index, Endpoints: []ListEntry{entry}}, record.ListUpdate{
+		AtUS: srv.discovery.recorder.ElapsedUS(), Scheduler: int32(srv.scheduler), Worker: int32(entry.worker), Status: entry.Status}})
 	close(srv.updated)
 	srv.updated = make(chan struct{})
-	srv.discovery.recorder.AddListUpdate(record.ListUpdate{AtUS: srv.discovery.recorder.ElapsedUS(), Scheduler: int32(srv.scheduler), Worker: int32(entry.worker), Status: entry.Status})
+}
+
+// change is an update of the worker list and its record.
+type change struct {
+	listUpdate
+	row record.ListUpdate
+}
+
+// RecordUpdates records all updates, in their order for each scheduler. It is called once, at the end of a run.
+func (d *Discovery) RecordUpdates() {
+	for _, srv := range d.servers {
+		srv.mu.Lock()
+		for i := range srv.changes {
+			d.recorder.AddListUpdate(srv.changes[i].row)
+		}
+		srv.mu.Unlock()
+	}
+}
+
+// markWritten records that a watch which began at watchUS has written the updates after an index up to another. Updates from
+// before the watch keep the time at which discovery had them: their scheduler was not there, and the server was not late.
+func (srv *discoveryServer) markWritten(after, last int, watchUS int64) {
+	srv.mu.Lock()
+	defer srv.mu.Unlock()
+	nowUS := srv.discovery.recorder.ElapsedUS()
+	for i := range srv.changes {
+		if c := &srv.changes[i]; c.Index > after && c.Index <= last && c.row.AtUS >= watchUS {
+			c.row.WrittenUS = nowUS
+		}
+	}
 }
 
 // SetFrozen stops the updates to a scheduler, or sends it all that were deferred.
@@ -250,6 +280,7 @@
 	rw.WriteHeader(200)
 	flusher := rw.(http.Flusher)
 	flusher.Flush()
+	watchUS := srv.discovery.recorder.ElapsedUS()
 	heartbeat := time.NewTicker(2 * time.Second)
 	defer heartbeat.Stop()
 	for {
@@ -257,10 +288,10 @@
 		var updates []listUpdate
 		for _, c := range srv.changes {
 			if c.Index > after {
-				updates = append(updates, c)
+				updates = append(updates, c.listUpdate)
 			}
 		}
-		updated := srv.updated
+		updated, previous := srv.updated, after
 		srv.mu.Unlock()
 		for _, update := range updates {
 			text, _ := json.Marshal(update)
@@ -269,6 +300,7 @@
 		}
 		if len(updates) > 0 {
 			flusher.Flush()
+			srv.markWritten(previous, after, watchUS)
 		}
 		select {
 		case <-updated:
--- a/internal/fleet/endpoints/discovery_test.go
+++ b/internal/fleet/endpoints/discovery_test.go
@@ -1,6 +1,7 @@
 package endpoints
 
 import (
+	"bufio"
 	"net/http"
 	"testing"
 	"time"
@@ -37,3 +38,38 @@
 	d.SetOutage(false)
 	assert.True(t, answers(answerTimeout))
 }
+
+// An update is recorded with the time at which it was written to a watch that was open when discovery had it. One that no
+// watch was open for, or that a later watch fetches, keeps the time at which discovery had it.
+func TestUpdatesAreRecordedWhenWritten(t *testing.T) {
+	s, err := scenario.Parse([]byte(`{"name":"updates","seconds":1,"sites":[{"name":"a","schedulers":1,"workers":1}],
+		"classes":[{"name":"view","share":1,"run_ms":20,"effect":"repeatable","aim_ms":200,"deadline_s":0.5,"worth":1,"late_worth":0.5}],
+		"clients":{"load":0.1}}`))
+	require.NoError(t, err)
+	recorder := NewRecorder()
+	d, err := NewDiscovery(s, recorder, relay.New(1, [2]time.Duration{}, [2]time.Duration{}, 1), nil, 1)
+	require.NoError(t, err)
+	defer d.Close()
+	srv := d.servers[0]
+	srv.apply(ListEntry{Name: "t000", Status: "up"})
+	resp, err := (&http.Client{Timeout: 10 * time.Second}).Get("http://" + d.Address(0) + "/api/targets?watch=1&after=1")
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	lines := bufio.NewScanner(resp.Body)
+	require.True(t, lines.Scan())
+	require.Contains(t, lines.Text(), `"status":"up"`)
+	srv.apply(ListEntry{Name: "t000", Status: "draining"})
+	require.True(t, lines.Scan())
+	require.Contains(t, lines.Text(), "draining")
+	require.Eventually(t, func() bool {
+		srv.mu.Lock()
+		defer srv.mu.Unlock()
+		return srv.changes[1].row.WrittenUS > 0
+	}, 10*time.Second, time.Millisecond)
+	d.RecordUpdates()
+	updates := recorder.Records().ListUpdates
+	require.Len(t, updates, 2)
+	require.Zero(t, updates[0].WrittenUS)
+	require.GreaterOrEqual(t, updates[1].WrittenUS, updates[1].AtUS)
+	require.Equal(t, []string{"up", "draining"}, []string{updates[0].Status, updates[1].Status})
+}
--- a/internal/fleet/harness.go
+++ b/internal/fleet/harness.go
@@ -102,6 +102,7 @@
 	for _, w := range h.workers {
 		w.RecordOpenJobs()
 	}
+	h.discovery.RecordUpdates()
 	records := h.recorder.Records()
 	h.fillAbout(&records.About)
 	return records, nil
--- a/internal/fleet/judge/judge_test.go
+++ b/internal/fleet/judge/judge_test.go
@@ -251,6 +251,14 @@
 			t.End, t.Status, t.EndedUS = record.EndCancelled, 0, t.DeadlineUS()+250_000
 			r.Attempts = r.Attempts[1:]
 		}, "one final answer, in time, for all that was taken"},
+		{"a client that left before it read an answer that had come in time", func(r *record.Records) {
+			t := &r.Tries[0]
+			t.End, t.Status, t.AnsweredUS, t.EndedUS = record.EndCancelled, 0, t.DeadlineUS()+140_000, t.DeadlineUS()+900_000
+		}, ""},
+		{"a client that left before it read an answer that had come too late", func(r *record.Records) {
+			t := &r.Tries[0]
+			t.End, t.Status, t.AnsweredUS, t.EndedUS = record.EndCancelled, 0, t.DeadlineUS()+160_000, t.DeadlineUS()+900_000
+		}, "one final answer, in time, for all that was taken"},
 		{"a client that never got to send and left for want of an answer", func(r *record.Records) {
 			t := &r.Tries[0]
 			t.End, t.Status, t.EndedUS = record.EndCancelled, 0, t.DeadlineUS()+250_000
@@ -312,6 +320,12 @@
 		{"an attempt at a removed worker within the grace", func(r *record.Records) {
 			r.ListUpdates = []record.ListUpdate{{AtUS: 2.5e6, Scheduler: 0, Worker: 0, Status: "removed"}}
 		}, ""},
+		{"an attempt within the grace that follows the writing of the update", func(r *record.Records) {
+			r.ListUpdates = []record.ListUpdate{{AtUS: 1.5e6, WrittenUS: 1.9e6, Scheduler: 0, Worker: 0, Status: "draining"}}
+		}, ""},
+		{"an attempt after the grace that follows the writing of the update", func(r *record.Records) {
+			r.ListUpdates = []record.ListUpdate{{AtUS: 1.5e6, WrittenUS: 1.8e6, Scheduler: 0, Worker: 0, Status: "draining"}}
+		}, "nothing new to a draining or gone table worker after the grace"},
 		{"an attempt at a worker that is listed again", func(r *record.Records) {
 			r.ListUpdates = []record.ListUpdate{{AtUS: 1.5e6, Scheduler: 0, Worker: 0, Status: "removed"}, {AtUS: 2.5e6, Scheduler: 0, Worker: 0, Status: "up"}}
 		}, ""},
--- a/internal/fleet/record/record.go
+++ b/internal/fleet/record/record.go
@@ -27,7 +27,7 @@
 	DialedUS      int64  `parquet:"dialed_us"`    // the client began to connect; 0: it did not
 	ConnectedUS   int64  `parquet:"connected_us"` // the client had its connection; 0: it never had one
 	WrittenUS     int64  `parquet:"written_us"`   // the connection had taken the whole request; 0: it never did
-	AnsweredUS    int64  `parquet:"answered_us"`  // the client's machine had the last byte of the answer, by the kernel's time stamp; 0: no answer
+	AnsweredUS    int64  `parquet:"answered_us"`  // the client's machine had the last byte of the answer, by the kernel's time stamp, even if the client left before it acted on it; 0: no answer
 	ClosedUS      int64  `parquet:"closed_us"`    // a client that disconnected had closed its connection; 0: it had none
 	EndedUS       int64  `parquet:"ended_us"`     // the client acted on the end
 	TimeLeftMS    int64  `parquet:"left_ms"`      // until the client's deadline
@@ -117,14 +117,26 @@
 	UsableSlots float32 `parquet:"room"` // slots, reduced while the worker is cold; 0: down or silent
 }
 
-// ListUpdate is a worker list update that was sent to a scheduler.
+// ListUpdate is a worker list update for a scheduler.
 type ListUpdate struct {
-	AtUS      int64  `parquet:"at_us"`
+	AtUS      int64  `parquet:"at_us"`      // discovery had it
+	WrittenUS int64  `parquet:"written_us"` // it was written to a watch that was open at AtUS; 0: there was none
 	Scheduler int32  `parquet:"scheduler"`
 	Worker    int32  `parquet:"worker"`
 	Status    string `parquet:"status,dict"`
 }
 
+// maxToldUS is how long after discovery had a change it counts as told, by the operators' terms.
+const maxToldUS = 6_000_000
+
+// ToldUS returns the time from which the scheduler knows of the update.
+func (u *ListUpdate) ToldUS() int64 {
+	if u.WrittenUS == 0 {
+		return u.AtUS
+	}
+	return max(u.AtUS, min(u.WrittenUS, u.AtUS+maxToldUS))
+}
+
 // Event is the start or end of a fault, or an event of a process, a worker or an operator's call.
 type Event struct {
 	AtUS      int64  `parquet:"at_us"`
--- a/internal/fleet/record/record_test.go
+++ b/internal/fleet/record/record_test.go
@@ -19,3 +19,11 @@
 	got.About.Scenario = records.About.Scenario
 	require.Equal(t, records, got)
 }
+
+// An update counts as told when it was written, and 6 s after discovery had it at the latest.
+func TestToldUS(t *testing.T) {
+	require.Equal(t, int64(5e6), (&ListUpdate{AtUS: 5e6}).ToldUS())
+	require.Equal(t, int64(-5e6), (&ListUpdate{AtUS: -5e6}).ToldUS())
+	require.Equal(t, int64(7e6), (&ListUpdate{AtUS: 5e6, WrittenUS: 7e6}).ToldUS())
+	require.Equal(t, int64(11e6), (&ListUpdate{AtUS: 5e6, WrittenUS: 20e6}).ToldUS())
+}
