Wait for the thread that starts processes, and record a job that the run's end drops once

Cause: a start gave up when the spawner thread had not taken it within 5 s, which says nothing of the run's end. A job whose timer fired while the run's end dropped all jobs was recorded by both.

Mend: a start fails when the spawner has ended, and waits otherwise; a job that is not running any more does not finish.

--- a/internal/fleet/endpoints/worker.go
+++ b/internal/fleet/endpoints/worker.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -324,12 +325,12 @@
 		w.mu.Unlock()
 		return
 	}
-	for i, other := range w.running {
-		if other == j {
-			w.running = append(w.running[:i], w.running[i+1:]...)
-			break
-		}
+	i := slices.Index(w.running, j)
+	if i < 0 { // it was dropped as its timer fired, at the end of the run
+		w.mu.Unlock()
+		return
 	}
+	w.running = slices.Delete(w.running, i, i+1)
 	w.recordEnd(j, record.OutcomeDone)
 	w.startWaiting(time.Now())
 	w.mu.Unlock()
--- a/internal/fleet/harness.go
+++ b/internal/fleet/harness.go
@@ -56,6 +56,7 @@
 	schedulers    []*scheduler
 	balancer      *balancer
 	spawnRequests chan spawnRequest
+	spawnerEnded  chan struct{} // closed when the spawner thread has ended
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -76,7 +77,7 @@
 		return [2]time.Duration{time.Duration(r.Min * float64(time.Millisecond)), time.Duration(r.Max * float64(time.Millisecond))}
 	}
 	h := &harness{scenario: s, build: b, seed: o.Seed, keepsLogs: o.LogDir != "", recorder: endpoints.NewRecorder(), network: relay.New(len(s.Sites), durations(s.Network.SameMS), durations(s.Network.CrossMS), o.Seed),
-		rng: rand.New(rand.NewPCG(o.Seed, 0x726967)), spawnRequests: make(chan spawnRequest)}
+		rng: rand.New(rand.NewPCG(o.Seed, 0x726967)), spawnRequests: make(chan spawnRequest), spawnerEnded: make(chan struct{})}
 	// Pdeathsig fires when the thread that started a process ends, not when the whole program does. One thread that lives
 	// as long as the run therefore starts all processes.
 	go h.runSpawner(ctx)
@@ -111,6 +112,7 @@
 // runSpawner starts the requested processes from one locked thread until ctx is done.
 func (h *harness) runSpawner(ctx context.Context) {
 	runtime.LockOSThread()
+	defer close(h.spawnerEnded)
 	for {
 		select {
 		case s := <-h.spawnRequests:
@@ -121,13 +123,13 @@
 	}
 }
 
-// spawn starts cmd on the spawner thread. It fails after 5 s if that thread has ended.
+// spawn starts cmd on the spawner thread, as soon as that is free. It fails if that thread has ended.
 func (h *harness) spawn(cmd *exec.Cmd) error {
 	s := spawnRequest{cmd, make(chan error, 1)}
 	select {
 	case h.spawnRequests <- s:
 		return <-s.result
-	case <-time.After(5 * time.Second):
+	case <-h.spawnerEnded:
 		return errors.New("cannot start a process: the run has ended")
 	}
 }
--- a/internal/fleet/process_test.go
+++ b/internal/fleet/process_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"os"
 	"os/exec"
 	"strconv"
@@ -49,3 +50,21 @@
 		t.Fatal("the killed process did not exit")
 	}
 }
+
+// A spawn waits for a spawner that is busy for long, and fails when the spawner has ended.
+func TestSpawnWaitsForTheSpawner(t *testing.T) {
+	h := &harness{spawnRequests: make(chan spawnRequest), spawnerEnded: make(chan struct{})}
+	result := make(chan error, 1)
+	go func() { result <- h.spawn(exec.Command("true")) }()
+	select {
+	case err := <-result:
+		t.Fatal("it did not wait:", err)
+	case <-time.After(6 * time.Second):
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go h.runSpawner(ctx)
+	require.NoError(t, <-result)
+	cancel()
+	<-h.spawnerEnded
+	require.Error(t, h.spawn(exec.Command("true")))
+}
