--- a/internal/fleet/endpoints/worker.go
+++ b/internal/fleet/endpoints/worker.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -246,10 +247,12 @@
 	collapsed                     // the connection is aborted
 )
 
-// accept adds a job to the queue, unless the worker is down, collapses, fails or has a full queue.
-func (w *Worker) accept(try record.Try, connectTime time.Duration, timeLeftMS int64) acceptResult {
+// accept adds a job to the queue, unless the worker is down, collapses, fails or has a full queue. conn is the connection
+// that its request came on.
+func (w *Worker) accept(try record.Try, connectTime time.Duration, timeLeftMS int64, conn *relay.Conn) acceptResult {
 	now := time.Now()
-	attempt := record.Attempt{ID: try.ID, Worker: int32(w.Number), Scheduler: try.Scheduler, ArrivedUS: w.recorder.ElapsedUS(), TimeLeftMS: timeLeftMS}
+	attempt := record.Attempt{ID: try.ID, Worker: int32(w.Number), Scheduler: try.Scheduler, ArrivedUS: w.recorder.ElapsedUS(), TimeLeftMS: timeLeftMS,
+		ReceivedUS: w.recorder.USAt(conn.LastReceived()), ReachedUS: w.recorder.USAt(conn.LastArrived())}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	attempt.QueueLength = int32(len(w.queue))
@@ -322,12 +325,12 @@
 		w.mu.Unlock()
 		return
 	}
-	for i, other := range w.running {
-		if other == j {
-			w.running = append(w.running[:i], w.running[i+1:]...)
-			break
-		}
+	i := slices.Index(w.running, j)
+	if i < 0 { // it was dropped as its timer fired, at the end of the run
+		w.mu.Unlock()
+		return
 	}
+	w.running = slices.Delete(w.running, i, i+1)
 	w.recordEnd(j, record.OutcomeDone)
 	w.startWaiting(time.Now())
 	w.mu.Unlock()
--- a/internal/fleet/harness.go
+++ b/internal/fleet/harness.go
@@ -56,6 +56,7 @@
 	schedulers    []*scheduler
 	balancer      *balancer
 	spawnRequests chan spawnRequest
+	spawnerEnded  chan struct{} // closed when the spawner thread has ended
 
 	mu  sync.Mutex
 	rng *rand.Rand
@@ -76,7 +77,7 @@
 		return [2]time.Duration{time.Duration(r.Min * float64(time.Millisecond)), time.Duration(r.Max * float64(time.Millisecond))}
 	}
 	h := &harness{scenario: s, build: b, seed: o.Seed, keepsLogs: o.LogDir != "", recorder: endpoints.NewRecorder(), network: relay.New(len(s.Sites), durations(s.Network.SameMS), durations(s.Network.CrossMS), o.Seed),
-		rng: rand.New(rand.NewPCG(o.Seed, 0x726967)), spawnRequests: make(chan spawnRequest)}
+		rng: rand.New(rand.NewPCG(o.Seed, 0x726967)), spawnRequests: make(chan spawnRequest), spawnerEnded: make(chan struct{})}
 	// Pdeathsig fires when the thread that started a process ends, not when the whole program does. One thread that lives
 	// as long as the run therefore starts all processes.
 	go h.runSpawner(ctx)
@@ -102,6 +103,7 @@
 	for _, w := range h.workers {
 		w.RecordOpenJobs()
 	}
+	h.discovery.RecordUpdates()
 	records := h.recorder.Records()
 	h.fillAbout(&records.About)
 	return records, nil
@@ -110,6 +112,7 @@
 // runSpawner starts the requested processes from one locked thread until ctx is done.
 func (h *harness) runSpawner(ctx context.Context) {
 	runtime.LockOSThread()
+	defer close(h.spawnerEnded)
 	for {
 		select {
 		case s := <-h.spawnRequests:
@@ -120,13 +123,13 @@
 	}
 }
 
-// spawn starts cmd on the spawner thread. It fails after 5 s if that thread has ended.
+// spawn starts cmd on the spawner thread, as soon as that is free. It fails if that thread has ended.
 func (h *harness) spawn(cmd *exec.Cmd) error {
 	s := spawnRequest{cmd, make(chan error, 1)}
 	select {
 	case h.spawnRequests <- s:
 		return <-s.result
-	case <-time.After(5 * time.Second):
+	case <-h.spawnerEnded:
 		return errors.New("cannot start a process: the run has ended")
 	}
 }
@@ -238,11 +241,9 @@
 	senders := newClients(h)
 	done := make(chan struct{})
 	var background sync.WaitGroup
-	background.Add(2)
-	go func() {
-		defer background.Done()
-		h.sampleWorkers(done, progress)
-	}()
+	background.Go(func() { h.sampleWorkers(done, progress) })
+	background.Go(func() { h.measureLag(done) })
+	background.Add(1)
 	go func() {
 		defer background.Done()
 		for _, e := range events {
@@ -251,12 +252,7 @@
 			case <-done:
 				return
 			}
-			h.addEvent(record.Event{Kind: e.kind, IsEnd: e.isEnd, Scheduler: -1, Worker: -1})
-			if e.kind == "release-schedulers" {
-				go e.run()
-			} else {
-				e.run()
-			}
+			h.runFaultEvent(e)
 		}
 	}()
 	senders.play(ctx, requests)
@@ -269,6 +265,22 @@
 	senders.close()
 }
 
+// runFaultEvent runs the start or the end of a fault and records it: a start before it takes effect and an end when it has.
+func (h *harness) runFaultEvent(e faultEvent) {
+	event := record.Event{Kind: e.kind, IsEnd: e.isEnd, Scheduler: -1, Worker: -1}
+	if !e.isEnd {
+		h.addEvent(event)
+	}
+	if e.kind == "release-schedulers" {
+		go e.run()
+	} else {
+		e.run()
+	}
+	if e.isEnd {
+		h.addEvent(event)
+	}
+}
+
 const sampleInterval = 50 * time.Millisecond
 
 // sampleWorkers samples all workers each sampleInterval, and writes a progress line each second, until done is closed.
@@ -304,9 +316,34 @@
 	}
 }
 
+const (
+	lagProbeInterval = 5 * time.Millisecond
+	lagWindow        = 50 * time.Millisecond
+)
+
+// measureLag records how late this process runs, until done is closed: for each lagWindow by how much the latest of a row of
+// sleeps of lagProbeInterval was too long.
+func (h *harness) measureLag(done chan struct{}) {
+	fromUS, greatest := h.recorder.ElapsedUS(), time.Duration(0)
+	for {
+		slept := time.Now()
+		select {
+		case <-time.After(lagProbeInterval):
+		case <-done:
+			return
+		}
+		greatest = max(greatest, time.Since(slept)-lagProbeInterval)
+		if toUS := h.recorder.ElapsedUS(); toUS-fromUS >= lagWindow.Microseconds() {
+			h.recorder.AddLag(record.Lag{FromUS: fromUS, ToUS: toUS, LagUS: greatest.Microseconds()})
+			fromUS, greatest = toUS, 0
+		}
+	}
+}
+
 // fillAbout sets the records' description of the run and its totals.
 func (h *harness) fillAbout(a *record.About) {
 	a.Scenario, _ = json.Marshal(h.scenario)
+	a.StartUnixUS = h.recorder.TimeAt(0).UnixMicro()
 	a.Seed, a.Build, a.Arm, a.Paths = h.seed, h.build.Name, h.build.Arm, map[string]record.PathTraffic{}
 	for k := range relay.KindCount {
 		t := h.network.Traffic(k)
--- a/internal/fleet/record/record.go
+++ b/internal/fleet/record/record.go
@@ -1,5 +1,5 @@
 // Package record defines the records of a run: tries of clients, attempts at table workers, load samples, worker list
-// updates and events. Packages fleet and endpoints fill them, and soak and experiment save them: one Parquet file for each
+// updates, events and the harness's own lag. Packages fleet and endpoints fill them, and soak and experiment save them: one Parquet file for each
 // table, beside about.json.
 package record
 
@@ -24,10 +24,15 @@
 	RunUS         int64  `parquet:"run_us"` // running time at speed 1
 	DueUS         int64  `parquet:"due_us"` // of the request, not of the retry
 	SentUS        int64  `parquet:"sent_us"`
-	EndedUS       int64  `parquet:"ended_us"`
-	TimeLeftMS    int64  `parquet:"left_ms"`   // until the client's deadline
-	CancelUS      int64  `parquet:"leaves_us"` // time drawn for the client to disconnect before its deadline; 0: none
-	Status        int32  `parquet:"status"`    // of the answer; 0: no answer
+	DialedUS      int64  `parquet:"dialed_us"`    // the client began to connect; 0: it did not
+	ConnectedUS   int64  `parquet:"connected_us"` // the client had its connection; 0: it never had one
+	WrittenUS     int64  `parquet:"written_us"`   // the connection had taken the whole request; 0: it never did
+	AnsweredUS    int64  `parquet:"answered_us"`  // the client's machine had the last byte of the answer, by the kernel's time stamp, even if the client left before it acted on it; 0: no answer
+	ClosedUS      int64  `parquet:"closed_us"`    // a client that disconnected had closed its connection; 0: it had none
+	EndedUS       int64  `parquet:"ended_us"`     // the client acted on the end
+	TimeLeftMS    int64  `parquet:"left_ms"`      // until the client's deadline
+	CancelUS      int64  `parquet:"leaves_us"`    // time drawn for the client to disconnect before its deadline; 0: none
+	Status        int32  `parquet:"status"`       // of the answer; 0: no answer
 	End           string `parquet:"end,dict"`
 	Error         string `parquet:"fault,dict"` // error of a try without an answer
 	RetryAfterMS  int64  `parquet:"after_ms"`   // Retry-After; below 0: none
@@ -36,6 +41,30 @@
 	ClientAddress string `parquet:"from"`       // of the connection
 }
 
+// StartUS returns the time from which the client's time left counts: when it had sent its request, or was about to where
+// that never came about.
+func (t *Try) StartUS() int64 {
+	if t.WrittenUS > 0 {
+		return t.WrittenUS
+	}
+	return t.SentUS
+}
+
+// DeadlineUS returns the time until which the client needs its answer.
+func (t *Try) DeadlineUS() int64 { return t.StartUS() + t.TimeLeftMS*1000 }
+
+// AnswerUS returns the time of an answer: that of its last byte at the client's machine. A client that runs late itself
+// acts on it later, at EndedUS.
+func (t *Try) AnswerUS() int64 {
+	if t.AnsweredUS > 0 {
+		return t.AnsweredUS
+	}
+	return t.EndedUS
+}
+
+// GoneUS returns the time at which a client that disconnected had closed its connection.
+func (t *Try) GoneUS() int64 { return max(t.ClosedUS, t.EndedUS) }
+
 // Values of Try.End.
 const (
 	EndAnswered    = "answered"
@@ -49,8 +78,10 @@
 	ID          string `parquet:"id"`
 	Worker      int32  `parquet:"worker"`
 	Scheduler   int32  `parquet:"scheduler"`
-	ArrivedUS   int64  `parquet:"arrived_us"`
-	StartedUS   int64  `parquet:"started_us"` // 0: not started
+	ReceivedUS  int64  `parquet:"received_us"` // the worker's machine had its last bytes, by the kernel's time stamp, before the path's delay
+	ReachedUS   int64  `parquet:"reached_us"`  // ReceivedUS and the path's delay; 0: not known
+	ArrivedUS   int64  `parquet:"arrived_us"`  // the worker acted on it
+	StartedUS   int64  `parquet:"started_us"`  // 0: not started
 	EndedUS     int64  `parquet:"ended_us"`
 	QueueLength int32  `parquet:"waiting"` // jobs that waited on its arrival
 	TimeLeftMS  int64  `parquet:"left_ms"` // stated by the scheduler; below 0: not stated
@@ -58,6 +89,15 @@
 	Outcome     string `parquet:"how,dict"`
 }
 
+// ReachUS returns the time at which the attempt reached the worker's machine. A worker that runs late itself, as a part of
+// the harness, acts on it later, at ArrivedUS.
+func (a *Attempt) ReachUS() int64 {
+	if a.ReachedUS > 0 {
+		return a.ReachedUS
+	}
+	return a.ArrivedUS
+}
+
 // Values of Attempt.Outcome.
 const (
 	OutcomeDone      = "done"
@@ -77,14 +117,26 @@
 	UsableSlots float32 `parquet:"room"` // slots, reduced while the worker is cold; 0: down or silent
 }
 
-// ListUpdate is a worker list update that was sent to a scheduler.
+// ListUpdate is a worker list update for a scheduler.
 type ListUpdate struct {
-	AtUS      int64  `parquet:"at_us"`
+	AtUS      int64  `parquet:"at_us"`      // discovery had it
+	WrittenUS int64  `parquet:"written_us"` // it was written to a watch that was open at AtUS; 0: there was none
 	Scheduler int32  `parquet:"scheduler"`
 	Worker    int32  `parquet:"worker"`
 	Status    string `parquet:"status,dict"`
 }
 
+// maxToldUS is how long after discovery had a change it counts as told, by the operators' terms.
+const maxToldUS = 6_000_000
+
+// ToldUS returns the time from which the scheduler knows of the update.
+func (u *ListUpdate) ToldUS() int64 {
+	if u.WrittenUS == 0 {
+		return u.AtUS
+	}
+	return max(u.AtUS, min(u.WrittenUS, u.AtUS+maxToldUS))
+}
+
 // Event is the start or end of a fault, or an event of a process, a worker or an operator's call.
 type Event struct {
 	AtUS      int64  `parquet:"at_us"`
@@ -96,6 +148,14 @@
 	CalledUS  int64  `parquet:"called_us"` // time of the operator's call that caused the event; 0: none
 }
 
+// Lag is how late the harness itself ran: the greatest delay of a goroutine that does nothing but wake every few
+// milliseconds. Clients and table workers are goroutines of the same process, and are late as it is.
+type Lag struct {
+	FromUS int64 `parquet:"from_us"` // start of the interval
+	ToUS   int64 `parquet:"to_us"`
+	LagUS  int64 `parquet:"lag_us"`
+}
+
 // Records holds the records of one run.
 type Records struct {
 	Tries       []Try
@@ -103,6 +163,7 @@
 	Samples     []Sample
 	ListUpdates []ListUpdate
 	Events      []Event
+	Lags        []Lag
 	About       About
 }
 
@@ -110,6 +171,7 @@
 type About struct {
 	Scenario         json.RawMessage        `json:"scenario"`
 	Seed             uint64                 `json:"seed"`
+	StartUnixUS      int64                  `json:"start_unix_us"` // wall clock at the time that all recorded times count from
 	Build            string                 `json:"build"`
 	Arm              string                 `json:"arm"`
 	Paths            map[string]PathTraffic `json:"paths"`
@@ -134,7 +196,7 @@
 	for _, save := range []func() error{
 		func() error { return write(dir, "tries", r.Tries) }, func() error { return write(dir, "runs", r.Attempts) },
 		func() error { return write(dir, "samples", r.Samples) }, func() error { return write(dir, "told", r.ListUpdates) },
-		func() error { return write(dir, "events", r.Events) },
+		func() error { return write(dir, "events", r.Events) }, func() error { return write(dir, "lags", r.Lags) },
 	} {
 		if err == nil {
 			err = save()
@@ -154,6 +216,7 @@
 		func() (err error) { r.Tries, err = read[Try](dir, "tries"); return }, func() (err error) { r.Attempts, err = read[Attempt](dir, "runs"); return },
 		func() (err error) { r.Samples, err = read[Sample](dir, "samples"); return }, func() (err error) { r.ListUpdates, err = read[ListUpdate](dir, "told"); return },
 		func() (err error) { r.Events, err = read[Event](dir, "events"); return },
+		func() (err error) { r.Lags, err = read[Lag](dir, "lags"); return },
 	} {
 		if err == nil {
 			err = readTable()
