Count a request's time from its last byte

Cause: the protocol counts a request's time from its last byte. The clock was noted before the wait for the rest.

Change: link and the HTTP/2 front note the clock when the read that completes the message returns.

--- a/internal/front/admission/admission.go
+++ b/internal/front/admission/admission.go
@@ -37,7 +37,7 @@
 type Request struct {
 	Method, Target, Path string
 	Body                 []byte // valid until the core has released the request
-	// ReceivedAt is when the front read the request's first bytes. The client's time left counts from then, as the request may
+	// ReceivedAt is when the front read the request's last bytes. The client's time left counts from then, as the request may
 	// have waited for the loop since.
 	ReceivedAt core.Time
 	// Header returns a header's first value and the number of its occurrences.
--- a/internal/front/http2/conn.go
+++ b/internal/front/http2/conn.go
@@ -251,7 +251,7 @@
 		return nil
 	}
 	c.front.Stats.Streams++
-	s := &stream{conn: c, id: f.streamID, header: h, receivedAt: c.receivedAt, sendWindow: c.initialSendWindow, recvWindow: defaultWindow}
+	s := &stream{conn: c, id: f.streamID, header: h, sendWindow: c.initialSendWindow, recvWindow: defaultWindow}
 	c.streams[s.id] = s
 	if h.checkRequest(); h.malformed != "" {
 		c.reset(s.id, ProtocolError)
--- a/internal/front/http2/input.go
+++ b/internal/front/http2/input.go
@@ -23,9 +23,9 @@
 		r.Skip(r.Len())
 		return r.Release()
 	}
-	receivedAt := c.front.loop.Clock()
 	for need := 1; ; {
 		buf, err := r.Peek(max(need, r.Len()))
+		receivedAt := c.front.loop.Clock()
 		if err != nil {
 			reason := link.PeerClosed
 			if errors.Is(err, netpoll.ErrReadTimeout) {
@@ -78,7 +78,7 @@
 	return batch, used, 0
 }
 
-// handle handles a batch of frames whose first bytes were read at receivedAt.
+// handle handles a batch of frames whose last bytes were read at receivedAt.
 func (f *Front) handle(c *conn, batch []*frame, cost int, receivedAt core.Time) {
 	c.lastUsed, c.receivedAt = f.loop.Now(), receivedAt
 	for _, fr := range batch {
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -20,10 +20,9 @@
 	id           uint32
 	header       *fieldSection
 	body         []byte
-	receivedAt   core.Time // when its HEADERS were read
-	requestEnded bool      // the request is complete
-	sendWindow   int64     // what we may send on the stream, in bytes
-	recvWindow   int64     // what the client may still send on it, in bytes
+	requestEnded bool  // the request is complete
+	sendWindow   int64 // what we may send on the stream, in bytes
+	recvWindow   int64 // what the client may still send on it, in bytes
 
 	request  *core.Request // nil: not accepted, or released
 	answered bool          // the answer's HEADERS have been written
@@ -91,7 +90,7 @@
 		return
 	}
 	req, rejection := f.admission.Admit(&admission.Request{Method: h.method, Target: h.path, Path: path, Body: s.body,
-		ReceivedAt: s.receivedAt, Header: h.get,
+		ReceivedAt: s.conn.receivedAt, Header: h.get,
 		HeaderFields: func(b []byte) []byte {
 			for _, field := range h.fields {
 				b = admission.AppendField(b, field.Name, field.Value, "")
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -60,7 +60,7 @@
 	Party         string             // kind of peer, for the log line
 	Peer          string             // the peer's address
 	Opened        core.Time
-	ReceivedAt    core.Time // when the first bytes of the message were read that the loop has from Read until ReleaseBuffer
+	ReceivedAt    core.Time // when the last bytes of the message were read that the loop has from Read until ReleaseBuffer
 	MessageCount  int       // messages received or, on a connection to a worker, calls started
 	Ended         bool      // the connection has ended and its log line is written, see MarkEnded
 	ClosedLocally bool      // Close was called; the end event may still be pending
@@ -287,9 +287,9 @@
 		r.Skip(n)
 		return r.Release()
 	}
-	receivedAt := loop.Clock()
 	for need := 1; ; {
 		buf, err := r.Peek(max(need, r.Len()))
+		receivedAt := loop.Clock()
 		if err != nil {
 			reason := PeerClosed
 			if errors.Is(err, netpoll.ErrReadTimeout) {
