Take no whole message for one that is slow to arrive

Bytes of a whole message that is in hand, or not skipped yet, are unread too, and the note stayed when they were gone.

Evidence: TestHeldCallbackIsNotSlowInput, TestKeptWorkerConnectionAfterHeldCallback and TestIdleClientAfterSweepInTheTurnOfItsAnswer fail without the change.

--- a/internal/platform/export_test.go
+++ b/internal/platform/export_test.go
@@ -204,3 +204,6 @@
 	})
 	return n
 }
+
+// Sweep runs one more sweep at once. It is called on the loop.
+func (f *Front) Sweep() { f.sweep() }
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -238,6 +238,9 @@
 		if totalUnread += unread; unread > largestUnread {
 			largest, largestUnread = c, unread
 		}
+		if c.HasPendingMessage() || unread == 0 && c.MessageCount > 0 {
+			c.partialSince = 0 // what is unread is a whole message, perhaps a callback that waits for its answer
+		}
 		switch {
 		case c.inFlight != nil:
 			if unread > c.request.Size+link.MaxReadAheadBytes {
