Let half requests and silent workers not hold up the end of a process

Seen by a review: an ending process was alive at the platform's earliest kill where a client had sent half a request shortly before the last answers (it was waited for until 2 s had passed), or where a worker did not answer the cancellation of a job that had been answered. What else was still to be sent, ended with the kill.

Cause: closeIdleAndCountPending counted both as pending without a bound of the shutdown's own.

Change: from the last answers on a half request gets a 503 at once, and workers' responses are waited for 0.1 s longer.

--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -11,6 +11,9 @@
 	// lastLinger is how long the last connections, whose write side is closed, are read over until their peers close them.
 	lastLinger       = 100 * core.Millisecond
 	lastPollInterval = 5 * core.Millisecond // interval of the looks at them
+	// lastCallsWait is how long after the last answers the responses of workers are waited for: a worker that is silent must
+	// not hold up the end.
+	lastCallsWait = 100 * core.Millisecond
 )
 
 // shutdownSchedule holds the steps of a shutdown, each as the time after SIGTERM. It ends before the platform may kill the
@@ -123,6 +126,14 @@
 	c.CloseWrite(c.front.loop, reason)
 }
 
+// refuseIncomplete refuses a request of which only a part has been read. Its rest would hold up the end for up to
+// messageTimeout.
+func (c *clientConn) refuseIncomplete() {
+	if c.inFlight == nil && c.CloseReason == "" && !c.HasPendingMessage() && c.HasUnreadInput() {
+		c.front.rejectAndClose(c, link.Shutdown, 503, "this process ends; try again\n", "Retry-After", "0")
+	}
+}
+
 // pollShutdown runs every shutdownPollInterval from acceptUntil after SIGTERM on. Once nothing is pending, or with a
 // successor at answerBy, it closes the listener, which drains first (see link.DrainingListener). Connections that
 // come out of the drain are served too, so the front ends only at a later run, with the listener closed, that finds nothing
@@ -179,10 +190,16 @@
 			pending.awaitingRequest++
 		default:
 			pending.closing++
+			if isPastAnswers {
+				c.refuseIncomplete()
+			}
 			c.closeIfIdle(link.Shutdown)
 		}
 	})
-	pending.requests, pending.workerConnections = f.core.OpenRequests(), f.pool.inUse
+	pending.requests = f.core.OpenRequests()
+	if now < f.stoppingSince+f.shutdownTimes.answerBy+lastCallsWait { // after that only responses to cancellations are missing
+		pending.workerConnections = f.pool.inUse
+	}
 	pending.unregistered = int(f.acceptedConns.Load()) - f.clients.Len()
 	return pending
 }
