Begin a shutdown although the state directory hangs

Seen by a review: with a state directory that hangs, SIGTERM had no effect, and the process was killed with its requests open.

Cause: Gateway.Stop asks the directory for a successor before it posts the shutdown, without a bound.

Change: the question has 0.1 s; after that what the last poll found decides.

--- a/internal/gateway/directives.go
+++ b/internal/gateway/directives.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"cobaltflow/internal/config"
@@ -34,6 +35,8 @@
 	reload func()
 	// ownReloads counts the reload directives of this process that replica has not reported back to it yet.
 	ownReloads int
+	// knownSuccessor reports whether the last poll has found a successor.
+	knownSuccessor atomic.Bool
 }
 
 // openDirectives joins the other processes of the scheduler. If the directory is unavailable, it logs the error and
@@ -148,6 +151,7 @@
 	d.log.Info("other processes of this scheduler", "alive", others.Alive, "successor", others.HasSuccessor)
 	d.front.DivideLimits(1 + others.Alive)
 	ApplyLimits(d.front.Limits())
+	d.knownSuccessor.Store(others.HasSuccessor)
 	d.core.SetSlowStartElsewhere(others.HasSuccessor)
 }
 
@@ -168,9 +172,28 @@
 // Failures implements admin.Directives.
 func (d *directives) Failures() uint64 { return d.replica.Failures() }
 
-// hasSuccessor returns whether a later process of this scheduler is alive and listens. It reads files and must not be
-// called on the loop goroutine.
-func (d *directives) hasSuccessor() bool { return d.replica.HasSuccessor() }
+// successorCheckTimeout bounds hasSuccessor: a directory that hangs must not hold up a shutdown.
+const successorCheckTimeout = 100 * time.Millisecond
+
+// hasSuccessor returns whether a later process of this scheduler is alive and listens. If the directory does not tell that
+// in time, the last poll decides. It waits and must not be called on the loop goroutine.
+func (d *directives) hasSuccessor() bool {
+	result := make(chan bool, 1)
+	go func() { result <- d.replica.HasSuccessor() }()
+	timeout := time.NewTimer(successorCheckTimeout)
+	defer timeout.Stop()
+	select {
+	case has := <-result:
+		return has
+	case <-timeout.C:
+	}
+	select { // the process may have stood still, with both due
+	case has := <-result:
+		return has
+	default:
+		return d.knownSuccessor.Load()
+	}
+}
 
 // generation returns the number of this process among those of the scheduler, as the log shows it.
 func (d *directives) generation() string { return fmt.Sprintf("%08d", d.replica.Generation()) }
