Steer to no successor by its place after a third process has lived

Seen by a review, by reading: the kernel moves the last listener of a group to the place of one that leaves, so that after three processes the successor may be the first of two. Steering to the second then gave new connections to the listener that drains, which ignores them: their clients waited for 1 s. None was lost.

Change: a process that has known of more than one other does not steer; its drain ignores new connections as before, about half of which wait 1 s in that case.

--- a/internal/platform/accept.go
+++ b/internal/platform/accept.go
@@ -51,7 +51,7 @@
 
 // DivideLimits divides the limits by the number of processes of this scheduler, which the platform counts as one.
 func (f *Front) DivideLimits(processes int) {
-	f.processes = processes
+	f.processes, f.hadThird = processes, f.hadThird || processes > 2
 	f.applyBudgets()
 }
 
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -218,8 +218,9 @@
 	}
 }
 
-// HasOneSuccessor reports whether a successor serves at the same address and no other process besides.
-func (f *Front) HasOneSuccessor() bool { return f.isHandingOver && f.processes == 2 }
+// HasOneSuccessor reports whether a successor serves at the same address and no other process besides, now or before: the
+// kernel moves the last listener to the place of one that leaves, so that the successor may not be the second any more.
+func (f *Front) HasOneSuccessor() bool { return f.isHandingOver && f.processes == 2 && !f.hadThird }
 
 // OnListenerDrain sets a function that is called when the listener begins to drain, since nothing is pending or the time of
 // a successor has come. It must be called before Stop.
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -109,6 +109,7 @@
 	relayed     uint64 // requests written completely to the workers
 	// processes is the number of live processes of this scheduler, this one included, which divide its limits.
 	processes          int
+	hadThird           bool   // more than two processes have lived at once
 	unknownCallbacks   uint64 // callbacks refused because no process knows their job ID
 	othersCheck        othersCheck
 	forwards           forwardQueue
