Close a draining listener only over an empty accept queue

Found on a second reading of the drain: after 20 looks, 5 ms apart, a listener was closed over connections that were still in its accept queue, and these were reset with no answer; a bound in time where the order can be made certain. A kernel that fills in no queue length in TCP_INFO was taken to have an empty queue.

Change: where the kernel ignores new connection attempts the queue only shrinks, and it is waited for until it is empty. The bound of looks stays where that option is refused. An empty length in TCP_INFO is confirmed by poll(2).

TestDrainWaitsForTheAcceptQueue fails without the change (closed over a connection in its queue) and passes with it, with -race. What remains: a process whose poller can accept nothing until the kill, for want of descriptors, ends with the kill.

The comment of sharedListenConfig is wrapped.

--- a/internal/link/drain.go
+++ b/internal/link/drain.go
@@ -17,8 +17,8 @@
 	handshakeGrace = 50 * core.Millisecond
 	// drainPollInterval is the interval at which the accept queue is examined after that.
 	drainPollInterval = 5 * core.Millisecond
-	// maxDrainPolls bounds the polls that find connections in the queue. Polls are counted instead of time, since a process
-	// that was stopped has not accepted meanwhile.
+	// maxDrainPolls bounds the polls that find connections in the queue where the kernel goes on putting new ones there.
+	// Polls are counted instead of time, since a process that was stopped has not accepted meanwhile.
 	maxDrainPolls = 20
 )
 
@@ -131,7 +131,8 @@
 	}
 }
 
-// poll closes the socket if its accept queue is empty or has not become so for maxDrainPolls.
+// poll closes the socket if its accept queue is empty. A queue that new connections no longer enter is waited for without a
+// bound, as only accepts can change it; any other one has maxDrainPolls to become empty.
 func (d *DrainingListener) poll() {
 	queued := 0
 	if d.socket != nil {
@@ -141,7 +142,7 @@
 			queued = 0
 		}
 	}
-	if d.polls++; queued > 0 && d.polls < maxDrainPolls {
+	if d.polls++; queued > 0 && (d.ignoresNew || d.polls < maxDrainPolls) {
 		d.loop.At(d.loop.Now()+drainPollInterval, d.poll)
 		return
 	}
--- a/internal/link/drain_test.go
+++ b/internal/link/drain_test.go
@@ -191,3 +191,37 @@
 
 // readNow reads one byte without waiting for it.
 func readNow(fd int) (int, error) { return unix.Read(fd, make([]byte, 1)) }
+
+// A listener whose drain has been held up for long is not closed over its accept queue. Guards against the reset of connections
+// that the kernel has established, when the poller does not get to accept them.
+func TestDrainWaitsForTheAcceptQueue(t *testing.T) {
+	const heldTime = time.Duration(4*(handshakeGrace+maxDrainPolls*drainPollInterval)) * time.Microsecond
+	loop := core.NewLoop()
+	go loop.Run()
+	t.Cleanup(func() { loop.Post(loop.Stop) })
+	onLoop := func(f func()) {
+		done := make(chan struct{})
+		loop.Post(func() {
+			f()
+			close(done)
+		})
+		<-done
+	}
+	listener, err := Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	drain := NewDrainingListener(listener, "test", loop, slog.New(slog.DiscardHandler))
+	client, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { client.Close() })
+	onLoop(func() { drain.Close() })
+	time.Sleep(heldTime)
+	onLoop(func() { assert.False(t, drain.IsClosed(), "closed over a connection in its queue") })
+	accepted, err := drain.Accept()
+	require.NoError(t, err)
+	require.NotNil(t, accepted)
+	drain.Registered()
+	require.Eventually(t, func() (isClosed bool) {
+		onLoop(func() { isClosed = drain.IsClosed() })
+		return isClosed
+	}, 10*time.Second, time.Millisecond)
+}
--- a/internal/link/listen.go
+++ b/internal/link/listen.go
@@ -10,9 +10,9 @@
 	"github.com/cloudwego/netpoll"
 )
 
-// sharedListenConfig returns a configuration that lets a second process of the same user bind an address that the first still serves. During an
-// upgrade the new version listens beside the old one, and the kernel spreads new connections over both until the old
-// one closes its socket. Without it the new process could not start.
+// sharedListenConfig returns a configuration that lets a second process of the same user bind an address that the first
+// still serves. During an upgrade the new version listens beside the old one, and the kernel spreads new connections over
+// both until the old one closes its socket. Without it the new process could not start.
 //
 // The socket is plain TCP: Go listens with MPTCP by default, on which the kernel refuses options of the address's own
 // protocol (EOPNOTSUPP).
--- a/internal/link/socket.go
+++ b/internal/link/socket.go
@@ -113,7 +113,7 @@
 	if l.fd < 0 {
 		return 0, net.ErrClosed
 	}
-	if info, err := unix.GetsockoptTCPInfo(l.fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+	if info, err := unix.GetsockoptTCPInfo(l.fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil && info.Unacked > 0 {
 		return int(info.Unacked), nil // of a listening socket: the length of its accept queue
 	}
 	events := []unix.PollFd{{Fd: int32(l.fd), Events: unix.POLLIN}}
