Let a stalled HTTP/2 client not hold up the end of a process

Suspected by the review and forced now: an HTTP/2 client that does not open its window for an answer was waited for up to 2 s after the HTTP/1.1 front had ended, also beyond the platform's earliest kill (2.08 s after SIGTERM where it comes after 1.7 s).

Change: the wait of closeFronts ends with the time from which nothing is waited for any more, 0.2 s before the kill, as the linger does.

TestShutdownEndsInTimeBesideAStalledHTTP2Client fails without the change. What remains suspected: an HTTP/1.1 client that does not read a large answer, whose writer has 2 s.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -202,11 +202,11 @@
 
 // closeFronts closes the other fronts once the HTTP/1.1 front has ended. The core then has no open requests, theirs
 // included. Only their listeners may still drain and the answers of the HTTP/2 front may be unsent, which get up to
-// maxCloseWait.
+// maxCloseWait, and not the last moments before the kill.
 func (g *Gateway) closeFronts() {
 	now := g.Loop.Now()
 	if g.closeUntil == 0 {
-		g.closeUntil = now + maxCloseWait
+		g.closeUntil = min(now+maxCloseWait, g.Front.CloseBy())
 	}
 	if !g.areFrontsDrained() && now < g.closeUntil {
 		g.Loop.At(now+closeCheckPeriod, g.closeFronts)
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -240,10 +240,13 @@
 	f.closeLastConnections(f.LingerUntil())
 }
 
+// CloseBy returns the time from which nothing is waited for any more, since the kill may be near.
+func (f *Front) CloseBy() core.Time { return f.stoppingSince + f.shutdownTimes.closeBy }
+
 // LingerUntil returns the time until which connections that are ended now may wait for their peers' ends. It has passed if
 // the kill may be near.
 func (f *Front) LingerUntil() core.Time {
-	return min(f.loop.Now()+lastLinger, f.stoppingSince+f.shutdownTimes.closeBy)
+	return min(f.loop.Now()+lastLinger, f.CloseBy())
 }
 
 // closeLastConnections ends the front when all connections have ended, or at until.
--- a/internal/platform/end_in_time_test.go
+++ b/internal/platform/end_in_time_test.go
@@ -9,7 +9,9 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/net/http2"
 
+	"cobaltflow/internal/config"
 	"cobaltflow/internal/core"
 	"cobaltflow/internal/standin"
 )
@@ -58,3 +60,26 @@
 	<-n.Ended
 	assert.Less(t, time.Since(since), 3700*time.Millisecond)
 }
+
+// An HTTP/2 client that does not read its answer does not hold up the end of the process. Guards against a kill with answers
+// of other clients still to be sent.
+func TestShutdownEndsInTimeBesideAStalledHTTP2Client(t *testing.T) {
+	t.Parallel()
+	const deadline, killDelay = time.Second, 700 * time.Millisecond
+	w := standin.NewWorker(t, "s-1", nil)
+	n := startHTTP2(t, func(c *config.Config) {
+		for i := range c.Settings.Classes {
+			c.Settings.Classes[i].Deadline = core.Time(deadline.Microseconds())
+		}
+	}, w)
+	c := standin.Dial(t, n.HTTP2.Address())
+	c.Send(http2.ClientPreface)
+	framer := http2.NewFramer(c, c.Reader)
+	require.NoError(t, framer.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 0}))
+	require.NoError(t, framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: encodeHTTP2Request("id-1"), EndStream: true, EndHeaders: true}))
+	n.Eventually(func() bool { return len(w.Jobs()) == 1 && openRequests(n) == 0 })
+	since := time.Now()
+	n.Gateway.Stop()
+	<-n.Ended
+	assert.Less(t, time.Since(since), deadline+killDelay)
+}
