Let a late first scan wait for what the other processes could not write

Cause: the order of the new process's first scan and the old one's write was left to chance; the call had been answered 503 and was in force in the old process's memory alone.

Change: after a late first scan a process sets a directive of its own and waits until each other live process has it in its file, which it writes whole. The time is bounded as the start without the directory is.

TestLateFirstScanAwaitsWhatOthersCouldNotWrite forces the order and fails without the change.

--- a/internal/directive/directive.go
+++ b/internal/directive/directive.go
@@ -20,6 +20,10 @@
 // reload request; it is never on.
 const Reload Key = "reload"
 
+// Join is the directive with which a process that has read the others' files late asks them to write theirs once more. Each
+// change of it is one request; it is never on.
+const Join Key = "join"
+
 const workerPrefix = "worker/"
 
 // WorkerDisabled returns the key of the directive that keeps a table worker out of rotation while it is on.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -166,6 +166,7 @@
 	for !r.hasScanned {
 		err := r.join()
 		if err == nil {
+			r.awaitPeerFiles(deadline)
 			return r.write()
 		}
 		r.noteFailure(err)
@@ -177,6 +178,28 @@
 	return nil
 }
 
+// awaitPeerFiles waits until every other live process has written its file after it has read this one's, or until the
+// deadline. While the directory was unavailable the others may have put directives in force that they could not write, so
+// that the first scan misses them. A change of Join, which reaches a process's file only together with all its directives,
+// tells that it has written them.
+func (r *Replica) awaitPeerFiles(deadline time.Duration) {
+	request, err := r.set.Change(directive.Join, false, clock.MachineMicros())
+	for err == nil {
+		r.dirty = true
+		writeErr := r.write()
+		_, _, scanErr := r.scan()
+		if scanErr == nil && writeErr == nil && r.isConfirmed(request) {
+			return
+		}
+		if clock.Monotonic() >= deadline {
+			err = errors.Join(ErrNotConfirmed, scanErr, writeErr)
+			break
+		}
+		time.Sleep(awaitPollPeriod)
+	}
+	r.Log.Warn("directive: other processes may know directives that are not in the directory yet", "error", err)
+}
+
 // register acquires the lock of the next free generation.
 func (r *Replica) register() error {
 	if r.lock != nil {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -667,6 +667,34 @@
 	assert.ErrorIs(t, err, errRecentFailure)
 }
 
+// A process that could not read the directory at its start adopts what another one put in force meanwhile and writes only after
+// the directory is back. Guards against an attempt for a disabled worker: the first scan found the directory back, and the
+// other process's file as it was before.
+func TestLateFirstScanAwaitsWhatOthersCouldNotWrite(t *testing.T) {
+	dir, oldFiles, freshFiles := testDir(t), &faultyFileSystem{}, &faultyFileSystem{}
+	old := start(t, dir, oldFiles)
+	oldFiles.set(map[string]error{"replace": syscall.EIO})
+	require.ErrorIs(t, old.change(workerA, true, 10*time.Millisecond), ErrNotPersisted)
+	freshFiles.set(map[string]error{"list": syscall.EIO})
+	fresh := open(t, dir, freshFiles)
+	freshFiles.set(nil)
+	time.AfterFunc(100*time.Millisecond, func() { oldFiles.set(nil) })
+	require.NoError(t, fresh.AwaitFirstScan(testTimeout))
+	require.Len(t, fresh.Active(), 1)
+	assert.Equal(t, workerA, fresh.Active()[0].Key)
+}
+
+// A process that does not write holds up the start of another one for the time that it may take, and no longer.
+func TestLateFirstScanDoesNotWaitForeverForOthers(t *testing.T) {
+	dir, oldFiles, freshFiles := testDir(t), &faultyFileSystem{}, &faultyFileSystem{}
+	start(t, dir, oldFiles)
+	oldFiles.set(map[string]error{"replace": syscall.EIO})
+	freshFiles.set(map[string]error{"list": syscall.EIO})
+	fresh := open(t, dir, freshFiles)
+	freshFiles.set(nil)
+	require.NoError(t, fresh.AwaitFirstScan(50*time.Millisecond))
+}
+
 // The first scan's processes are known before Run, and are not reported again.
 func TestInitialProcessesAreKnownBeforeRun(t *testing.T) {
 	dir := testDir(t)
