Answer what is at table workers before the listener for their callbacks closes

Cause: requests of the HTTP fronts are answered at that time, those of Faktory after stop_s; and an overdue poll of the shutdown came before the answers in the same turn.

Change: pollShutdown answers first. In a handover that means every request with an attempt in flight at the front's workers, whichever front it came from (Core.AbortRequestsAt). Jobs at workers that FETCH are not touched.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -267,25 +267,45 @@
 // be refused applies.
 func (c *Core) AbortRequests(match func(Client) bool) {
 	c.requests.Each(func(_ Ref, request *Request) {
-		if request.closed || !match(request.Client) {
-			return
+		if match(request.Client) {
+			c.abort(request)
 		}
-		for _, ref := range append([]Ref(nil), request.inFlight...) {
-			if attempt, ok := c.attempts.Get(ref); ok && attempt.transport != nil && attempt.transport.Cancel(attempt) {
-				request.mayHaveRun = true
-			}
-		}
-		c.answer(request, c.answerWithoutResult(request), reasonProcessEnds)
-		for _, ref := range append([]Ref(nil), request.inFlight...) {
-			if attempt, ok := c.attempts.Get(ref); ok {
-				c.endAttempt(attempt, rules.Cancelled, nil, rules.Load{})
+	})
+}
+
+// AbortRequestsAt is AbortRequests for the requests with an attempt in flight on a transport, whichever front they came from.
+// What the transport's workers report about them can no longer arrive.
+func (c *Core) AbortRequestsAt(transport Transport) {
+	c.requests.Each(func(_ Ref, request *Request) {
+		for _, ref := range request.inFlight {
+			if attempt, ok := c.attempts.Get(ref); ok && attempt.transport == transport {
+				c.abort(request)
+				return
 			}
 		}
-		request.Pool.dispatcher.ClientDisconnected(c.Loop.now, rules.RequestID(request.ID))
-		c.releaseIfDone(request)
 	})
 }
 
+// abort answers a request because the process ends.
+func (c *Core) abort(request *Request) {
+	if request.closed {
+		return
+	}
+	for _, ref := range append([]Ref(nil), request.inFlight...) {
+		if attempt, ok := c.attempts.Get(ref); ok && attempt.transport != nil && attempt.transport.Cancel(attempt) {
+			request.mayHaveRun = true
+		}
+	}
+	c.answer(request, c.answerWithoutResult(request), reasonProcessEnds)
+	for _, ref := range append([]Ref(nil), request.inFlight...) {
+		if attempt, ok := c.attempts.Get(ref); ok {
+			c.endAttempt(attempt, rules.Cancelled, nil, rules.Load{})
+		}
+	}
+	request.Pool.dispatcher.ClientDisconnected(c.Loop.now, rules.RequestID(request.ID))
+	c.releaseIfDone(request)
+}
+
 // AttemptEnded reports the end of an attempt. Only the first report counts, so that the Dispatcher gets one outcome for
 // each send: AttemptEnded returns false and does nothing if the attempt has already ended.
 func (c *Core) AttemptEnded(ref Ref, status rules.Status, result []byte, load rules.Load) bool {
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -58,10 +58,17 @@
 		f.stoppingSince, f.onStopped = min(since, f.loop.Now()), done
 		f.log.Info("stopping", "open", f.core.OpenRequests())
 		f.pollShutdownAt(f.stoppingSince + f.shutdownTimes.acceptUntil)
-		f.loop.At(f.stoppingSince+f.shutdownTimes.answerBy, func() {
-			f.core.AbortRequests(func(client core.Client) bool { _, isOwn := client.(*clientConn); return isOwn })
-			f.pollShutdownNow()
-		})
+		f.loop.At(f.stoppingSince+f.shutdownTimes.answerBy, f.pollShutdownNow)
+	}
+}
+
+// answerOpenRequests answers the open requests of this front's clients, before the listener closes. With a successor that is
+// now, so that the workers' callbacks can't reach this process any more: the requests of other fronts' clients at these
+// workers are answered as well.
+func (f *Front) answerOpenRequests() {
+	f.core.AbortRequests(func(client core.Client) bool { _, isOwn := client.(*clientConn); return isOwn })
+	if f.isHandingOver {
+		f.core.AbortRequestsAt(f)
 	}
 }
 
@@ -142,6 +149,9 @@
 	f.shutdownTimer = nil
 	now := f.loop.Now()
 	isPastAnswers := now >= f.stoppingSince+f.shutdownTimes.answerBy
+	if isPastAnswers {
+		f.answerOpenRequests()
+	}
 	pending := f.closeIdleAndCountPending(now, isPastAnswers)
 	isPending := pending.total() > 0
 	switch {
