Count a list update from the first of a scheduler's watches that wrote it

Change: the first watch that was open when discovery had the update counts. TestUpdatesAreRecordedWhenWritten has a second watch that writes later; it fails without the change.

Two comments of package record are wrapped.

--- a/internal/fleet/endpoints/discovery.go
+++ b/internal/fleet/endpoints/discovery.go
@@ -195,13 +195,14 @@
 }
 
 // markWritten records that a watch which began at watchUS has written the updates after an index up to another. Updates from
-// before the watch keep the time at which discovery had them: their scheduler was not there, and the server was not late.
+// before the watch keep the time at which discovery had them: their scheduler was not there, and the server was not late. Of
+// the watches of a scheduler's processes the first one counts.
 func (srv *discoveryServer) markWritten(after, last int, watchUS int64) {
 	srv.mu.Lock()
 	defer srv.mu.Unlock()
 	nowUS := srv.discovery.recorder.ElapsedUS()
 	for i := range srv.changes {
-		if c := &srv.changes[i]; c.Index > after && c.Index <= last && c.row.AtUS >= watchUS {
+		if c := &srv.changes[i]; c.Index > after && c.Index <= last && c.row.AtUS >= watchUS && c.row.WrittenUS == 0 {
 			c.row.WrittenUS = nowUS
 		}
 	}
--- a/internal/fleet/endpoints/discovery_test.go
+++ b/internal/fleet/endpoints/discovery_test.go
@@ -66,9 +66,15 @@
 		defer srv.mu.Unlock()
 		return srv.changes[1].row.WrittenUS > 0
 	}, 10*time.Second, time.Millisecond)
+	srv.mu.Lock()
+	first, index := srv.changes[1].row.WrittenUS, srv.changes[1].Index
+	srv.mu.Unlock()
+	time.Sleep(time.Millisecond)
+	srv.markWritten(index-1, index, 0) // another watch of the same scheduler writes it later
 	d.RecordUpdates()
 	updates := recorder.Records().ListUpdates
 	require.Len(t, updates, 2)
+	require.Equal(t, first, updates[1].WrittenUS, "the scheduler knows from the first watch on")
 	require.Zero(t, updates[0].WrittenUS)
 	require.GreaterOrEqual(t, updates[1].WrittenUS, updates[1].AtUS)
 	require.Equal(t, []string{"up", "draining"}, []string{updates[0].Status, updates[1].Status})
--- a/internal/fleet/record/record.go
+++ b/internal/fleet/record/record.go
@@ -1,6 +1,6 @@
 // Package record defines the records of a run: tries of clients, attempts at table workers, load samples, worker list
-// updates, events and the harness's own lag. Packages fleet and endpoints fill them, and soak and experiment save them: one Parquet file for each
-// table, beside about.json.
+// updates, events and the harness's own lag. Packages fleet and endpoints fill them, and soak and experiment save them: one
+// Parquet file for each table, beside about.json.
 package record
 
 import (
@@ -14,25 +14,27 @@
 // Try is one HTTP request that a client sent; a retry is a try of its own. Times are in microseconds since the clients
 // began.
 type Try struct {
-	Request       int32  `parquet:"request"` // index of the request, the same for its retries
-	Number        int32  `parquet:"number"`  // 0: the first try of the request
-	ID            string `parquet:"id"`
-	Class         int32  `parquet:"class,dict"`
-	Site          int32  `parquet:"site,dict"` // of the client
-	Scheduler     int32  `parquet:"scheduler,dict"`
-	Key           int32  `parquet:"key"`
-	RunUS         int64  `parquet:"run_us"` // running time at speed 1
-	DueUS         int64  `parquet:"due_us"` // of the request, not of the retry
-	SentUS        int64  `parquet:"sent_us"`
-	DialedUS      int64  `parquet:"dialed_us"`    // the client began to connect; 0: it did not
-	ConnectedUS   int64  `parquet:"connected_us"` // the client had its connection; 0: it never had one
-	WrittenUS     int64  `parquet:"written_us"`   // the connection had taken the whole request; 0: it never did
-	AnsweredUS    int64  `parquet:"answered_us"`  // the client's machine had the last byte of the answer, by the kernel's time stamp, even if the client left before it acted on it; 0: no answer
-	ClosedUS      int64  `parquet:"closed_us"`    // a client that disconnected had closed its connection; 0: it had none
-	EndedUS       int64  `parquet:"ended_us"`     // the client acted on the end
-	TimeLeftMS    int64  `parquet:"left_ms"`      // until the client's deadline
-	CancelUS      int64  `parquet:"leaves_us"`    // time drawn for the client to disconnect before its deadline; 0: none
-	Status        int32  `parquet:"status"`       // of the answer; 0: no answer
+	Request     int32  `parquet:"request"` // index of the request, the same for its retries
+	Number      int32  `parquet:"number"`  // 0: the first try of the request
+	ID          string `parquet:"id"`
+	Class       int32  `parquet:"class,dict"`
+	Site        int32  `parquet:"site,dict"` // of the client
+	Scheduler   int32  `parquet:"scheduler,dict"`
+	Key         int32  `parquet:"key"`
+	RunUS       int64  `parquet:"run_us"` // running time at speed 1
+	DueUS       int64  `parquet:"due_us"` // of the request, not of the retry
+	SentUS      int64  `parquet:"sent_us"`
+	DialedUS    int64  `parquet:"dialed_us"`    // the client began to connect; 0: it did not
+	ConnectedUS int64  `parquet:"connected_us"` // the client had its connection; 0: it never had one
+	WrittenUS   int64  `parquet:"written_us"`   // the connection had taken the whole request; 0: it never did
+	// AnsweredUS is when the client's machine had the last byte of the answer, by the kernel's time stamp, also if the client
+	// left before it acted on it; 0: no answer.
+	AnsweredUS    int64  `parquet:"answered_us"`
+	ClosedUS      int64  `parquet:"closed_us"` // a client that disconnected had closed its connection; 0: it had none
+	EndedUS       int64  `parquet:"ended_us"`  // the client acted on the end
+	TimeLeftMS    int64  `parquet:"left_ms"`   // until the client's deadline
+	CancelUS      int64  `parquet:"leaves_us"` // time drawn for the client to disconnect before its deadline; 0: none
+	Status        int32  `parquet:"status"`    // of the answer; 0: no answer
 	End           string `parquet:"end,dict"`
 	Error         string `parquet:"fault,dict"` // error of a try without an answer
 	RetryAfterMS  int64  `parquet:"after_ms"`   // Retry-After; below 0: none
