Count no crash where a fault ended a process before it was seen to be ready

The scheduler had been killed and was started anew; it served at 27.153 and got the SIGTERM of the next fault at 27.169, before the readiness probe, which the draining process answers with 503.

Cause: the rig. For an upgrade it tells this case apart already, for a restart it did not.

Change: a restart whose process a fault has terminated is no crash.

--- a/internal/fleet/faults.go
+++ b/internal/fleet/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -302,7 +303,12 @@
 			if ctx.Err() != nil {
 				return
 			}
-			if err := h.startScheduler(ctx, s); err != nil && ctx.Err() == nil {
+			err := h.startScheduler(ctx, s)
+			isTerminated := errors.Is(err, errTerminated)
+			if isTerminated && !s.isLive() {
+				return // it is absent until the fault that terminated it starts the next process
+			}
+			if err != nil && !isTerminated && ctx.Err() == nil {
 				h.addEvent(record.Event{Kind: "crashed", Text: err.Error(), Scheduler: int32(s.index), Worker: -1})
 				return
 			}
--- a/internal/fleet/process.go
+++ b/internal/fleet/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -64,6 +65,10 @@
 	readyTimeout = 30 * time.Second
 )
 
+// errTerminated: a fault has terminated a process before it was seen to be ready. That is no crash, and the fault's own end
+// starts the next process.
+var errTerminated = errors.New("process was terminated before it was ready")
+
 // start starts a process with a new, empty temporary directory, and waits until it is ready. No process may be running.
 func (s *scheduler) start(ctx context.Context) error {
 	s.mu.Lock()
@@ -78,6 +83,9 @@
 		return err
 	}
 	if err := s.waitReady(ctx, p, s.listen); err != nil {
+		if s.wasTerminated(p) {
+			return errTerminated
+		}
 		return s.withLog(err)
 	}
 	s.harness.balancer.setUp(s.index, true)
