Share what the tests of a listener's end and of the relay set up

The tests of a racing close in admin and faktory had the same exchange of a request and an answer, and two tests of the relay the same pair of connections. standin.Exchange and connectPair serve both; no assertion is changed.

--- a/internal/faktory/close_race_test.go
+++ b/internal/faktory/close_race_test.go
@@ -2,11 +2,8 @@
 
 import (
 	"bufio"
-	"fmt"
 	"log/slog"
-	"net"
 	"testing"
-	"time"
 
 	"github.com/cloudwego/netpoll"
 	"github.com/stretchr/testify/assert"
@@ -18,19 +15,10 @@
 
 // exchange connects, sends a command before the greeting has come, and reads the first line, whatever it is.
 func exchange(address string) error {
-	c, err := net.DialTimeout("tcp", address, standin.WaitTimeout)
-	if err != nil {
+	return standin.Exchange(address, "HELLO {\"v\":2}\r\n", func(r *bufio.Reader) error {
+		_, err := r.ReadString('\n')
 		return err
-	}
-	defer c.Close()
-	c.SetDeadline(time.Now().Add(standin.WaitTimeout))
-	if _, err := fmt.Fprint(c, "HELLO {\"v\":2}\r\n"); err != nil {
-		return fmt.Errorf("write: %w", err)
-	}
-	if _, err := bufio.NewReader(c).ReadString('\n'); err != nil {
-		return fmt.Errorf("read: %w", err)
-	}
-	return nil
+	})
 }
 
 // Guards against the reset of connections that wait in the accept queue when the listener closes at the end of the process.
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -270,22 +270,27 @@
 	require.EqualValues(t, 1, tooLong)
 }
 
-// A connection states when its data came and was through the path's delay, however late it is read, and when it was closed.
-func TestConnTimes(t *testing.T) {
-	const delay, readLate = 20 * time.Millisecond, 200 * time.Millisecond
-	n := New(1, [2]time.Duration{delay, delay}, [2]time.Duration{}, 1)
+// connectPair returns the two ends of a connection, of which the network wraps the accepted one.
+func connectPair(t *testing.T, n *Network) (peer net.Conn, conn *Conn) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	defer ln.Close()
-	peer, err := net.Dial("tcp", ln.Addr().String())
+	t.Cleanup(func() { ln.Close() })
+	peer, err = net.Dial("tcp", ln.Addr().String())
 	require.NoError(t, err)
-	defer peer.Close()
+	t.Cleanup(func() { peer.Close() })
 	accepted, err := ln.Accept()
 	require.NoError(t, err)
-	conn := n.Wrap(accepted, Path{Kind: Job}, false)
+	return peer, n.Wrap(accepted, Path{Kind: Job}, false)
+}
+
+// A connection states when its data came and was through the path's delay, however late it is read, and when it was closed.
+func TestConnTimes(t *testing.T) {
+	const delay, readLate = 20 * time.Millisecond, 200 * time.Millisecond
+	n := New(1, [2]time.Duration{delay, delay}, [2]time.Duration{}, 1)
+	peer, conn := connectPair(t, n)
 	require.NotNil(t, conn.raw, "the kernel states time stamps")
 	before := time.Now()
-	_, err = peer.Write([]byte("hello"))
+	_, err := peer.Write([]byte("hello"))
 	require.NoError(t, err)
 	written := time.Now()
 	time.Sleep(readLate)
@@ -308,18 +313,10 @@
 func TestHeldDataArrivesAfterTheCut(t *testing.T) {
 	const held = 150 * time.Millisecond
 	n := New(1, [2]time.Duration{}, [2]time.Duration{}, 1)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer ln.Close()
-	peer, err := net.Dial("tcp", ln.Addr().String())
-	require.NoError(t, err)
-	defer peer.Close()
-	accepted, err := ln.Accept()
-	require.NoError(t, err)
-	conn := n.Wrap(accepted, Path{Kind: Job}, false)
+	peer, conn := connectPair(t, n)
 	defer conn.Close()
 	n.UpdateImpairments(nil, -1, -1, true, func(i *Impairment) { i.Cuts++ })
-	_, err = peer.Write([]byte("hello"))
+	_, err := peer.Write([]byte("hello"))
 	require.NoError(t, err)
 	ended := make(chan time.Time, 1)
 	time.AfterFunc(held, func() {
--- a/internal/front/admin/close_race_test.go
+++ b/internal/front/admin/close_race_test.go
@@ -2,12 +2,8 @@
 
 import (
 	"bufio"
-	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"testing"
-	"time"
 
 	"github.com/cloudwego/netpoll"
 	"github.com/stretchr/testify/assert"
@@ -18,20 +14,13 @@
 
 // exchange sends a call on a new connection and reads the whole answer.
 func exchange(address string) error {
-	c, err := net.DialTimeout("tcp", address, standin.WaitTimeout)
-	if err != nil {
-		return err
-	}
-	defer c.Close()
-	c.SetDeadline(time.Now().Add(standin.WaitTimeout))
-	if _, err := io.WriteString(c, "GET /-/ready HTTP/1.1\r\nHost: ops\r\n\r\n"); err != nil {
-		return fmt.Errorf("write: %w", err)
-	}
-	r, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		return fmt.Errorf("read: %w", err)
-	}
-	return r.Body.Close()
+	return standin.Exchange(address, "GET /-/ready HTTP/1.1\r\nHost: ops\r\n\r\n", func(r *bufio.Reader) error {
+		response, err := http.ReadResponse(r, nil)
+		if err != nil {
+			return err
+		}
+		return response.Body.Close()
+	})
 }
 
 // Guards against the reset of connections that wait in the accept queue when the listener closes at the end of the process.
--- a/internal/standin/close_race.go
+++ b/internal/standin/close_race.go
@@ -1,8 +1,11 @@
 package standin
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -107,3 +110,20 @@
 	}
 	return failures
 }
+
+// Exchange connects to an address, sends a request, and has read read the answer. An error names the step that failed.
+func Exchange(address, request string, read func(*bufio.Reader) error) error {
+	c, err := net.DialTimeout("tcp", address, WaitTimeout)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(WaitTimeout))
+	if _, err := io.WriteString(c, request); err != nil {
+		return fmt.Errorf("write: %w", err)
+	}
+	if err := read(bufio.NewReader(c)); err != nil {
+		return fmt.Errorf("read: %w", err)
+	}
+	return nil
+}
