Let each process that starts beside others wait for what they have yet to write

Cause: a process that starts just after the directory is back reads it at once, before the process that was called has written (it looks each 50 ms). Only a process whose first scan had failed asked the others to write.

Change: AwaitFirstScan sends the request beside any live process, within the 4 s that a start may wait for the directory. A process that can't write does not wait. An upgrade's new process listens up to 50 ms later (250 ms without an operators' address), 4 s if the old one stands still.

TestFirstScanAwaitsWhatOthersCouldNotWrite forces the order and failed before.

--- a/internal/gateway/directives.go
+++ b/internal/gateway/directives.go
@@ -17,8 +17,8 @@
 	"cobaltflow/internal/replica"
 )
 
-// maxDirectoryWait is how long a process that cannot read the directives' directory waits before it listens. Without the
-// directives it would send jobs to workers that operators have disabled; during a handover the old process serves
+// maxDirectoryWait is how long a process waits before it listens for the directives' directory, and for what the scheduler's
+// other processes have yet to write there. Without the directives it would send jobs to workers that operators have disabled; during a handover the old process serves
 // meanwhile. A restarted scheduler has to be ready within 6 s, of which it may wait 1 s for the worker list.
 const maxDirectoryWait = 4 * time.Second
 
@@ -39,8 +39,9 @@
 	knownSuccessor atomic.Bool
 }
 
-// openDirectives joins the other processes of the scheduler. If the directory is unavailable, it logs the error and
-// retries for up to maxDirectoryWait; after that the replica goes on retrying in the background.
+// openDirectives joins the other processes of the scheduler and waits for what they have yet to write. If the directory is
+// unavailable, it logs the error and retries. Both take up to maxDirectoryWait together; after that the replica goes on in the
+// background.
 func openDirectives(conf *config.Config, c *core.Core, front *platform.Front, log *slog.Logger) *directives {
 	d := &directives{core: c, front: front, log: log, disabled: map[string]bool{}}
 	period := replica.PollPeriodWithAdmin
@@ -57,8 +58,8 @@
 	})
 	if err != nil {
 		log.Warn("directive: directory unavailable, retrying", "error", err, "start_waits_at_most", maxDirectoryWait)
-		err = d.replica.AwaitFirstScan(maxDirectoryWait)
 	}
+	err = d.replica.AwaitFirstScan(maxDirectoryWait)
 	if err == nil {
 		err = importDisabledWorkers(d.replica, stateFilePath(conf, "held"))
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -159,15 +159,15 @@
 	return nil
 }
 
-// AwaitFirstScan retries to adopt the other processes' directives if Open could not, and returns the last error if that
-// fails for the given time. It may be called only between Open and Run.
+// AwaitFirstScan completes the first scan. It retries to adopt the other processes' directives if Open could not, and returns
+// the last error if that fails for the given time. For the rest of that time it waits until the other live processes have
+// written what they could not before; a log line tells if they have not. It may be called only between Open and Run.
 func (r *Replica) AwaitFirstScan(within time.Duration) error {
 	deadline := clock.Monotonic() + within
 	for !r.hasScanned {
 		err := r.join()
 		if err == nil {
-			r.awaitPeerFiles(deadline)
-			return r.write()
+			break
 		}
 		r.noteFailure(err)
 		if clock.Monotonic() >= deadline {
@@ -175,27 +175,31 @@
 		}
 		time.Sleep(awaitPollPeriod)
 	}
-	return nil
+	if r.otherProcesses().Alive > 0 {
+		r.awaitPeerFiles(deadline)
+	}
+	return r.write()
 }
 
 // awaitPeerFiles waits until every other live process has written its file after it has read this one's, or until the
 // deadline. While the directory was unavailable the others may have put directives in force that they could not write, so
 // that the first scan misses them. A change of Join, which reaches a process's file only together with all its directives,
-// tells that it has written them.
+// tells that it has written them. A process that can't write its own file can't ask for that, and does not wait.
 func (r *Replica) awaitPeerFiles(deadline time.Duration) {
 	request, err := r.set.Change(directive.Join, false, clock.MachineMicros())
 	for err == nil {
-		r.dirty = true
 		writeErr := r.write()
 		_, _, scanErr := r.scan()
-		if scanErr == nil && writeErr == nil && r.isConfirmed(request) {
+		switch {
+		case scanErr == nil && writeErr == nil && r.isConfirmed(request):
 			return
-		}
-		if clock.Monotonic() >= deadline {
+		case scanErr == nil && writeErr != nil:
+			err = writeErr
+		case clock.Monotonic() >= deadline:
 			err = errors.Join(ErrNotConfirmed, scanErr, writeErr)
-			break
+		default:
+			time.Sleep(awaitPollPeriod)
 		}
-		time.Sleep(awaitPollPeriod)
 	}
 	r.Log.Warn("directive: other processes may know directives that are not in the directory yet", "error", err)
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -684,7 +684,20 @@
 	assert.Equal(t, workerA, fresh.Active()[0].Key)
 }
 
-// A process that does not write holds up the start of another one for the time that it may take, and no longer.
+// Guards against an attempt for a disabled worker by a process that could read the directory from its start, before another
+// process had written what it could not before.
+func TestFirstScanAwaitsWhatOthersCouldNotWrite(t *testing.T) {
+	dir, oldFiles := testDir(t), &faultyFileSystem{}
+	old := start(t, dir, oldFiles)
+	oldFiles.set(map[string]error{"replace": syscall.EIO})
+	require.ErrorIs(t, old.change(workerA, true, 10*time.Millisecond), ErrNotPersisted)
+	time.AfterFunc(100*time.Millisecond, func() { oldFiles.set(nil) })
+	fresh := open(t, dir, nil)
+	require.NoError(t, fresh.AwaitFirstScan(testTimeout))
+	require.Len(t, fresh.Active(), 1)
+	assert.Equal(t, workerA, fresh.Active()[0].Key)
+}
+
 func TestLateFirstScanDoesNotWaitForeverForOthers(t *testing.T) {
 	dir, oldFiles, freshFiles := testDir(t), &faultyFileSystem{}, &faultyFileSystem{}
 	start(t, dir, oldFiles)
