Wait for the worker's 202 before the connection's reuse is checked

The stand-in sends its callback as it sends the 202; the callback may be read first (the protocol allows that), so that the client is answered and sends the next request while the connection is still in use.

--- a/internal/platform/front_test.go
+++ b/internal/platform/front_test.go
@@ -40,6 +40,8 @@
 		assert.Equal(t, id, job.ID)
 		assert.Equal(t, "/move/u?q=1", job.Target)
 		assert.Equal(t, "the move", job.Body)
+		// The callback may have overtaken the 202, before which the connection is in use.
+		eventuallyOnLoop(n, func() bool { return n.Front.IdleConns() == 1 })
 	}
 	assert.Equal(t, 1, w.ConnCount(), "the connection to the worker is reused")
 }
