Carry out at the start a reload that was requested while the process waited

Seen by reading: a process that waits at its start for the directives' directory, or for the others' files, adopts another process's reload request and does not carry it out. It serves with the configuration that it read before the wait.

Cause: the request is never on, and only what is on is put in force at the start.

Change: a request whose version, a time of the machine's clock, is later than the start of the process is carried out once it serves.

--- a/cmd/cobaltflow/upgrade_directives_test.go
+++ b/cmd/cobaltflow/upgrade_directives_test.go
@@ -328,6 +328,24 @@
 	assert.Zero(t, third.countLogged(reloaded))
 }
 
+// A process that waits for the directory at its start carries out the reload that another process was asked for meanwhile.
+// Guards against a process that goes on with the configuration that it read before the wait.
+func TestReloadReachesAProcessThatWaitsForTheDirectory(t *testing.T) {
+	const reloaded = "reload: taken over"
+	h := newUpgradeHarness(t, "s-1")
+	old := h.start()
+	restore := h.hideStateDir()
+	fresh := h.launch()
+	eventually(t, func() bool { return fresh.logged("directory unavailable") })
+	require.NoError(t, old.cmd.Process.Signal(syscall.SIGHUP))
+	eventually(t, func() bool { return old.logged(reloaded) })
+	restore()
+	eventually(t, func() bool { return fresh.sendAdmin("GET", "/-/ready") == 200 })
+	require.Equal(t, 200, fresh.disable("s-1"), "the earlier changes have reached both processes")
+	eventually(t, func() bool { return fresh.logged(reloaded) })
+	assert.Equal(t, 1, fresh.countLogged(reloaded))
+}
+
 // A process survives SIGHUP before it has read its configuration.
 func TestSIGHUPDuringStart(t *testing.T) {
 	h := newUpgradeHarness(t, "s-1")
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -10,7 +10,10 @@
 	"golang.org/x/sys/unix"
 )
 
-var start = time.Now()
+var (
+	start       = time.Now()
+	startMicros = MachineMicros()
+)
 
 // Monotonic returns the time since the process started. It never goes backwards.
 func Monotonic() time.Duration { return time.Since(start) }
@@ -25,6 +28,9 @@
 	return uint64(now.Nano() / int64(time.Microsecond))
 }
 
+// StartMicros returns what MachineMicros was when the process started.
+func StartMicros() uint64 { return startMicros }
+
 // Wall returns the wall-clock time. A later reading may give an earlier time.
 func Wall() time.Time { return time.Now().Round(0).Add(time.Duration(wallStep.Load())) }
 
--- a/internal/gateway/directives.go
+++ b/internal/gateway/directives.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"cobaltflow/internal/clock"
 	"cobaltflow/internal/config"
 	"cobaltflow/internal/core"
 	"cobaltflow/internal/directive"
@@ -98,6 +99,10 @@
 		d.log.Info("directive: in force from the start", "key", string(e.Key), "version", e.Version)
 	}
 	d.apply(d.replica.Active())
+	// Adopted at the start, after the configuration may have been read.
+	if d.replica.IsChangedSince(directive.Reload, clock.StartMicros()) {
+		d.reloadOnDirective()
+	}
 }
 
 // apply applies directives to this process.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -240,6 +240,12 @@
 	return on
 }
 
+// IsChangedSince reports whether a directive was last changed after the given time of the machine's clock, in this or another
+// process. It may be called only between Open and Run.
+func (r *Replica) IsChangedSince(key directive.Key, micros uint64) bool {
+	return r.set.Entry(key).Version > micros
+}
+
 // Import turns on directives that an older version of the program stored, and writes them; those known already keep their
 // state. After a write error they are in memory only. It may be called only between Open and Run.
 func (r *Replica) Import(keys []directive.Key) error {
