Count a request's time from its arrival in the kernel

Attempts stated time that the client no longer had.

What lay in the kernel, or in the read buffer behind another request, was not counted.

--- a/internal/front/admission/admission.go
+++ b/internal/front/admission/admission.go
@@ -37,8 +37,8 @@
 type Request struct {
 	Method, Target, Path string
 	Body                 []byte // valid until the core has released the request
-	// ReceivedAt is when the front read the request's last bytes. The client's time left counts from then, as the request may
-	// have waited for the loop since.
+	// ReceivedAt is when the request's last bytes arrived, as far as the front knows. The client's time left counts from then,
+	// as the request may have waited in the kernel and for the loop since.
 	ReceivedAt core.Time
 	// Header returns a header's first value and the number of its occurrences.
 	Header func(name string) (value []byte, count int)
--- a/internal/front/http2/front.go
+++ b/internal/front/http2/front.go
@@ -256,7 +256,7 @@
 	bodyBytes         int       // bytes of request bodies that are not complete
 	lastProgress      core.Time // when data was sent last, or when unsentBytes last rose from 0
 	lastUsed          core.Time // when a frame came or a stream ended last
-	receivedAt        core.Time // when the frames were read that are being handled
+	receivedAt        core.Time // when the frames had arrived that are being handled
 	output            []byte    // frames of this turn, not sent yet
 	isDirty           bool      // it is in Front.connsToFlush
 	isGoingAway       bool      // a GOAWAY was sent or received
--- a/internal/front/http2/input.go
+++ b/internal/front/http2/input.go
@@ -43,6 +43,7 @@
 			return err
 		}
 		if len(batch) > 0 {
+			receivedAt = min(receivedAt, c.ArrivalTime(c.front.loop))
 			cost := max(used, link.MinMessageCost*len(batch))
 			c.backlog.Add(cost)
 			c.front.loop.Post(func() { c.front.handle(c, batch, cost, receivedAt) })
@@ -78,7 +79,7 @@
 	return batch, used, 0
 }
 
-// handle handles a batch of frames whose last bytes were read at receivedAt.
+// handle handles a batch of frames whose last bytes had arrived by receivedAt.
 func (f *Front) handle(c *conn, batch []*frame, cost int, receivedAt core.Time) {
 	c.lastUsed, c.receivedAt = f.loop.Now(), receivedAt
 	for _, fr := range batch {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -66,6 +66,9 @@
 	ClosedLocally bool      // Close was called; the end event may still be pending
 	CloseReason   string    // why this side closes the connection; empty: the peer closed it
 	OnClose       func()    // called by Close before the buffer is released: slices of it are invalid from then on
+	// CountsQueuedTime makes ReceivedAt the time of arrival, as far as the kernel tells it, in place of that of the read. It is
+	// set before anything is read.
+	CountsQueuedTime bool
 
 	released          chan struct{} // OnRequest waits here while the loop owns its buffer
 	hasPendingMessage atomic.Bool   // a message is complete and its buffer not released yet
@@ -306,6 +309,9 @@
 			continue
 		}
 		l.ReceivedAt = receivedAt
+		if l.CountsQueuedTime {
+			l.ReceivedAt = min(receivedAt, l.ArrivalTime(loop))
+		}
 		l.hasPendingMessage.Store(true)
 		loop.Post(handle)
 		<-l.released
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -36,6 +36,20 @@
 	return l, peer, loop, ended
 }
 
+// Input that has waited in the kernel or in the read buffer counts from its arrival, and input that has just come from now.
+func TestArrivalTimeCountsWhatWaited(t *testing.T) {
+	const waited = 300 * core.Millisecond
+	l, peer, loop, _ := newTestLink(t)
+	_, err := peer.Write([]byte("x"))
+	require.NoError(t, err)
+	written := loop.Clock()
+	time.Sleep(time.Duration(waited) * time.Microsecond)
+	assert.InDelta(t, written, l.ArrivalTime(loop), float64(waited/2))
+	_, err = peer.Write([]byte("x"))
+	require.NoError(t, err)
+	assert.Less(t, loop.Clock()-l.ArrivalTime(loop), waited/2)
+}
+
 // Guards against a crash: netpoll had released the connection's buffer by the time the writer used it.
 func TestSendAfterPeerDisconnected(t *testing.T) {
 	l, peer, loop, ended := newTestLink(t)
--- a/internal/platform/accept.go
+++ b/internal/platform/accept.go
@@ -116,6 +116,7 @@
 func (f *Front) onAccept(nc netpoll.Connection) context.Context {
 	c := &clientConn{front: f, isOnReserve: f.acceptedOnReserve}
 	c.Init(nc, "agent", nc.RemoteAddr().String(), 0)
+	c.CountsQueuedTime = true
 	c.OnClose = func() {
 		if c.inFlight != nil {
 			f.core.ClientDisconnected(c.inFlight)
