Count an operator's call that another process gets again from then

Cause: in the rig. It called a process whose listener for operators was draining; the kernel dropped the connection attempt, and the call ended after 1 s. The rig then made it at the other process, at 17.05, after another call to disable the worker had been answered 200 at 16.79. The log of the scheduler has the enabling at 17.05, as the last call. The judge had it at 16.05, when the rig had begun.

Change: each process that is called counts as a call of its own: an enabling is recorded again, and a disabling is as old as its last call. The judge and its bounds are as before; a disabling that was repeated is judged now also if an enabling came between.

TestRepeatedOperatorCallCountsFromTheRepeat failed before (one record in place of two).

--- a/internal/fleet/faults_processes.go
+++ b/internal/fleet/faults_processes.go
@@ -152,19 +152,21 @@
 const adminCallTimeout = time.Second
 
 // setWorkerDisabled disables or enables a worker at one process of a scheduler, and records from when on that is in force:
-// a disabling from the 200 answer, or adminCallTimeout after the call if it was answered 503; an enabling from the call on.
+// a disabling from the 200 answer, or adminCallTimeout after the call if it was answered 503; an enabling from the call on. A
+// call that another process gets again, as the first one did not answer, counts from then.
 func (h *harness) setWorkerDisabled(ctx context.Context, rng *lockedRand, s *scheduler, w *endpoints.Worker, isDisabled bool) {
 	verb, kind := "enable", "back"
 	if isDisabled {
 		verb, kind = "disable", "out"
 	}
 	e := record.Event{Kind: kind, Text: s.name() + " " + w.Name, Scheduler: int32(s.index), Worker: int32(w.Number)}
-	called := time.Now()
-	e.CalledUS = h.recorder.ElapsedUS()
-	if !isDisabled {
-		h.addEvent(e)
-	}
-	status := h.callAdmin(ctx, rng, s, "/-/table-workers/"+w.Name+"/"+verb)
+	var called time.Time
+	status := h.callAdmin(ctx, rng, s, "/-/table-workers/"+w.Name+"/"+verb, func() {
+		called, e.CalledUS = time.Now(), h.recorder.ElapsedUS()
+		if !isDisabled {
+			h.addEvent(e)
+		}
+	})
 	h.addCallEvent(e, verb, status, time.Since(called))
 	switch {
 	case !isDisabled:
@@ -183,8 +185,9 @@
 }
 
 // callAdmin makes an operator's call to a random process of a scheduler. If that process has just ended or does not listen
-// yet, it tries the others in turn. It returns the status of the answer, or 0 if no process answered.
-func (h *harness) callAdmin(ctx context.Context, rng *lockedRand, s *scheduler, path string) (status int) {
+// yet, it tries the others in turn. beforeCall is called before the call of each process. It returns the status of the answer,
+// or 0 if no process answered.
+func (h *harness) callAdmin(ctx context.Context, rng *lockedRand, s *scheduler, path string, beforeCall func()) (status int) {
 	processes := s.running()
 	if len(processes) == 0 {
 		return 0
@@ -192,6 +195,7 @@
 	first := rng.intN(len(processes))
 	for n := range processes {
 		p := processes[(first+n)%len(processes)]
+		beforeCall()
 		ctx, cancel := context.WithTimeout(ctx, adminCallTimeout)
 		status, err := sendRequest(ctx, "POST", p.admin, path)
 		cancel()
@@ -208,7 +212,7 @@
 	const notice = 200 * time.Millisecond // the balancer polls readiness ten times a second, and sends clients for this long after a drain
 	tempDir, resumeCalls := s.currentTempDir(), s.resumeCalls.Load()
 	isInForce := func() bool { return s.currentTempDir() == tempDir && s.resumeCalls.Load() == resumeCalls }
-	if h.callAdmin(ctx, rng, s, "/-/drain") != http.StatusOK {
+	if h.callAdmin(ctx, rng, s, "/-/drain", func() {}) != http.StatusOK {
 		return
 	}
 	until := time.Now().Add(time.Duration(seconds * float64(time.Second)))
@@ -220,7 +224,7 @@
 		time.Sleep(notice / 2)
 	}
 	s.resumeCalls.Add(1) // a resume call ends every drain before it, also another operator's
-	h.callAdmin(ctx, rng, s, "/-/resume")
+	h.callAdmin(ctx, rng, s, "/-/resume", func() {})
 	h.balancer.setUp(s.index, s.isLive())
 }
 
--- a/internal/fleet/process_test.go
+++ b/internal/fleet/process_test.go
@@ -2,6 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"os"
 	"os/exec"
 	"strconv"
@@ -10,7 +15,11 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"cobaltflow/internal/fleet/endpoints"
+	"cobaltflow/internal/fleet/record"
 )
 
 // processState returns the state letter of a process (proc(5)): T while it is stopped.
@@ -68,3 +77,39 @@
 	<-h.spawnerEnded
 	require.Error(t, h.spawn(exec.Command("true")))
 }
+
+// An operator's call that a second process gets, as the first did not answer, counts from then. Guards against a disabling that was
+// judged to be in force after a call to enable the worker had been made again.
+func TestRepeatedOperatorCallCountsFromTheRepeat(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer silent.Close()
+	answering := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer answering.Close()
+	s := &scheduler{processes: []*process{{admin: netip.MustParseAddrPort(silent.Addr().String())},
+		{admin: netip.MustParseAddrPort(answering.Listener.Addr().String())}}}
+	h := &harness{recorder: endpoints.NewRecorder(), schedulers: []*scheduler{s}}
+	s.harness = h
+	firstIsSilent := func() *lockedRand { return &lockedRand{rng: rand.New(zeroSource{})} }
+	worker := &endpoints.Worker{Name: "t000"}
+	h.setWorkerDisabled(t.Context(), firstIsSilent(), s, worker, false)
+	h.setWorkerDisabled(t.Context(), firstIsSilent(), s, worker, true)
+	var backs, outs []record.Event
+	for _, event := range h.recorder.Records().Events {
+		switch event.Kind {
+		case "back":
+			backs = append(backs, event)
+		case "out":
+			outs = append(outs, event)
+		}
+	}
+	require.Len(t, backs, 2, "one of each process")
+	assert.GreaterOrEqual(t, backs[1].AtUS-backs[0].AtUS, adminCallTimeout.Microseconds())
+	require.Len(t, outs, 1)
+	assert.GreaterOrEqual(t, outs[0].CalledUS-backs[1].AtUS, adminCallTimeout.Microseconds())
+}
+
+// zeroSource is a random source that draws 0.
+type zeroSource struct{}
+
+func (zeroSource) Uint64() uint64 { return 0 }
