Let the fronts that end after the HTTP/1.1 front share their listener's end

CloseListener and IsListenerClosed had the same bodies in admin, http2 and faktory, beside the same two fields. They stand once in link.FrontListener, which the three fronts embed. Behaviour is unchanged. The tests' ReplaceListener assigns to the field's new name; no assertion is changed.

--- a/internal/faktory/export_test.go
+++ b/internal/faktory/export_test.go
@@ -41,5 +41,5 @@
 
 // ReplaceListener sets the listener that Close closes to the result of replace. It is called on the loop.
 func (f *Front) ReplaceListener(replace func(netpoll.Listener) netpoll.Listener) {
-	f.listener = replace(f.listener)
+	f.Listener = replace(f.Listener)
 }
--- a/internal/faktory/front.go
+++ b/internal/faktory/front.go
@@ -48,15 +48,13 @@
 	conf *config.Config
 	log  *slog.Logger
 
-	// listener is what CloseListener closes: drainingListener, unless a test has put a hook before it.
-	listener         netpoll.Listener
-	drainingListener *link.DrainingListener
-	server           netpoll.EventLoop // serves the listener's connections
-	sessions         core.SlotMap[*session]
-	sessionsToFlush  []*session         // have replies from this turn
-	newFetches       []*session         // their FETCH came in this turn
-	workers          map[string]*worker // by wid
-	queuePools       map[string]*core.Pool
+	link.FrontListener
+	server          netpoll.EventLoop // serves the listener's connections
+	sessions        core.SlotMap[*session]
+	sessionsToFlush []*session         // have replies from this turn
+	newFetches      []*session         // their FETCH came in this turn
+	workers         map[string]*worker // by wid
+	queuePools      map[string]*core.Pool
 	// jobs is the state machine of all pushed jobs.
 	jobs            *jobs.Machine
 	requests        map[*jobs.Job]*jobRequest // the jobs with a request in the core
@@ -107,8 +105,7 @@
 	if err != nil {
 		return &config.Error{Key: "faktory.listen", Text: err.Error()}
 	}
-	f.drainingListener = link.NewDrainingListener(ln, "faktory", f.loop, f.log)
-	f.listener = f.drainingListener
+	f.FrontListener = link.NewFrontListener(link.NewDrainingListener(ln, "faktory", f.loop, f.log))
 	f.server, err = netpoll.NewEventLoop(onRequest, netpoll.WithOnPrepare(f.accept),
 		netpoll.WithOnDisconnect(func(ctx context.Context, _ netpoll.Connection) {
 			s := ctx.Value(sessionKey{}).(*session)
@@ -117,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	go f.server.Serve(f.drainingListener)
+	go f.server.Serve(f.DrainingListener)
 	f.loop.AfterTurn(f.afterTurn)
 	f.loop.Post(func() {
 		f.jobs.SetTableWorkersReady(f.loop.Now(), f.core.MainPool().HasReadyWorker(f))
@@ -127,7 +124,7 @@
 }
 
 // Address returns the address of the listener; valid after Start.
-func (f *Front) Address() string { return f.listener.Addr().String() }
+func (f *Front) Address() string { return f.Listener.Addr().String() }
 
 // Drain rejects new jobs from now on, since the process is about to end. Jobs that no worker holds end now, unrun.
 // Replies to BEAT request workers to go quiet and, after half of faktory.stop_s, to terminate. At the end of
@@ -145,20 +142,6 @@
 	})
 }
 
-// CloseListener begins the drain of the listener, which closes when its accept queue is empty. hasOneSuccessor says that
-// exactly one other process listens at the address, which gets the new connections.
-func (f *Front) CloseListener(hasOneSuccessor bool) {
-	if hasOneSuccessor {
-		f.drainingListener.SteerToSuccessor()
-	}
-	f.listener.Close()
-}
-
-// IsListenerClosed reports whether the listener's drain is complete and every connection that came out of it is registered.
-func (f *Front) IsListenerClosed() bool {
-	return f.drainingListener.IsClosed() && !f.drainingListener.HasPendingAccepts()
-}
-
 // IsClosed reports whether the listener is closed and no connection is left.
 func (f *Front) IsClosed() bool { return f.IsListenerClosed() && f.sessions.Len() == 0 }
 
@@ -166,7 +149,7 @@
 // first, which is the reply to a command that is on its way.
 func (f *Front) Close() {
 	f.closed = true
-	f.listener.Close()
+	f.Listener.Close()
 	f.sessions.Each(func(_ core.Ref, s *session) { s.refuse() })
 }
 
@@ -185,7 +168,7 @@
 
 // greet adds a new connection to the sessions and sends HI, or closes it when max_sessions is reached.
 func (f *Front) greet(s *session) {
-	f.drainingListener.Registered()
+	f.DrainingListener.Registered()
 	if s.Ended {
 		return
 	}
--- a/internal/front/admin/admin.go
+++ b/internal/front/admin/admin.go
@@ -62,12 +62,10 @@
 	directives Directives
 	log        *slog.Logger
 
-	// listener is what CloseListener closes: drainingListener, unless a test has put a hook before it.
-	listener         netpoll.Listener
-	drainingListener *link.DrainingListener
-	server           netpoll.EventLoop
-	conns            core.SlotMap[*conn]
-	closed           bool
+	link.FrontListener
+	server netpoll.EventLoop
+	conns  core.SlotMap[*conn]
+	closed bool
 }
 
 // conn is one connection of an operator.
@@ -94,32 +92,17 @@
 	if err != nil {
 		return &config.Error{Key: "admin", Text: err.Error()}
 	}
-	f.drainingListener = link.NewDrainingListener(ln, "admin", f.loop, f.log)
-	f.listener = f.drainingListener
+	f.FrontListener = link.NewFrontListener(link.NewDrainingListener(ln, "admin", f.loop, f.log))
 	f.server, err = netpoll.NewEventLoop(f.onRequest, netpoll.WithOnPrepare(f.prepare))
 	if err != nil {
 		return err
 	}
-	go f.server.Serve(f.drainingListener)
+	go f.server.Serve(f.DrainingListener)
 	return nil
 }
 
 // Address returns the address at which the front listens.
-func (f *Front) Address() string { return f.listener.Addr().String() }
-
-// CloseListener begins the drain of the listener, which closes when its accept queue is empty. hasOneSuccessor says that
-// exactly one other process listens at the address, which gets the new connections.
-func (f *Front) CloseListener(hasOneSuccessor bool) {
-	if hasOneSuccessor {
-		f.drainingListener.SteerToSuccessor()
-	}
-	f.listener.Close()
-}
-
-// IsListenerClosed reports whether the listener's drain is complete and every connection that came out of it is registered.
-func (f *Front) IsListenerClosed() bool {
-	return f.drainingListener.IsClosed() && !f.drainingListener.HasPendingAccepts()
-}
+func (f *Front) Address() string { return f.Listener.Addr().String() }
 
 // IsClosed reports whether the listener is closed and no connection is left.
 func (f *Front) IsClosed() bool { return f.IsListenerClosed() && f.conns.Len() == 0 }
@@ -128,7 +111,7 @@
 // the listener's drain still accepts.
 func (f *Front) Close() {
 	f.closed = true
-	f.listener.Close()
+	f.Listener.Close()
 	f.conns.Each(func(_ core.Ref, c *conn) { f.refuse(c) })
 }
 
@@ -156,7 +139,7 @@
 		return nil
 	})
 	f.loop.Post(func() {
-		f.drainingListener.Registered()
+		f.DrainingListener.Registered()
 		if c.Ended {
 			return
 		}
--- a/internal/front/http2/export_test.go
+++ b/internal/front/http2/export_test.go
@@ -4,5 +4,5 @@
 
 // ReplaceListener sets the listener that Close closes to the result of replace. It is called on the loop.
 func (f *Front) ReplaceListener(replace func(netpoll.Listener) netpoll.Listener) {
-	f.listener = replace(f.listener)
+	f.Listener = replace(f.Listener)
 }
--- a/internal/front/http2/front.go
+++ b/internal/front/http2/front.go
@@ -33,16 +33,14 @@
 	admission *admission.Controller
 	ledger    *admission.Ledger
 
-	// listener is what CloseListener closes: drainingListener, unless a test has put a hook before it.
-	listener         netpoll.Listener
-	drainingListener *link.DrainingListener
-	server           netpoll.EventLoop
-	conns            core.SlotMap[*conn]
-	connsToFlush     []*conn
-	draining         bool
-	finalGoAwaySent  bool // the second GOAWAY has been sent
-	closed           bool
-	Stats            Stats
+	link.FrontListener
+	server          netpoll.EventLoop
+	conns           core.SlotMap[*conn]
+	connsToFlush    []*conn
+	draining        bool
+	finalGoAwaySent bool // the second GOAWAY has been sent
+	closed          bool
+	Stats           Stats
 }
 
 // Stats are counters since the start of the process.
@@ -70,8 +68,7 @@
 	if err != nil {
 		return &config.Error{Key: "http2.listen", Text: err.Error()}
 	}
-	f.drainingListener = link.NewDrainingListener(ln, "http2", f.loop, f.log)
-	f.listener = f.drainingListener
+	f.FrontListener = link.NewFrontListener(link.NewDrainingListener(ln, "http2", f.loop, f.log))
 	f.server, err = netpoll.NewEventLoop(onRequest, netpoll.WithOnPrepare(f.accept),
 		netpoll.WithOnDisconnect(func(ctx context.Context, _ netpoll.Connection) {
 			c := ctx.Value(connKey{}).(*conn)
@@ -80,14 +77,14 @@
 	if err != nil {
 		return err
 	}
-	go f.server.Serve(f.drainingListener)
+	go f.server.Serve(f.DrainingListener)
 	f.loop.AfterTurn(f.afterTurn)
 	f.loop.Post(f.sweep)
 	return nil
 }
 
 // Address returns the address of the listener; valid after Start.
-func (f *Front) Address() string { return f.listener.Addr().String() }
+func (f *Front) Address() string { return f.Listener.Addr().String() }
 
 func (f *Front) accept(nc netpoll.Connection) context.Context {
 	c := &conn{front: f, streams: map[uint32]*stream{}, sendWindow: defaultWindow, initialSendWindow: defaultWindow, maxSendFrame: defaultMaxFrame,
@@ -104,7 +101,7 @@
 
 // greet adds a new connection and sends our SETTINGS, which need not wait for the client's (RFC 9113, section 3.4).
 func (f *Front) greet(c *conn) {
-	f.drainingListener.Registered()
+	f.DrainingListener.Registered()
 	if c.Ended {
 		return
 	}
@@ -206,20 +203,6 @@
 	return done
 }
 
-// CloseListener begins the drain of the listener, which closes when its accept queue is empty. hasOneSuccessor says that
-// exactly one other process listens at the address, which gets the new connections.
-func (f *Front) CloseListener(hasOneSuccessor bool) {
-	if hasOneSuccessor {
-		f.drainingListener.SteerToSuccessor()
-	}
-	f.listener.Close()
-}
-
-// IsListenerClosed reports whether the listener's drain is complete and every connection that came out of it is registered.
-func (f *Front) IsListenerClosed() bool {
-	return f.drainingListener.IsClosed() && !f.drainingListener.HasPendingAccepts()
-}
-
 // IsClosed reports whether the listener is closed and no connection is left.
 func (f *Front) IsClosed() bool { return f.IsListenerClosed() && f.conns.Len() == 0 }
 
@@ -227,7 +210,7 @@
 // the last stream that was accepted on it, so that its client may send later ones elsewhere.
 func (f *Front) Close() {
 	f.closed = true
-	f.listener.Close()
+	f.Listener.Close()
 	f.conns.Each(func(_ core.Ref, c *conn) { c.closeWithGoAway(NoError, link.Shutdown, "") })
 }
 
