Build the two measurements' commands and options once

`measure faktory` and `measure http` had the same five options, as two types, and the same flags and run function but for a default and the names of the parts. measure.Options and measurementCommand hold them once. Behaviour is unchanged.

The help texts of `measure`, `measure faktory` and `measure http` are the same as before, and the tests of internal/measure pass. The measurements themselves were not run.

--- a/cmd/cobaltflow/measure.go
+++ b/cmd/cobaltflow/measure.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"context"
+	"io"
 	"os/signal"
 	"syscall"
 
@@ -12,36 +14,31 @@
 // measureCommand measures a gateway process under load.
 func measureCommand() *cobra.Command {
 	c := &cobra.Command{Use: "measure", Short: "Measure a gateway on one core, under load from the other cores"}
-	var faktory measure.FaktoryOptions
-	faktoryCommand := &cobra.Command{
-		Use: "faktory", Short: "Measure cycles, bulk pushes, latency, memory and isolation of the Faktory front, as Markdown", Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
-			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGINT, syscall.SIGTERM)
-			defer stop()
-			return measure.RunFaktory(ctx, c.OutOrStdout(), faktory)
-		},
-	}
-	faktoryCommand.Flags().StringVar(&faktory.Binary, "binary", "", "the `program` to measure; default: this one")
-	faktoryCommand.Flags().StringVar(&faktory.EarlierBinary, "old", "", "an earlier `program`, from before cobaltflow.json, to measure for comparison")
-	faktoryCommand.Flags().IntVar(&faktory.Core, "core", 0, "the `core` that the gateway runs on")
-	faktoryCommand.Flags().Float64Var(&faktory.Seconds, "seconds", 5, "`seconds` of each measurement")
-	faktoryCommand.Flags().StringVar(&faktory.Parts, "only", "", "`parts`: of cycles, bulk, latency, memory, held, flood")
-	var http measure.HTTPOptions
-	httpCommand := &cobra.Command{
-		Use: "http", Short: "Compare HTTP/1.1 and HTTP/2 by connections, by memory and under attack, as Markdown", Args: cobra.NoArgs,
+	faktory := measurementCommand("faktory", "Measure cycles, bulk pushes, latency, memory and isolation of the Faktory front, as Markdown",
+		5, "cycles, bulk, latency, memory, held, flood", measure.RunFaktory)
+	http := measurementCommand("http", "Compare HTTP/1.1 and HTTP/2 by connections, by memory and under attack, as Markdown",
+		3, "fronts, conns, memory, attacks", measure.RunHTTP)
+	proxy := &cobra.Command{Use: "reverse-proxy ADDRESS TO", Hidden: true, Args: cobra.ExactArgs(2),
+		RunE: func(_ *cobra.Command, args []string) error { return measure.ServeReverseProxy(args[0], args[1]) }}
+	c.AddCommand(faktory, http, hollowCommand(), proxy, withCapacityPage(scaleCommand()))
+	return c
+}
+
+// measurementCommand returns the command of a measurement that has the named parts and takes the given seconds for each figure.
+func measurementCommand(use, short string, seconds float64, parts string, run func(context.Context, io.Writer, measure.Options) error) *cobra.Command {
+	var options measure.Options
+	c := &cobra.Command{
+		Use: use, Short: short, Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGINT, syscall.SIGTERM)
 			defer stop()
-			return measure.RunHTTP(ctx, c.OutOrStdout(), http)
+			return run(ctx, c.OutOrStdout(), options)
 		},
 	}
-	httpCommand.Flags().StringVar(&http.Binary, "binary", "", "the `program` to measure; default: this one")
-	httpCommand.Flags().StringVar(&http.EarlierBinary, "old", "", "an earlier `program`, from before cobaltflow.json, to measure for comparison")
-	httpCommand.Flags().IntVar(&http.Core, "core", 0, "the `core` that the gateway runs on")
-	httpCommand.Flags().Float64Var(&http.Seconds, "seconds", 3, "`seconds` of each measurement")
-	httpCommand.Flags().StringVar(&http.Parts, "only", "", "`parts`: of fronts, conns, memory, attacks")
-	proxy := &cobra.Command{Use: "reverse-proxy ADDRESS TO", Hidden: true, Args: cobra.ExactArgs(2),
-		RunE: func(_ *cobra.Command, args []string) error { return measure.ServeReverseProxy(args[0], args[1]) }}
-	c.AddCommand(faktoryCommand, httpCommand, hollowCommand(), proxy, withCapacityPage(scaleCommand()))
+	c.Flags().StringVar(&options.Binary, "binary", "", "the `program` to measure; default: this one")
+	c.Flags().StringVar(&options.EarlierBinary, "old", "", "an earlier `program`, from before cobaltflow.json, to measure for comparison")
+	c.Flags().IntVar(&options.Core, "core", 0, "the `core` that the gateway runs on")
+	c.Flags().Float64Var(&options.Seconds, "seconds", seconds, "`seconds` of each measurement")
+	c.Flags().StringVar(&options.Parts, "only", "", "`parts`: of "+parts)
 	return c
 }
--- a/internal/measure/faktory.go
+++ b/internal/measure/faktory.go
@@ -25,15 +25,6 @@
 	value                       float64
 }{{"board-view", "repeatable", 5000, 500, 3}, {"move", "once", 10000, 1000, 2}, {"settle", "once", 20000, 1200, 10}}
 
-// FaktoryOptions configures the measurements of the Faktory front.
-type FaktoryOptions struct {
-	Binary        string  // program of the gateway; empty: the present one
-	EarlierBinary string  // an earlier build to compare with; empty: none
-	Core          int     // the core that the gateway runs on
-	Seconds       float64 // duration of each measurement
-	Parts         string  // names of the parts to run: cycles, bulk, latency, memory, held, flood; empty: all
-}
-
 // The closed loop's numbers of clients.
 const (
 	pushers     = 32
@@ -42,8 +33,8 @@
 )
 
 // RunFaktory measures the Faktory front and writes tables in Markdown.
-func RunFaktory(ctx context.Context, w io.Writer, o FaktoryOptions) error {
-	return runParts(ctx, w, &o.Binary, o.Core, o.Parts, []part{
+func RunFaktory(ctx context.Context, w io.Writer, o Options) error {
+	return runParts(ctx, w, &o, []part{
 		{"cycles", func() error { return measureCycles(ctx, w, o) }}, {"bulk", func() error { return measureBulk(ctx, w, o) }},
 		{"latency", func() error { return measureLatency(ctx, w, o) }}, {"memory", func() error { return measureMemory(ctx, w, o) }},
 		{"held", func() error { return measureHeld(ctx, w, o) }}, {"flood", func() error { return measureFlood(ctx, w, o) }}})
@@ -220,7 +211,7 @@
 }
 
 // measureCycles compares the closed loop's rate of this build with an earlier one's, in alternation.
-func measureCycles(ctx context.Context, w io.Writer, o FaktoryOptions) error {
+func measureCycles(ctx context.Context, w io.Writer, o Options) error {
 	fmt.Fprintf(w, "### Cycles (PUSH, FETCH, ACK) on one core, %d pushers, %d workers\n\n| build | cycles/s | CPU µs/cycle |\n| --- | ---: | ---: |\n", pushers, workers)
 	for range 2 {
 		for _, b := range []gatewayOptions{{binary: o.Binary}, {binary: o.EarlierBinary, isEarlier: true}} {
@@ -264,7 +255,7 @@
 }
 
 // measureBulk measures PUSHB on several connections.
-func measureBulk(ctx context.Context, w io.Writer, o FaktoryOptions) error {
+func measureBulk(ctx context.Context, w io.Writer, o Options) error {
 	g, err := startGateway(gatewayOptions{binary: o.Binary, core: o.Core})
 	if err != nil {
 		return err
@@ -312,7 +303,7 @@
 }
 
 // measureLatency measures the time from a job's due time to its receipt at fractions of the closed loop's rate.
-func measureLatency(ctx context.Context, w io.Writer, o FaktoryOptions) error {
+func measureLatency(ctx context.Context, w io.Writer, o Options) error {
 	g, err := startGateway(gatewayOptions{binary: o.Binary, core: o.Core})
 	if err != nil {
 		return err
@@ -335,7 +326,7 @@
 }
 
 // measureMemory measures the gateway's memory by the number of held jobs.
-func measureMemory(ctx context.Context, w io.Writer, o FaktoryOptions) error {
+func measureMemory(ctx context.Context, w io.Writer, o Options) error {
 	fmt.Fprint(w, "### Memory of held jobs of 200 bytes\n\n| held | resident MB | highest MB | bytes a job over an empty one |\n| ---: | ---: | ---: | ---: |\n")
 	g, err := startGateway(gatewayOptions{binary: o.Binary, core: o.Core, memoryMB: 192, faktory: map[string]any{"max_held_mb": 64, "max_client_mb": 64}})
 	if err != nil {
@@ -363,7 +354,7 @@
 
 // measureHeld measures the closed loop beside a backlog in the same queue. It runs three rounds over all backlogs, since a
 // machine's speed drifts, and prints the round with the median CPU time.
-func measureHeld(ctx context.Context, w io.Writer, o FaktoryOptions) error {
+func measureHeld(ctx context.Context, w io.Writer, o Options) error {
 	fmt.Fprint(w, "### Cycles beside held jobs of the same queue, on one core, the middle of three rounds\n\n| held | cycles/s | CPU µs/cycle |\n| ---: | ---: | ---: |\n")
 	type round struct {
 		rate float64
@@ -389,7 +380,7 @@
 }
 
 // measureCyclesBeside measures the closed loop of a new gateway that holds a number of jobs in the same queue.
-func measureCyclesBeside(ctx context.Context, o FaktoryOptions, held int) (perSecond float64, cpu time.Duration, err error) {
+func measureCyclesBeside(ctx context.Context, o Options, held int) (perSecond float64, cpu time.Duration, err error) {
 	g, err := startGateway(gatewayOptions{binary: o.Binary, core: o.Core})
 	if err != nil {
 		return 0, 0, err
--- a/internal/measure/flood.go
+++ b/internal/measure/flood.go
@@ -17,7 +17,7 @@
 )
 
 // measureFlood compares the value that jobs of the HTTP front earn with and without a flood of PUSHes at ten times their rate.
-func measureFlood(ctx context.Context, w io.Writer, o FaktoryOptions) error {
+func measureFlood(ctx context.Context, w io.Writer, o Options) error {
 	const httpRate, floodFactor = 200.0, 10
 	fmt.Fprintf(w, "### HTTP jobs, %.0f a second, beside a flood of PUSHes at %d times that rate, on one core\n\n| flood | worth served | p50 ms | p99 ms | PUSHes taken/s | turned away/s |\n| --- | ---: | ---: | ---: | ---: | ---: |\n", httpRate, floodFactor)
 	for _, workers := range []int{-1, 1, 0, -1, 1, 0} { // workers of the flood's queue; below 0: no flood
--- a/internal/measure/http.go
+++ b/internal/measure/http.go
@@ -24,18 +24,9 @@
 	"cobaltflow/internal/platform"
 )
 
-// HTTPOptions configures the measurements of the HTTP fronts.
-type HTTPOptions struct {
-	Binary        string  // program of the gateway; empty: the present one
-	EarlierBinary string  // an earlier build to compare with; empty: none
-	Core          int     // the core that the gateway runs on
-	Seconds       float64 // duration of each measurement
-	Parts         string  // names of the parts to run: fronts, conns, memory, attacks; empty: all
-}
-
 // RunHTTP measures the HTTP fronts and writes tables in Markdown.
-func RunHTTP(ctx context.Context, w io.Writer, o HTTPOptions) error {
-	return runParts(ctx, w, &o.Binary, o.Core, o.Parts, []part{
+func RunHTTP(ctx context.Context, w io.Writer, o Options) error {
+	return runParts(ctx, w, &o, []part{
 		{"fronts", func() error { return measureFronts(ctx, w, o) }}, {"conns", func() error { return measureConns(ctx, w, o) }},
 		{"memory", func() error { return measureStreams(ctx, w, o) }}, {"attacks", func() error { return measureAttacks(ctx, w, o) }}})
 }
@@ -47,7 +38,7 @@
 }
 
 // newDeployment starts four table workers and a gateway that sends to them.
-func newDeployment(o HTTPOptions, meanRunTime time.Duration, slots int) (*deployment, error) {
+func newDeployment(o Options, meanRunTime time.Duration, slots int) (*deployment, error) {
 	s := &deployment{}
 	var addresses []string
 	for i := range 4 {
@@ -195,7 +186,7 @@
 const jobPath = "/board-view/k"
 
 // measureFronts compares the HTTP/1.1 and the HTTP/2 front with a hundred jobs in flight.
-func measureFronts(ctx context.Context, w io.Writer, o HTTPOptions) error {
+func measureFronts(ctx context.Context, w io.Writer, o Options) error {
 	fmt.Fprint(w, "### A hundred jobs in flight, on one core\n\n| clients | jobs/s | CPU µs/job | p50 ms | p99 ms |\n| --- | ---: | ---: | ---: | ---: |\n")
 	for range 2 {
 		for _, kind := range []string{"100 HTTP/1.1 connections", "1 HTTP/2 connection, 100 streams", "10 HTTP/2 connections, 10 streams"} {
@@ -229,7 +220,7 @@
 
 // measureConns measures HTTP/1.1 by the number of connections, and compares it with an earlier build and with the standard
 // library's reverse proxy.
-func measureConns(ctx context.Context, w io.Writer, o HTTPOptions) error {
+func measureConns(ctx context.Context, w io.Writer, o Options) error {
 	fmt.Fprint(w, "### HTTP/1.1 by connections, on one core\n\n| connections | jobs/s | CPU µs/job | p99 ms | earlier build, jobs/s | CPU µs/job | httputil.ReverseProxy, requests/s |\n| ---: | ---: | ---: | ---: | ---: | ---: | ---: |\n")
 	backend, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -272,7 +263,7 @@
 }
 
 // measureConnCount runs the closed loop over n HTTP/1.1 connections to a new deployment.
-func measureConnCount(ctx context.Context, o HTTPOptions, n int) (rate float64, cpu time.Duration, latencies *hdrhistogram.Histogram, err error) {
+func measureConnCount(ctx context.Context, o Options, n int) (rate float64, cpu time.Duration, latencies *hdrhistogram.Histogram, err error) {
 	s, err := newDeployment(o, 0, 64)
 	if err != nil {
 		return 0, 0, nil, err
@@ -284,7 +275,7 @@
 }
 
 // startProxy runs ServeReverseProxy to a backend's address as a process on the measured core.
-func startProxy(o HTTPOptions, backend string) (*gateway, error) {
+func startProxy(o Options, backend string) (*gateway, error) {
 	self, err := os.Executable()
 	if err != nil {
 		return nil, err
@@ -310,7 +301,7 @@
 }
 
 // measureStreams measures the memory of idle HTTP/2 connections and of open streams.
-func measureStreams(_ context.Context, w io.Writer, o HTTPOptions) error {
+func measureStreams(_ context.Context, w io.Writer, o Options) error {
 	s, err := newDeployment(o, time.Hour, 4096)
 	if err != nil {
 		return err
@@ -357,7 +348,7 @@
 }
 
 // measureAttacks compares the value that regular HTTP/1.1 clients earn under each attack with their value without one.
-func measureAttacks(ctx context.Context, w io.Writer, o HTTPOptions) error {
+func measureAttacks(ctx context.Context, w io.Writer, o Options) error {
 	fmt.Fprint(w, "### HTTP/1.1 jobs, 200 a second, while an HTTP/2 client attacks, on one core\n\n| attack | worth served | p50 ms | p99 ms |\n| --- | ---: | ---: | ---: |\n")
 	write := func(kind http2.FrameType, flags http2.Flags, payload ...byte) func(*http2.Framer, uint32) error {
 		return func(fr *http2.Framer, id uint32) error { return fr.WriteRawFrame(kind, flags, 0, payload) }
--- a/internal/measure/process.go
+++ b/internal/measure/process.go
@@ -28,19 +28,28 @@
 	run  func() error
 }
 
-// runParts runs the selected parts, or all if selected is empty, and moves this process off the measured core. An empty
+// Options configures the measurements of RunFaktory and of RunHTTP.
+type Options struct {
+	Binary        string  // program of the gateway; empty: the present one
+	EarlierBinary string  // an earlier build to compare with; empty: none
+	Core          int     // the core that the gateway runs on
+	Seconds       float64 // duration of each measurement
+	Parts         string  // names of the parts to run; empty: all
+}
+
+// runParts runs the selected parts, or all if none is selected, and moves this process off the measured core. An empty
 // binary is replaced by the path of the present program.
-func runParts(ctx context.Context, w io.Writer, binary *string, core int, selected string, parts []part) error {
-	if *binary == "" {
+func runParts(ctx context.Context, w io.Writer, o *Options, parts []part) error {
+	if o.Binary == "" {
 		self, err := os.Executable()
 		if err != nil {
 			return err
 		}
-		*binary = self
+		o.Binary = self
 	}
-	avoidCore(core)
+	avoidCore(o.Core)
 	for _, p := range parts {
-		if selected != "" && !strings.Contains(selected, p.name) {
+		if o.Parts != "" && !strings.Contains(o.Parts, p.name) {
 			continue
 		}
 		if err := p.run(); err != nil {
