Open the closed stream of four HTTP/2 cases in one place

Four cases of the conformance suite began with the same handshake and answered request. openClosedStream does it; what each case sends and expects is unchanged. The tests of internal/conformance pass.

--- a/internal/conformance/http2_stream_cases.go
+++ b/internal/conformance/http2_stream_cases.go
@@ -22,30 +22,22 @@
 		h.expectStreamClosed(id)
 	})
 	t.add("5.1", "headers-on-closed", "HEADERS on a closed stream is a STREAM_CLOSED error", func(h *http2Conn) {
-		h.handshake()
-		id := h.openStream(true, h.getRequest()...)
-		h.readAnswer(id)
+		id := h.openClosedStream()
 		h.writeRaw(frameHeaders, 5, id, h.encodeHeaders(h.getRequest()...)...)
 		h.expectStreamClosed(id)
 	})
 	t.add("5.1", "data-on-closed", "DATA on a closed stream is a STREAM_CLOSED error", func(h *http2Conn) {
-		h.handshake()
-		id := h.openStream(true, h.getRequest()...)
-		h.readAnswer(id)
+		id := h.openClosedStream()
 		h.writeRaw(frameData, 1, id, 'a')
 		h.expectStreamClosed(id)
 	})
 	t.add("5.1", "window-on-closed", "WINDOW_UPDATE on a closed stream is no error", func(h *http2Conn) {
-		h.handshake()
-		id := h.openStream(true, h.getRequest()...)
-		h.readAnswer(id)
+		id := h.openClosedStream()
 		h.writeRaw(frameWindowUpdate, 0, id, encodeUint32(1)...)
 		h.expectServed()
 	})
 	t.add("5.1", "reset-on-closed", "RST_STREAM on a closed stream is no error", func(h *http2Conn) {
-		h.handshake()
-		id := h.openStream(true, h.getRequest()...)
-		h.readAnswer(id)
+		id := h.openClosedStream()
 		h.writeRaw(frameReset, 0, id, encodeUint32(8)...)
 		h.expectServed()
 	})
@@ -92,6 +84,14 @@
 	})
 }
 
+// openClosedStream completes the handshake and returns a stream that is closed, since its request was answered.
+func (h *http2Conn) openClosedStream() uint32 {
+	h.handshake()
+	id := h.openStream(true, h.getRequest()...)
+	h.readAnswer(id)
+	return id
+}
+
 // expectStreamClosed waits for a STREAM_CLOSED error of the stream or the connection. The stream's answer may arrive before.
 func (h *http2Conn) expectStreamClosed(id uint32) {
 	for {
