--- a/internal/link/socket.go
+++ b/internal/link/socket.go
@@ -83,8 +83,8 @@
 }
 
 // steerToSuccessor makes the kernel give every new connection at the address to the listener that came second, in place of
-// one by the connection's hash. It is for a process that has exactly one other beside it, its successor. In the rare case
-// that a third one has left before, the second place may be this listener's own.
+// one by the connection's hash. It is for a process that has exactly one other beside it, its successor, and never had two:
+// after one of three has left, the second place may be this listener's own.
 func (l *socketListener) steerToSuccessor() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
