Count no disable call whose scheduler has ended before the call counts

Cause: in the judge. An operator's call came to the only process of a scheduler, which was ending, while its directory was away (12.08); it was answered 503 (12.43), and the process ended (12.51). A new process had started by then with an empty directory (12.77). The judge ends a directive with the last process of its scheduler, but only one that counts already.

Change: a call that was made before that end and counts from after it is never in force.

Three cases in the judge's test: an end between the call and its time (failed before), an end before the call, another scheduler's end.

--- a/internal/fleet/judge/judge_test.go
+++ b/internal/fleet/judge/judge_test.go
@@ -185,6 +185,15 @@
 			delayAttempt(t, r, 1950, 1.1)
 			r.Tries[0].EndedUS = r.Attempts[0].ArrivedUS - 1000
 		}, "nothing new to a table worker that an operator took out"},
+		{"an attempt of a scheduler whose last process ended between the disable call and the time from which it counts", func(r *record.Records) {
+			r.Events = []record.Event{{AtUS: 1.8e6, CalledUS: 1.4e6, Kind: "out", Scheduler: 0, Worker: 0}, {AtUS: 1.6e6, Kind: "ended", Scheduler: 0, Worker: -1}}
+		}, ""},
+		{"an attempt of a scheduler whose last process ended before the disable call", func(r *record.Records) {
+			r.Events = []record.Event{{AtUS: 1.8e6, CalledUS: 1.4e6, Kind: "out", Scheduler: 0, Worker: 0}, {AtUS: 1.3e6, Kind: "ended", Scheduler: 0, Worker: -1}}
+		}, "nothing new to a table worker that an operator took out"},
+		{"an attempt at a disabled worker after another scheduler's end", func(r *record.Records) {
+			r.Events = []record.Event{{AtUS: 1.8e6, CalledUS: 1.4e6, Kind: "out", Scheduler: 0, Worker: 0}, {AtUS: 1.6e6, Kind: "ended", Scheduler: 1, Worker: -1}}
+		}, "nothing new to a table worker that an operator took out"},
 		{"an attempt of a scheduler that was restarted since the disable call", func(r *record.Records) {
 			r.Events = []record.Event{{AtUS: 1.5e6, Kind: "out", Scheduler: 0, Worker: 0}, {AtUS: 2e6, Kind: "killed", Text: "n0", Scheduler: 0, Worker: -1},
 				{AtUS: 2.5e6, Kind: "ready", Scheduler: 0, Worker: -1}}
--- a/internal/fleet/judge/operators.go
+++ b/internal/fleet/judge/operators.go
@@ -23,12 +23,13 @@
 
 // disabledTimes returns the times between the answer to a disable call and the enable call. An enable call undoes each
 // disable call that was made before it, also one that is answered later. A directive ends with the last process of its
-// scheduler.
+// scheduler, and is never in force if that ends between the call and the time from which the call counts.
 func disabledTimes(rec *record.Records) map[schedulerWorker][]disabledTime {
 	events := slices.Clone(rec.Events)
 	slices.SortStableFunc(events, func(a, b record.Event) int { return int(a.AtUS - b.AtUS) })
 	times := map[schedulerWorker][]disabledTime{}
 	enabledUS := map[schedulerWorker]int64{}
+	endedUS := map[int32]int64{} // by scheduler, the end of its last process
 	endLast := func(key schedulerWorker, atUS int64) {
 		if list := times[key]; len(list) > 0 && list[len(list)-1].to == never {
 			list[len(list)-1].to = atUS
@@ -41,12 +42,16 @@
 			if enabled, isKnown := enabledUS[key]; isKnown && event.CalledUS > 0 && event.CalledUS <= enabled {
 				continue
 			}
+			if ended, isKnown := endedUS[event.Scheduler]; isKnown && event.CalledUS > 0 && event.CalledUS <= ended {
+				continue
+			}
 			endLast(key, event.AtUS)
 			times[key] = append(times[key], disabledTime{event.AtUS, never})
 		case "back":
 			enabledUS[key] = event.AtUS
 			endLast(key, event.AtUS)
 		case "killed", "ended", "crashed":
+			endedUS[event.Scheduler] = event.AtUS
 			for key := range times {
 				if key.scheduler == event.Scheduler {
 					endLast(key, event.AtUS)
