Import an older version's directives also where a process can't write at its start

Seen by reading: in an upgrade from a version that keeps disabled workers in one file, a process that can't write its own file at its start puts none of them in force.

--- a/cmd/cobaltflow/upgrade_directives_test.go
+++ b/cmd/cobaltflow/upgrade_directives_test.go
@@ -285,6 +285,36 @@
 	assert.NotZero(t, h.workers[0].jobsAfter(enabled))
 }
 
+// Disabled workers that an older version stored are in force also in a process that can't write its own file. Guards against
+// a process that took nothing over after the first failed write.
+func TestDirectivesOfAnOlderVersionAreImportedWithoutWriting(t *testing.T) {
+	const stored = 30 // their file exceeds the limit of limitFileSize
+	var names []string
+	for i := range stored + 2 {
+		names = append(names, fmt.Sprintf("s-%02d", i))
+	}
+	h := newUpgradeHarness(t, names...)
+	only := h.start()
+	for _, name := range names[:stored] {
+		require.Equal(t, 200, only.disable(name))
+	}
+	only.kill()
+	legacyFile := filepath.Join(h.stateDir, "cobaltflow-held-n1-"+fileName(h.listen))
+	require.NoError(t, os.WriteFile(legacyFile, []byte(names[stored]+"\n"), 0o600))
+	h.limitFileSize()
+	only = h.start()
+	require.True(t, only.logged("file too large"))
+	h.assertNoJobs(stored, time.Now().Add(-drainGrace), only)
+	assert.FileExists(t, legacyFile, "kept until its workers are in the directory")
+}
+
+// limitFileSize lets the processes that are started later fail to write files over 1 KiB, as on a full disk.
+func (h *upgradeHarness) limitFileSize() {
+	script := filepath.Join(h.t.TempDir(), "limited")
+	require.NoError(h.t, os.WriteFile(script, fmt.Appendf(nil, "#!/bin/sh\nulimit -f 1\nexec %s \"$@\"\n", h.binary), 0o700))
+	h.binary = script
+}
+
 // descriptors returns the number of open file descriptors of the process; 0: it has ended.
 func (i *instance) descriptors() int {
 	n, _ := procfs.Descriptors(i.cmd.Process.Pid)
--- a/internal/gateway/directives.go
+++ b/internal/gateway/directives.go
@@ -60,10 +60,8 @@
 	if err != nil {
 		log.Warn("directive: directory unavailable, retrying", "error", err, "start_waits_at_most", maxDirectoryWait)
 	}
-	err = d.replica.AwaitFirstScan(maxDirectoryWait)
-	if err == nil {
-		err = importDisabledWorkers(d.replica, stateFilePath(conf, "held"))
-	}
+	// Imported also after an error: what can't be written is in force in this process nevertheless.
+	err = errors.Join(d.replica.AwaitFirstScan(maxDirectoryWait), importDisabledWorkers(d.replica, stateFilePath(conf, "held")))
 	if err != nil {
 		log.Warn("directive: directory unavailable, retrying", "error", err)
 	}
