Register a process also where its lock file can't hold the process ID

Seen by reading: a process on a full disk made 4,416 empty lock files in 9 s and went on, was ready after 4.09 s, and was not counted by the other process of its scheduler.

Cause: where the process ID could not be written to the lock file, the lock counted as not acquired, and the next generation was tried. Only a file system without flock needs the process ID.

Change: with the lock held a failed write of the process ID is no error.

--- a/cmd/cobaltflow/upgrade_directives_test.go
+++ b/cmd/cobaltflow/upgrade_directives_test.go
@@ -288,7 +288,7 @@
 // Disabled workers that an older version stored are in force also in a process that can't write its own file. Guards against
 // a process that took nothing over after the first failed write.
 func TestDirectivesOfAnOlderVersionAreImportedWithoutWriting(t *testing.T) {
-	const stored = 30 // their file exceeds the limit of limitFileSize
+	const stored = 30 // their file exceeds the limit below
 	var names []string
 	for i := range stored + 2 {
 		names = append(names, fmt.Sprintf("s-%02d", i))
@@ -301,20 +301,39 @@
 	only.kill()
 	legacyFile := filepath.Join(h.stateDir, "cobaltflow-held-n1-"+fileName(h.listen))
 	require.NoError(t, os.WriteFile(legacyFile, []byte(names[stored]+"\n"), 0o600))
-	h.limitFileSize()
+	h.limitFileSize(1)
 	only = h.start()
 	require.True(t, only.logged("file too large"))
 	h.assertNoJobs(stored, time.Now().Add(-drainGrace), only)
 	assert.FileExists(t, legacyFile, "kept until its workers are in the directory")
 }
 
-// limitFileSize lets the processes that are started later fail to write files over 1 KiB, as on a full disk.
-func (h *upgradeHarness) limitFileSize() {
+// limitFileSize lets the processes that are started later fail to write files over a number of blocks (of 512 or 1,024 bytes),
+// as on a full disk.
+func (h *upgradeHarness) limitFileSize(blocks int) {
 	script := filepath.Join(h.t.TempDir(), "limited")
-	require.NoError(h.t, os.WriteFile(script, fmt.Appendf(nil, "#!/bin/sh\nulimit -f 1\nexec %s \"$@\"\n", h.binary), 0o700))
+	require.NoError(h.t, os.WriteFile(script, fmt.Appendf(nil, "#!/bin/sh\nulimit -f %d\nexec %s \"$@\"\n", blocks, h.binary), 0o700))
 	h.binary = script
 }
 
+// A process that can write nothing, as on a full disk, registers all the same: it goes by what the other one has written, does
+// not wait, and counts as a process. Guards against a process that made 64 lock files at each poll.
+func TestProcessOnAFullDiskRegisters(t *testing.T) {
+	h := newUpgradeHarness(t, "s-1", "s-2")
+	old := h.start()
+	require.Equal(t, 200, old.disable("s-1"))
+	confirmed := time.Now()
+	h.limitFileSize(0)
+	launched := time.Now()
+	fresh := h.start()
+	assert.Less(t, time.Since(launched), 3*time.Second, "a process that can't write does not wait")
+	eventually(t, func() bool { return old.logged("alive=1") && fresh.logged("alive=1") })
+	h.assertNoJobs(0, confirmed, old, fresh)
+	locks, err := filepath.Glob(filepath.Join(h.stateDir, "cobaltflow-directives-*", "*.lock"))
+	require.NoError(t, err)
+	assert.Len(t, locks, 2)
+}
+
 // descriptors returns the number of open file descriptors of the process; 0: it has ended.
 func (i *instance) descriptors() int {
 	n, _ := procfs.Descriptors(i.cmd.Process.Pid)
--- a/internal/replica/files.go
+++ b/internal/replica/files.go
@@ -116,15 +116,18 @@
 func (l fileLock) Unlock() { l.file.Close() }
 
 // Lock implements FileSystem with flock, which the kernel releases when the process ends, however it ends. The file holds
-// the process ID, for file systems without flock.
+// the process ID, for file systems without flock; elsewhere it may be missing.
 func (OSFileSystem) Lock(path string) (Lock, error) {
 	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_EXCL, fileMode)
 	if err != nil {
 		return nil, err
 	}
 	err = flock(file, unix.LOCK_EX)
-	if err == nil || !errors.Is(err, unix.EWOULDBLOCK) {
-		_, err = file.WriteString(strconv.Itoa(os.Getpid()))
+	if !errors.Is(err, unix.EWOULDBLOCK) {
+		_, writeErr := file.WriteString(strconv.Itoa(os.Getpid()))
+		if err != nil {
+			err = writeErr // without flock it takes the process ID, which a full disk does not hold
+		}
 	}
 	if err == nil && !sameFile(file, path) {
 		err = fs.ErrExist // another process took the file for a dead process's and removed it
