Number a scheduler's processes by their starts, not by what is in the directory

Seen by reading, and forced: after the directory of the operators' directives was emptied, a process that started before the old one's next poll took the old one's generation. Neither found the other again; calls were answered 200 that the other never heard of, and the old process did not hand over. A process that registers late passed for the successor of one that started after it.

Cause: the generation was one over all in the directory.

Change: a process takes its start's time by the machine's clock, or one over all if that is higher; one that registers again, or has served before it could, takes a free number close to its own.

TestProcessThatRegistersLaterIsNoSuccessor and TestUpgradeInAnEmptiedDirectory failed before and pass, 5 and 3 times. The tests of internal/replica pass, also with -race; those of upgrades, directives and processes in cmd/cobaltflow pass (101 s).

--- a/cmd/cobaltflow/upgrade_directives_test.go
+++ b/cmd/cobaltflow/upgrade_directives_test.go
@@ -187,6 +187,28 @@
 	})
 }
 
+// The directory is emptied while the old process stands still, and a new one starts: both find each other, and the old one
+// hands over to the new one.
+func TestUpgradeInAnEmptiedDirectory(t *testing.T) {
+	h := newUpgradeHarness(t, "s-1", "s-2")
+	old := h.start()
+	require.NoError(t, old.cmd.Process.Signal(syscall.SIGSTOP))
+	dirs, err := filepath.Glob(filepath.Join(h.stateDir, "cobaltflow-directives-*"))
+	require.NoError(t, err)
+	require.Len(t, dirs, 1)
+	require.NoError(t, os.RemoveAll(dirs[0]))
+	fresh := h.launch()
+	eventually(t, func() bool { return fresh.sendAdmin("GET", "/-/ready") == 200 })
+	require.NoError(t, old.cmd.Process.Signal(syscall.SIGCONT))
+	eventually(t, func() bool { return old.logged("alive=1") && fresh.logged("alive=1") })
+	require.Equal(t, 200, fresh.disable("s-1"))
+	h.assertNoJobs(0, time.Now(), old, fresh)
+	old.terminate()
+	old.cmd.Wait()
+	assert.True(t, old.logged("a successor serves"))
+	assert.False(t, fresh.logged("successor=true"))
+}
+
 // Callbacks reach the process that has their job, whichever process the kernel gives them to, during consecutive upgrades.
 // Until two processes know of each other, for at most 50 ms, a callback is refused and has to be repeated.
 func TestCallbacksReachTheirProcessDuringUpgrades(t *testing.T) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -79,7 +79,8 @@
 // and written it to its own. Each live process holds an flock on a lock file of its own. The kernel releases it however the
 // process ends, so a reused process ID is never mistaken for a live process.
 //
-// Processes are numbered by generation; a later process has a higher one. docs/design/operator-directives.md compares this
+// Processes are numbered by generation; a later process has a higher one, also if it could register before an earlier one
+// (nextGeneration). docs/design/operator-directives.md compares this
 // design with its alternatives.
 type Replica struct {
 	Options
@@ -93,6 +94,7 @@
 	failedAt   atomic.Int64 // monotonic time of the directory's last failure, in nanoseconds; 0: none
 
 	// The fields below belong to the goroutine of Run, and before it to Open and the methods called before Run.
+	place             int // lowest generation: the time of Open by the machine's clock, which no process that started earlier reaches
 	generation        int
 	lock              Lock
 	set               directive.Set
@@ -130,7 +132,8 @@
 	if o.PollPeriod == 0 {
 		o.PollPeriod = PollPeriodWithAdmin
 	}
-	r := &Replica{Options: o, changes: make(chan *change, maxPendingChanges), stop: make(chan struct{}), dirty: true,
+	place := max(1, int(clock.MachineMicros()))
+	r := &Replica{Options: o, place: place, changes: make(chan *change, maxPendingChanges), stop: make(chan struct{}), dirty: true,
 		peers: map[int]*peer{}, changedBeforeScan: map[directive.Key]bool{}, invalidLogged: map[int]bool{}}
 	err := r.join()
 	if err == nil {
@@ -204,7 +207,7 @@
 	r.Log.Warn("directive: other processes may know directives that are not in the directory yet", "error", err)
 }
 
-// register acquires the lock of the next free generation.
+// register acquires the lock of a free generation.
 func (r *Replica) register() error {
 	if r.lock != nil {
 		r.noteFailure(errNotRegistered) // the lock file was removed, and others may have been
@@ -217,10 +220,7 @@
 		if names, err = r.FileSystem.List(r.Dir); err != nil {
 			return err
 		}
-		next := max(r.generation, 1)
-		for generation := range generations(names) {
-			next = max(next, generation+1)
-		}
+		next := r.nextGeneration(generations(names))
 		if r.lock, err = r.FileSystem.Lock(r.path(next, lockExtension)); err == nil {
 			r.generation, r.dirty = next, true
 			r.registered.Store(int64(next))
@@ -230,6 +230,21 @@
 	return err
 }
 
+// nextGeneration returns a free generation: above all others for a process that starts, and close to its own place for one that
+// registers again, or has served without the directory. Others may have started and registered meanwhile.
+func (r *Replica) nextGeneration(found map[int]int) int {
+	next := max(r.generation, r.place)
+	if r.generation == 0 && !r.serving.Load() {
+		for generation := range found {
+			next = max(next, generation+1)
+		}
+	}
+	for found[next] != 0 {
+		next++
+	}
+	return next
+}
+
 // Active returns the directives that are on. It may be called only between Open and Run.
 func (r *Replica) Active() (on []directive.Entry) {
 	for _, e := range r.set.Entries() {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -559,6 +559,42 @@
 	assert.False(t, old.HasSuccessor())
 }
 
+// A process that registers again in an emptied directory, or for the first time long after its start, is neither taken for
+// one that started later nor for the same one. Guards against a process that started in the emptied directory and took the
+// generation that the other one still used: neither ever found the other.
+func TestProcessThatRegistersLaterIsNoSuccessor(t *testing.T) {
+	for name, faultFromStart := range map[string]bool{"again, in an emptied directory": false, "first after its start": true} {
+		t.Run(name, func(t *testing.T) {
+			dir, oldFiles := testDir(t), &faultyFileSystem{}
+			unavailable := map[string]error{"list": syscall.EIO}
+			if faultFromStart {
+				oldFiles.set(unavailable)
+			}
+			old := open(t, dir, oldFiles)
+			old.MarkServing()
+			old.Run()
+			t.Cleanup(old.Close)
+			oldFiles.set(unavailable)
+			require.Error(t, old.change(workerA, true, 10*time.Millisecond))
+			require.NoError(t, os.RemoveAll(dir))
+			fresh := open(t, dir, nil)
+			fresh.MarkServing()
+			fresh.Run()
+			t.Cleanup(fresh.Close)
+			oldFiles.set(nil)
+			require.NoError(t, fresh.change(workerB, true, testTimeout))
+			require.NoError(t, old.change(workerB, true, testTimeout))
+			eventually(t, func() bool { return fresh.inForce(workerA) })
+			assert.True(t, old.HasSuccessor())
+			assert.False(t, fresh.HasSuccessor())
+			for _, p := range []*process{old, fresh} {
+				alone, err := p.IsAlone()
+				assert.False(t, alone && err == nil)
+			}
+		})
+	}
+}
+
 // OnProcessesChanged reports processes that start, begin to serve and end; a crash is detected by the released lock.
 func TestProcessChangesAreReported(t *testing.T) {
 	dir := testDir(t)
