Write that a process serves before it can answer that it is ready

Cause: the successor wrote to its file that it listens on the replica's goroutine, beside the loop that answers the readiness check.

Change: Run writes it before it starts the goroutine.

The tests of internal/replica pass.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -293,8 +293,15 @@
 // Failures returns the number of steps in which a scan or write failed.
 func (r *Replica) Failures() uint64 { return r.failures.Load() }
 
-// Run starts the goroutine that polls the directory and writes this process's file.
-func (r *Replica) Run() { r.stopped.Go(r.run) }
+// Run starts the goroutine that polls the directory and writes this process's file. If this process serves, it writes that
+// first: whoever finds it ready may tell an earlier process to end, which then looks for its successor. The goroutine retries a
+// write that fails.
+func (r *Replica) Run() {
+	if r.serving.Load() {
+		r.noteFailure(r.write())
+	}
+	r.stopped.Go(r.run)
+}
 
 // Change sets a directive. done is called once, from the replica's goroutine: with nil when the directive is in force in,
 // and persisted by, every process of the scheduler, or with the error that prevented this within the given time. After
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -559,6 +559,21 @@
 	assert.False(t, old.HasSuccessor())
 }
 
+// A process that listens is a successor as soon as Run has returned, before it can answer that it is ready. Guards against an
+// earlier process that is told to end at that moment and finds no successor.
+func TestSuccessorIsFoundOnceItRuns(t *testing.T) {
+	for range 50 {
+		dir := testDir(t)
+		old, fresh := open(t, dir, nil), open(t, dir, nil)
+		fresh.MarkServing()
+		fresh.Run()
+		found := old.HasSuccessor()
+		fresh.Close()
+		old.lock.Unlock()
+		require.True(t, found)
+	}
+}
+
 // A process that registers again in an emptied directory, or for the first time long after its start, is neither taken for
 // one that started later nor for the same one. Guards against a process that started in the emptied directory and took the
 // generation that the other one still used: neither ever found the other.
