Bound the wait until the directory says that a process serves

Change: the goroutine of Run writes it as before, and the start waits for its first step, for up to 100 ms.

--- a/cmd/cobaltflow/upgrade_directives_test.go
+++ b/cmd/cobaltflow/upgrade_directives_test.go
@@ -291,6 +291,20 @@
 	assert.False(t, old.logged("a successor serves"))
 }
 
+// A process that is told to end in the moment in which its successor is ready hands over to it.
+func TestSuccessorIsFoundOnceItIsReady(t *testing.T) {
+	for range 20 {
+		h := newUpgradeHarness(t, "s-1")
+		old, fresh := h.start(), h.launch()
+		busyWait(t, func() bool { return fresh.sendAdmin("GET", "/-/ready") == 200 })
+		old.terminate()
+		eventually(t, func() bool { return old.logged("stopping") })
+		assert.True(t, old.logged("a successor serves"))
+		old.kill()
+		fresh.kill()
+	}
+}
+
 // Disabled workers that an older version of the program stored, one name a line, stay disabled. Once imported they can be
 // enabled, which persists.
 func TestDirectivesOfAnOlderVersionAreImported(t *testing.T) {
--- a/internal/gateway/directives.go
+++ b/internal/gateway/directives.go
@@ -176,6 +176,21 @@
 // Failures implements admin.Directives.
 func (d *directives) Failures() uint64 { return d.replica.Failures() }
 
+// announcementTimeout bounds awaitAnnouncement, for which the first connections wait: the directory may be slow or hang.
+const announcementTimeout = 100 * time.Millisecond
+
+// awaitAnnouncement waits until the directory says that this process serves. It must be called before the loop runs, and so
+// before the process can answer that it is ready: whoever hears that may tell an earlier process to end, which then looks for
+// its successor.
+func (d *directives) awaitAnnouncement() {
+	timeout := time.NewTimer(announcementTimeout)
+	defer timeout.Stop()
+	select {
+	case <-d.replica.Announced():
+	case <-timeout.C:
+	}
+}
+
 // successorCheckTimeout bounds hasSuccessor: a directory that hangs must not hold up a shutdown.
 const successorCheckTimeout = 100 * time.Millisecond
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -105,6 +105,7 @@
 	}
 	g.directives.replica.MarkServing()
 	g.directives.replica.Run()
+	g.directives.awaitAnnouncement()
 	return nil
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -84,11 +84,13 @@
 // design with its alternatives.
 type Replica struct {
 	Options
-	changes  chan *change
-	stop     chan struct{}
-	stopped  sync.WaitGroup
-	serving  atomic.Bool
-	failures atomic.Uint64
+	changes chan *change
+	stop    chan struct{}
+	stopped sync.WaitGroup
+	// announced is closed after the first step of Run.
+	announced chan struct{}
+	serving   atomic.Bool
+	failures  atomic.Uint64
 	// registered is the generation that is locked, or was last, for the goroutines that may not read generation.
 	registered atomic.Int64
 	failedAt   atomic.Int64 // monotonic time of the directory's last failure, in nanoseconds; 0: none
@@ -134,7 +136,7 @@
 	}
 	place := max(1, int(clock.MachineMicros()))
 	r := &Replica{Options: o, place: place, changes: make(chan *change, maxPendingChanges), stop: make(chan struct{}), dirty: true,
-		peers: map[int]*peer{}, changedBeforeScan: map[directive.Key]bool{}, invalidLogged: map[int]bool{}}
+		announced: make(chan struct{}), peers: map[int]*peer{}, changedBeforeScan: map[directive.Key]bool{}, invalidLogged: map[int]bool{}}
 	err := r.join()
 	if err == nil {
 		err = r.write()
@@ -293,15 +295,12 @@
 // Failures returns the number of steps in which a scan or write failed.
 func (r *Replica) Failures() uint64 { return r.failures.Load() }
 
-// Run starts the goroutine that polls the directory and writes this process's file. If this process serves, it writes that
-// first: whoever finds it ready may tell an earlier process to end, which then looks for its successor. The goroutine retries a
-// write that fails.
-func (r *Replica) Run() {
-	if r.serving.Load() {
-		r.noteFailure(r.write())
-	}
-	r.stopped.Go(r.run)
-}
+// Run starts the goroutine that polls the directory and writes this process's file.
+func (r *Replica) Run() { r.stopped.Go(r.run) }
+
+// Announced returns a channel that is closed once the goroutine of Run has written, or failed to write, that this process
+// serves, if MarkServing was called before Run. Earlier processes find their successor from then on.
+func (r *Replica) Announced() <-chan struct{} { return r.announced }
 
 // Change sets a directive. done is called once, from the replica's goroutine: with nil when the directive is in force in,
 // and persisted by, every process of the scheduler, or with the error that prevented this within the given time. After
@@ -336,6 +335,7 @@
 func (r *Replica) run() {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	announce := sync.OnceFunc(func() { close(r.announced) })
 	for {
 		select {
 		case <-r.stop:
@@ -345,6 +345,7 @@
 		case <-timer.C:
 		}
 		r.step()
+		announce()
 		if len(r.pending) > 0 {
 			timer.Reset(pollPeriodWhilePending)
 		} else {
