Note the directory's failures also while a process waits for the others at its start

Seen by reading: IsAlone says that no other process lives although the directory failed a moment ago, if that was during the wait for the others' files. A callback of a third process that could not register may be refused by that; not forced.

Cause: the loop of that wait noted no failures.

Change: it does.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -195,6 +195,7 @@
 	for err == nil {
 		writeErr := r.write()
 		_, _, scanErr := r.scan()
+		r.noteFailure(errors.Join(writeErr, scanErr))
 		switch {
 		case scanErr == nil && writeErr == nil && r.isConfirmed(request):
 			return
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -719,6 +719,21 @@
 	assert.ErrorIs(t, err, errRecentFailure)
 }
 
+// A failure while the process waits for the others at its start counts as well, though the process serves after it.
+func TestIsAloneCannotTellAfterAFailureAtTheStart(t *testing.T) {
+	dir, freshFiles := testDir(t), &faultyFileSystem{}
+	stopped, fresh := open(t, dir, nil), open(t, dir, freshFiles)
+	time.AfterFunc(50*time.Millisecond, func() { freshFiles.set(map[string]error{"list": syscall.EIO}) })
+	require.NoError(t, fresh.AwaitFirstScan(150*time.Millisecond))
+	_, err := freshFiles.List(dir)
+	require.ErrorIs(t, err, syscall.EIO, "the wait ends with the directory unavailable")
+	freshFiles.set(nil)
+	stopped.lock.Unlock()
+	alone, err := fresh.IsAlone()
+	assert.ErrorIs(t, err, errRecentFailure)
+	assert.False(t, alone)
+}
+
 // A process that could not read the directory at its start adopts what another one put in force meanwhile and writes only after
 // the directory is back. Guards against an attempt for a disabled worker: the first scan found the directory back, and the
 // other process's file as it was before.
