Take the ports of the processes' tests from outside of the kernel's range

TestDirectivesOfAnOlderVersionAreImportedWithoutWriting failed once in a run of all packages with -race: listen 127.0.0.1:39729, address already in use. The harness closed a port that the kernel had assigned and used it a moment later; the kernel (32768 to 60999 there) gave it to another test meanwhile.

No assertion changes; the tests of cmd/cobaltflow pass once.

--- a/cmd/cobaltflow/process_test.go
+++ b/cmd/cobaltflow/process_test.go
@@ -18,6 +18,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"cobaltflow/internal/fleet/endpoints"
 )
 
 const (
@@ -110,12 +112,11 @@
 	return binary
 }
 
-// freeAddress returns an unused address, assigned by the kernel.
+// freeAddress returns an unused address outside of the ports that the kernel assigns, which another test could get at any time.
 func freeAddress(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	addresses, err := endpoints.FreePorts([4]byte{127, 0, 0, 1}, 1, false)
 	require.NoError(t, err)
-	defer ln.Close()
-	return ln.Addr().String()
+	return addresses[0].String()
 }
 
 // newProgram returns a process, not started yet, in a group of schedulers; mode is the discovery setting, push or ask.
--- a/cmd/cobaltflow/upgrade_test.go
+++ b/cmd/cobaltflow/upgrade_test.go
@@ -120,15 +120,8 @@
 	return i
 }
 
-// launch starts a process of the scheduler without waiting. While no process listens at h.listen, the kernel may assign
-// its port again; a process whose admin address is also the clients' address refuses its configuration.
-func (h *upgradeHarness) launch() *instance {
-	admin := freeAddress(h.t)
-	for admin == h.listen || admin == h.discovery {
-		admin = freeAddress(h.t)
-	}
-	return h.launchAt(admin)
-}
+// launch starts a process of the scheduler without waiting.
+func (h *upgradeHarness) launch() *instance { return h.launchAt(freeAddress(h.t)) }
 
 // launchAt is launch with the given admin address.
 func (h *upgradeHarness) launchAt(admin string) *instance {
