--- a/internal/directive/directive.go
+++ b/internal/directive/directive.go
@@ -20,8 +20,8 @@
 // reload request; it is never on.
 const Reload Key = "reload"
 
-// Join is the directive with which a process that has read the others' files late asks them to write theirs once more. Each
-// change of it is one request; it is never on.
+// Join is the directive with which a process that starts asks the others to write their files once more. Each change of it is
+// one request; it is never on.
 const Join Key = "join"
 
 const workerPrefix = "worker/"
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -765,6 +765,7 @@
 	assert.Equal(t, workerA, fresh.Active()[0].Key)
 }
 
+// A process that does not write holds up the start of another one for the time that it may take, and no longer.
 func TestLateFirstScanDoesNotWaitForeverForOthers(t *testing.T) {
 	dir, oldFiles, freshFiles := testDir(t), &faultyFileSystem{}, &faultyFileSystem{}
 	start(t, dir, oldFiles)
