Write a process's directives once at a start alone

AwaitFirstScan wrote the file again that Open had written, with its syncs, also where no other process lives. It writes only what has changed since.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -183,6 +183,9 @@
 	if r.otherProcesses().Alive > 0 {
 		r.awaitPeerFiles(deadline)
 	}
+	if !r.dirty {
+		return nil
+	}
 	return r.write()
 }
 
