Send the request of a stopped process's test once the process stands still

TestTimeLeftCountsWhileTheProcessIsStopped failed once in a run of all packages with -race, in both cases: 4,989 ms stated. A signal stops a process a moment after kill(2) has returned, on a busy machine milliseconds; the process read the request and sent its attempt before.

The test waits until all threads are stopped.

--- a/cmd/cobaltflow/stopped_process_test.go
+++ b/cmd/cobaltflow/stopped_process_test.go
@@ -1,8 +1,12 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -37,6 +41,7 @@
 			}
 			require.Equal(t, 200, send("id-1"))
 			require.NoError(t, only.cmd.Process.Signal(syscall.SIGSTOP))
+			eventually(t, only.isStopped)
 			status := make(chan int, 1)
 			go func() { status <- send("id-2") }()
 			time.Sleep(stoppedFor)
@@ -50,3 +55,19 @@
 		})
 	}
 }
+
+// isStopped reports whether all threads of the process are stopped (proc(5)), which a signal brings about a moment later.
+func (i *instance) isStopped() bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", i.cmd.Process.Pid))
+	if err != nil || len(threads) == 0 {
+		return false
+	}
+	for _, thread := range threads {
+		text, err := os.ReadFile(thread)
+		_, afterName, found := strings.Cut(string(text), ") ")
+		if err != nil || !found || !strings.HasPrefix(afterName, "T") {
+			return false
+		}
+	}
+	return true
+}
