Draw the cases' ports at random, so that two cases can run side by side

Cause: two cases started at the same moment took the same ports, and one could not run. Change: review/stand alone.

--- a/review/stand/scheduler.go
+++ b/review/stand/scheduler.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -149,19 +150,21 @@
 // FreeAddresses returns free loopback addresses outside of the range from which the kernel takes ports by itself, so that no
 // outgoing connection takes one meanwhile.
 func FreeAddresses(n int) (addresses []string, err error) {
-	for port := 20000 + os.Getpid()%4000*3; len(addresses) < n; port++ {
-		if port >= 32700 {
-			return nil, errors.New("no free ports")
-		}
+	taken := map[int]bool{}
+	for range 1000 {
+		port := 20000 + rand.IntN(12000)
 		address := fmt.Sprintf("127.0.0.1:%d", port)
 		ln, err := net.Listen("tcp", address)
-		if err != nil {
+		if err != nil || taken[port] {
 			continue
 		}
 		ln.Close()
-		addresses = append(addresses, address)
+		taken[port] = true
+		if addresses = append(addresses, address); len(addresses) == n {
+			return addresses, nil
+		}
 	}
-	return addresses, nil
+	return nil, errors.New("no free ports")
 }
 
 // Pid is the id of the process.
