--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -56,3 +56,24 @@
 	}
 	return Answer{Status: response.StatusCode, Body: string(body)}
 }
+
+// PostAfter is Post, with a wait between the connection and the request.
+func PostAfter(rec *Record, address, class, key, id string, left, wait time.Duration) Answer {
+	nc, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	defer nc.Close()
+	time.Sleep(wait)
+	nc.SetDeadline(time.Now().Add(left + 500*time.Millisecond))
+	fmt.Fprintf(nc, "POST /%s/%s HTTP/1.1\r\nHost: api.internal\r\nX-Correlation-Id: %s\r\nX-Service-Class: %s\r\nX-Time-Left-Ms: %d\r\nContent-Length: 4\r\n\r\nwork",
+		class, key, id, class, left.Milliseconds())
+	response, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	if err != nil {
+		rec.Add("client: no answer to %s: %v", id, err)
+		return Answer{Err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return Answer{Status: response.StatusCode, Body: string(body), Err: err}
+}
--- a/review/stand/http2.go
+++ b/review/stand/http2.go
@@ -119,3 +119,14 @@
 func (f H2Frame) String() string {
 	return fmt.Sprintf("frame %d flags %x stream %d of %d bytes", f.Kind, f.Flags, f.Stream, len(f.Payload))
 }
+
+// Half sends the head of a request whose body does not follow.
+func (c *H2Conn) Half(fields ...string) error {
+	var block []byte
+	for i := 0; i+1 < len(fields); i += 2 {
+		block = h2String(h2String(append(block, 0), fields[i]), fields[i+1])
+	}
+	_, err := c.Write(h2Frame(1, 4, c.Next, block))
+	c.Next += 2
+	return err
+}
