--- a/review/2/main.go
+++ b/review/2/main.go
@@ -2,10 +2,12 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -32,6 +34,9 @@
 		fmt.Println(err)
 		return stand.NotRun
 	}
+	if runtime.NumCPU() < 2 {
+		return rec.Abort(errors.New("on one core the clients that read starve too"))
+	}
 	tmp, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		return rec.Abort(err)
