Let one process own the Faktory jobs and hand them over in an upgrade

An ACK on a new connection could reach the process without the job, which answered +OK and dropped it.

Cause: each process had jobs of its own from its start on, while the kernel spread the connections over both.

Change: one process owns all jobs, the one that listens at the owner's socket (a Unix socket in the abstract namespace, so that it needs no directory and is free again however its process ends). A later process registers there before its HTTP front listens and accepts no connection of the Faktory front until the owner has passed on, at SIGTERM, every job, ended ones too, and the socket itself. A job is forgotten as it is sent, so that no process decides on a job that another has. Jobs that workers hold end in the old process, which passes on the outcomes; after its end the workers report to the new one. ACK and FAIL that come to the other process are decided by the one with the job. A process that may have missed a handover, as the owner was killed, rejects pushes for the longest deadline of the classes.

--- a/cmd/cobaltflow/process_test.go
+++ b/cmd/cobaltflow/process_test.go
@@ -35,6 +35,7 @@
 	conf   string
 	limit  int      // of its file descriptors
 	env    []string // in addition to the test's own
+	args   string   // behind serve
 	cmd    *exec.Cmd
 
 	mu  sync.Mutex
@@ -69,7 +70,7 @@
 
 // start starts the process; it is killed when the test ends.
 func (p *program) start() {
-	p.cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d && exec %s serve", p.limit, p.binary))
+	p.cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d && exec %s serve %s", p.limit, p.binary, p.args))
 	p.cmd.Env = append(append(os.Environ(), "RELAY_CONFIG="+p.conf), p.env...)
 	p.cmd.Stdout, p.cmd.Stderr = p, p
 	require.NoError(p.t, p.cmd.Start())
--- a/cmd/cobaltflow/upgrade_test.go
+++ b/cmd/cobaltflow/upgrade_test.go
@@ -41,6 +41,8 @@
 	lostCallbacks    atomic.Int64 // callbacks that no process accepted in all their attempts
 	callbackAttempts int          // per callback; 0: defaultAttempts
 	sockets          int          // the configured limit on descriptors; 0: maxSockets
+	ownSections      string       // the program's own configuration file; empty: none
+	moreRules        string       // of the settings, each behind a comma
 }
 
 // instance is one process of the scheduler.
@@ -130,9 +132,14 @@
 	i.env = []string{"TMPDIR=" + h.stateDir}
 	require.NoError(h.t, os.WriteFile(i.conf, fmt.Appendf(nil, `{"name":"n1","listen":%q,"discovery":%q,"admin":%q,
 		"limits":{"sockets":%d},"known":{"index":0,"snapshot":true,"endpoints":[]},
-		"settings":{"discovery":"push","groupSize":1,"rules":{"drainGraceUs":%d},
+		"settings":{"discovery":"push","groupSize":1,"rules":{"drainGraceUs":%d%s},
 		"classes":[{"name":"move","effect":"once","deadlineUs":10000000}]}}`,
-		h.listen, h.discovery, i.admin, cmp.Or(h.sockets, maxSockets), drainGrace.Microseconds()), 0o600))
+		h.listen, h.discovery, i.admin, cmp.Or(h.sockets, maxSockets), drainGrace.Microseconds(), h.moreRules), 0o600))
+	if h.ownSections != "" {
+		own := filepath.Join(h.t.TempDir(), "own.json")
+		require.NoError(h.t, os.WriteFile(own, []byte(h.ownSections), 0o600))
+		i.args = "--config " + own
+	}
 	i.program.start()
 	return i
 }
--- a/internal/faktory/close_race_test.go
+++ b/internal/faktory/close_race_test.go
@@ -43,7 +43,7 @@
 	resume := standin.PausePoller(t)
 	c.Send("PUSH {\"jid\":\"job-0001\",\"jobtype\":\"settle\",\"args\":[]}\r\n")
 	n.RunOnLoop(func() {
-		n.Faktory.Drain()
+		n.Faktory.Drain(false)
 		n.Faktory.Close()
 	})
 	resume()
--- a/internal/faktory/export_test.go
+++ b/internal/faktory/export_test.go
@@ -43,3 +43,6 @@
 func (f *Front) ReplaceListener(replace func(netpoll.Listener) netpoll.Listener) {
 	f.Listener = replace(f.Listener)
 }
+
+// Successors returns the number of processes that wait for a handover. It must be called on the loop.
+func (f *Front) Successors() int { return len(f.successors) }
--- a/internal/faktory/front.go
+++ b/internal/faktory/front.go
@@ -12,14 +12,17 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"hash/fnv"
 	"log/slog"
 	mathrand "math/rand/v2"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 
 	"cobaltflow/internal/clock"
 	"cobaltflow/internal/config"
@@ -70,6 +73,18 @@
 	maxInputBytes   int64        // limit of inputBytes
 	maxCommandBytes int          // limit for one command
 
+	ownerSocket *net.UnixListener // not nil: this process owns the jobs, and later ones wait there
+	successors  []*handoverConn   // the processes that wait, in the order of their arrival
+	handover    *handover         // nil: none has begun
+	predecessor *predecessor      // nil: none, or it has ended
+	// uncertainUntil is when new jobs may be accepted: the last owner may have had them, and has ended without a handover.
+	uncertainUntil core.Time
+	setRegistered  func()        // closes registered
+	registered     chan struct{} // closed once the owner of the jobs has registered this process
+	waitMu         sync.Mutex    // guards the fields up to the next blank line
+	ownerConn      *handoverConn
+	isWaitStopped  bool
+
 	closed         bool
 	draining       bool          // the process shuts down: new jobs are rejected
 	requestedState string        // of the workers, in replies to BEAT: empty, quiet or terminate
@@ -87,6 +102,8 @@
 	f := &Front{loop: c.Loop, core: c, conf: conf, log: log, workers: map[string]*worker{}, queuePools: map[string]*core.Pool{},
 		requests: map[*jobs.Job]*jobRequest{}, mutationWaiters: map[uint64]*session{}, startedAt: clock.Monotonic(), rejected: map[string]uint64{},
 		maxInputBytes: int64(cfg.MaxInputMB) << 20, maxCommandBytes: cfg.MaxCommandKB << 10}
+	f.registered = make(chan struct{})
+	f.setRegistered = sync.OnceFunc(func() { close(f.registered) })
 	settings := jobs.Settings{DefaultReservation: core.Time(cfg.ReserveS) * core.Second, MaxHeldJobs: cfg.MaxHeldJobs, MaxHeldBytes: cfg.MaxHeldMB << 20,
 		MaxQueueJobs: cfg.MaxQueueJobs, MaxClientJobs: cfg.MaxClientJobs, MaxClientBytes: cfg.MaxClientMB << 20, MaxScheduled: cfg.MaxScheduled,
 		MaxRetries: cfg.MaxRetries, MaxQueues: cfg.MaxQueues, MaxDead: cfg.MaxDead, MaxDeadBytes: cfg.MaxDeadMB << 20,
@@ -99,8 +116,33 @@
 	return f
 }
 
-// Start opens the listener and begins to serve; a *config.Error says that the address cannot be used.
+// Start opens the listener and begins to serve; a *config.Error says that the address cannot be used. While another process of
+// the scheduler owns the jobs, Start returns once that process has registered this one, and the front begins to serve after the
+// handover.
 func (f *Front) Start() error {
+	f.loop.AfterTurn(f.afterTurn)
+	f.loop.Post(func() {
+		f.jobs.SetTableWorkersReady(f.loop.Now(), f.core.MainPool().HasReadyWorker(f))
+		f.sweep()
+	})
+	if isShareable(f.conf) {
+		socket, err := listenAsOwner(ownerAddress(f.conf))
+		if errors.Is(err, unix.EADDRINUSE) {
+			f.log.Info("faktory: waits for the process that owns the jobs")
+			go f.takeOver()
+			f.awaitRegistration()
+			return nil
+		}
+		if err != nil {
+			return &config.Error{Key: "faktory.listen", Text: "the owner's socket: " + err.Error()}
+		}
+		f.own(socket)
+	}
+	return f.listen()
+}
+
+// listen opens the listener.
+func (f *Front) listen() error {
 	ln, err := link.Listen(f.conf.Faktory.Listen)
 	if err != nil {
 		return &config.Error{Key: "faktory.listen", Text: err.Error()}
@@ -115,26 +157,30 @@
 		return err
 	}
 	go f.server.Serve(f.DrainingListener)
-	f.loop.AfterTurn(f.afterTurn)
-	f.loop.Post(func() {
-		f.jobs.SetTableWorkersReady(f.loop.Now(), f.core.MainPool().HasReadyWorker(f))
-		f.sweep()
-	})
+	f.log.Info("faktory: serves", "address", f.Address())
 	return nil
 }
 
-// Address returns the address of the listener; valid after Start.
-func (f *Front) Address() string { return f.Listener.Addr().String() }
+// isListening reports whether the front has opened its listener.
+func (f *Front) isListening() bool { return f.DrainingListener != nil }
 
-// Drain rejects new jobs from now on, since the process is about to end. Jobs that no worker holds end now, unrun.
-// Replies to BEAT request workers to go quiet and, after half of faktory.stop_s, to terminate. At the end of
-// faktory.stop_s the jobs that they still hold are aborted.
-func (f *Front) Drain() {
+// Address returns the address of the listener, or the configured one before there is a listener.
+func (f *Front) Address() string {
+	if !f.isListening() {
+		return f.conf.Faktory.Listen
+	}
+	return f.Listener.Addr().String()
+}
+
+// Drain rejects new jobs from now on, since the process is about to end. Jobs that no worker holds are handed over to a
+// successor or, without one, end now, unrun; hasSuccessor says that there is one, even if it has not come to the owner's socket. Replies to BEAT request workers to go quiet and, after half of faktory.stop_s, to
+// terminate. At the end of faktory.stop_s the jobs that they still hold are aborted.
+func (f *Front) Drain(hasSuccessor bool) {
 	if f.draining {
 		return
 	}
 	f.draining, f.requestedState = true, "quiet"
-	f.jobs.Drain()
+	f.endOwnership(hasSuccessor)
 	stop := core.Time(f.conf.Faktory.StopS * float64(core.Second))
 	f.loop.At(f.loop.Now()+stop/2, func() { f.requestedState = "terminate" })
 	f.loop.At(f.loop.Now()+stop, func() {
@@ -142,14 +188,19 @@
 	})
 }
 
-// IsClosed reports whether the listener is closed and no connection is left.
-func (f *Front) IsClosed() bool { return f.IsListenerClosed() && f.sessions.Len() == 0 }
+// IsClosed reports whether the listener is closed, no connection is left and the successor has what is due to it.
+func (f *Front) IsClosed() bool {
+	return f.IsListenerClosed() && f.sessions.Len() == 0 && f.isHandoverIdle()
+}
 
 // Close closes the listener and ends all sessions, also those that the listener's drain still accepts. Each gets an error
 // first, which is the reply to a command that is on its way.
 func (f *Front) Close() {
 	f.closed = true
-	f.Listener.Close()
+	f.CloseListener(false)
+	if !f.hasHandedOver() {
+		f.closeOwnerSocket()
+	}
 	f.sessions.Each(func(_ core.Ref, s *session) { s.refuse() })
 }
 
@@ -219,6 +270,7 @@
 // afterTurn sends the replies of a turn, each session's in one write, and sets the timer for the next call of
 // jobs.ProcessDue.
 func (f *Front) afterTurn() {
+	f.exportJobs()
 	f.startFetchTimers()
 	for _, s := range f.sessionsToFlush {
 		s.flush()
--- a/internal/faktory/open_job_test.go
+++ b/internal/faktory/open_job_test.go
@@ -19,7 +19,7 @@
 	open := make(chan int, 1)
 	n.RunOnLoop(func() {
 		n.Front.HandOver()
-		n.Faktory.Drain()
+		n.Faktory.Drain(false)
 		n.Front.OnListenerDrain(func() { open <- n.Core.OpenRequests() })
 		n.Front.StopSince(n.Loop.Now()-n.Front.AnswerTimeout(), n.Loop.Stop)
 	})
--- a/internal/faktory/session.go
+++ b/internal/faktory/session.go
@@ -129,6 +129,8 @@
 		s.replyAndClose(errorReply(cmd.err.Error()), link.BadInput)
 	case !s.greeted && cmd.verb != "HELLO":
 		s.replyAndClose(errorReply("say HELLO first"), link.BadInput)
+	case f.handover != nil && operatorVerbs[cmd.verb]:
+		s.reply(errorReply(errHandsOver.Error()))
 	case known:
 		handle(f, s, cmd)
 	case cmd.verb == "":
@@ -151,8 +153,8 @@
 		"PUSH":   (*Front).push,
 		"PUSHB":  (*Front).pushBulk,
 		"FETCH":  (*Front).fetch,
-		"ACK":    (*Front).ack,
-		"FAIL":   (*Front).fail,
+		"ACK":    (*Front).report,
+		"FAIL":   (*Front).report,
 		"BEAT":   (*Front).beat,
 		"INFO":   func(f *Front, s *session, _ *parsedCommand) { s.reply(bulkReply(f.info())) },
 		"QUEUE":  (*Front).queue,
@@ -166,6 +168,9 @@
 	}
 }
 
+// operatorVerbs are the commands on jobs and queues that only the process which owns the jobs carries out.
+var operatorVerbs = map[string]bool{"QUEUE": true, "MUTATE": true, "FLUSH": true}
+
 // Verbs returns the supported commands in alphabetical order.
 func Verbs() []string { return slices.Sorted(maps.Keys(commands)) }
 
--- a/internal/faktory/verbs.go
+++ b/internal/faktory/verbs.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"strings"
 
-	"github.com/tidwall/gjson"
-
 	"cobaltflow/internal/core"
 	"cobaltflow/internal/jobs"
 	"cobaltflow/rules"
@@ -20,6 +18,11 @@
 	if f.core.HasRequest(j.ID) && f.jobs.Find(j.ID) == nil {
 		return fmt.Errorf("jid %s is in use", j.ID)
 	}
+	if wait := f.uncertainUntil - f.loop.Now(); wait > 0 && f.jobs.Find(j.ID) == nil {
+		f.rejected["uncertain"]++
+		return fmt.Errorf("refused, a process that may have had this job has ended without a handover, return in %.3f s",
+			float64(wait)/float64(core.Second))
+	}
 	result := f.jobs.Push(f.loop.Now(), j)
 	switch {
 	case result.Accepted:
@@ -44,6 +47,9 @@
 	return fmt.Errorf("refused, %s, return in %.3f s", reason, float64(after)/float64(core.Second))
 }
 
+// errHandsOver is the reply to a command about jobs that the successor owns, or is about to own.
+var errHandsOver = errors.New("refused, this process hands its jobs over to the next one, connect again")
+
 var errNotUniqueJob = errors.New("NOTUNIQUE Job not unique")
 
 // pushErrorReply is the error reply to a PUSH. NOTUNIQUE replaces ERR, as Faktory's clients expect.
@@ -175,61 +181,6 @@
 	f.newFetches = f.newFetches[:0]
 }
 
-// reportedAttempt replies to an ACK or FAIL, and returns the attempt that it reports on with the parsed object. The
-// attempt is nil after an error, after the job's time was over, or if the job was fetched before a restart of this
-// process.
-func (f *Front) reportedAttempt(s *session, verb string, arg []byte) (*core.Attempt, gjson.Result) {
-	if !gjson.ValidBytes(arg) {
-		s.reply(errorReplyf("malformed %s: not an object of JSON", verb))
-		return nil, gjson.Result{}
-	}
-	report := gjson.ParseBytes(arg)
-	jid := report.Get("jid")
-	if jid.Type != gjson.String || jid.Str == "" {
-		s.reply(errorReplyf("malformed %s: jid: missing", verb))
-		return nil, report
-	}
-	if s.worker == nil {
-		s.reply(errorReplyf("%s is for workers: HELLO had no wid", verb))
-		return nil, report
-	}
-	s.reply(replyOK)
-	attempt := s.worker.fetched[jid.Str]
-	if attempt != nil {
-		delete(s.worker.fetched, jid.Str)
-	}
-	return attempt, report
-}
-
-func (f *Front) ack(s *session, cmd *parsedCommand) {
-	attempt, report := f.reportedAttempt(s, "ACK", cmd.arg)
-	if attempt == nil {
-		return
-	}
-	var result []byte // a string without its quotes, any other JSON value as it was sent
-	if v := report.Get("result"); v.Type == gjson.String {
-		result = []byte(v.Str)
-	} else if v.Exists() {
-		result = []byte(v.Raw)
-	}
-	f.core.AttemptEnded(attempt.Ref, rules.OK, result, s.worker.load(1))
-}
-
-func (f *Front) fail(s *session, cmd *parsedCommand) {
-	attempt, report := f.reportedAttempt(s, "FAIL", cmd.arg)
-	if attempt == nil {
-		return
-	}
-	if request, isOurs := attempt.Request.Client.(*jobRequest); isOurs {
-		request.failure = &jobs.Failure{Type: report.Get("errtype").String(), Message: report.Get("message").String()}
-		report.Get("backtrace").ForEach(func(_, line gjson.Result) bool {
-			request.failure.Backtrace = append(request.failure.Backtrace, line.String())
-			return len(request.failure.Backtrace) < jobs.MaxBacktraceLines
-		})
-	}
-	f.core.AttemptEnded(attempt.Ref, rules.Error, nil, s.worker.load(1))
-}
-
 // beat handles BEAT, a worker's heartbeat. While the front drains, the reply requests the worker to go quiet or to
 // terminate.
 func (f *Front) beat(s *session, cmd *parsedCommand) {
@@ -283,6 +234,8 @@
 func (f *Front) track(s *session, cmd *parsedCommand) {
 	verb, arg, _ := strings.Cut(string(cmd.arg), " ")
 	switch {
+	case verb == "GET" && arg != "" && f.handover != nil && f.jobs.Find(arg) == nil:
+		s.reply(errorReply(errHandsOver.Error()))
 	case verb == "GET" && arg != "":
 		text, _ := json.Marshal(f.trackReply(arg))
 		s.reply(bulkReply(text))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -75,6 +75,12 @@
 		g.directives.updateProcesses(others)
 	}
 	g.Front.SetIsAlone(g.directives.replica.IsAlone)
+	// Before the HTTP front listens, whose first connections would wait: the start may have to wait for the jobs' owner.
+	if g.Faktory != nil {
+		if err := g.Faktory.Start(); err != nil {
+			return err
+		}
+	}
 	if err := g.Front.Start(); err != nil {
 		return err
 	}
@@ -94,12 +100,6 @@
 		}
 		g.log.Info("http2: serves", "address", g.HTTP2.Address())
 	}
-	if g.Faktory != nil {
-		if err := g.Faktory.Start(); err != nil {
-			return err
-		}
-		g.log.Info("faktory: serves", "address", g.Faktory.Address())
-	}
 	if err := writePIDFile(g.Conf); err != nil {
 		g.log.Warn("a predecessor of an older version will not detect this process", "error", err)
 	}
@@ -154,7 +154,7 @@
 		}
 		g.Core.AnnounceLeaving()
 		if g.Faktory != nil {
-			g.Faktory.Drain()
+			g.Faktory.Drain(handOver)
 		}
 		if g.HTTP2 != nil {
 			g.HTTP2.Drain(max(0, since+g.Front.AnswerTimeout()-g.Loop.Now()))
--- a/internal/jobs/api.go
+++ b/internal/jobs/api.go
@@ -118,19 +118,28 @@
 	TimeLeft            Time  // how long the client waits, from the PUSH or from NotBefore; 0: without limit
 	*Options                  // never nil after Push; may be shared between jobs
 
-	State         State
-	isOpen        bool  // it has a request in the core
-	mayHaveRun    bool  // a run may have started
-	countsAsTable bool  // opened for the table workers, and counted in queue.tableOpen
-	Failures      int32 // runs that may have started and failed
-	Reason        Reason
-	Failure       *Failure  // the last one
-	StateSince    Time      // when it entered State
-	Result        string    // of a Served job; set by the host before RequestEnded
-	Worker        string    // the worker that holds it, while Working
-	Progress      *Progress // as its worker reported it; nil: no report
+	State      State
+	Failures   int32 // runs that may have started and failed
+	Reason     Reason
+	Failure    *Failure  // the last one
+	StateSince Time      // when it entered State
+	Result     string    // of a Served job; set by the host before RequestEnded
+	Worker     string    // the worker that holds it, while Working
+	Progress   *Progress // as its worker reported it; nil: no report
+
+	jobLinks
+}
+
+// jobLinks is what ties a job to its machine.
+type jobLinks struct {
+	isOpen        bool // it has a request in the core, or is remote or an orphan
+	mayHaveRun    bool // a run may have started
+	countsAsTable bool // opened for the table workers, and counted in queue.tableOpen
+	isRemote      bool // a worker holds it and reports to the predecessor
+	isOrphan      bool // a worker holds it that fetched it from a predecessor which has ended
 
 	deadline               Time   // when the client stops waiting; 0: never
+	reservedUntil          Time   // of a remote job: the end of its reservation
 	fetch                  *Fetch // the FETCH that its request was opened for
 	expiryTimer, stepTimer *timer
 	list                   *list
--- a/internal/jobs/machine.go
+++ b/internal/jobs/machine.go
@@ -22,12 +22,15 @@
 	dead       list
 	ended      list
 	working    list
-	timers     timers
+	// exportedWorking holds the jobs that workers hold and the successor has as remote.
+	exportedWorking list
+	timers          timers
 
 	held, heldBytes   int
 	enqueued          int // not with a worker yet; includes those that have a request in the core
 	tableWorkersReady bool
 	draining          bool
+	isExporting       bool   // the jobs leave with Export
 	clearReason       Reason // Flush or Drain is ending all held jobs, for this reason
 	mutations         []*runningMutation
 	lastEndAt         Time
@@ -78,7 +81,7 @@
 // Stats returns the present numbers and the totals.
 func (m *Machine) Stats() Stats {
 	return Stats{Held: m.held, HeldBytes: m.heldBytes, Enqueued: m.enqueued, Scheduled: m.scheduled.count,
-		Retries: m.retries.count, Working: m.working.count, Dead: m.dead.count, DeadBytes: m.dead.bytes, Ended: m.ended.count,
+		Retries: m.retries.count, Working: m.working.count + m.exportedWorking.count, Dead: m.dead.count, DeadBytes: m.dead.bytes, Ended: m.ended.count,
 		EndedBytes: m.ended.bytes, Queues: len(m.queues), Clients: len(m.clients), Locks: len(m.locks), Totals: m.totals}
 }
 
@@ -155,6 +158,15 @@
 
 // addHeld counts a job as held, from its PUSH or its requeue on, and starts its deadline.
 func (m *Machine) addHeld(now Time, j *Job, q *queue) {
+	m.countHeld(j, q)
+	if j.deadline = 0; j.TimeLeft > 0 {
+		j.deadline = max(now, j.NotBefore) + j.TimeLeft
+	}
+	m.armExpiry(j)
+}
+
+// countHeld counts a job towards the limits.
+func (m *Machine) countHeld(j *Job, q *queue) {
 	m.held++
 	m.heldBytes += int(j.Size)
 	q.heldCount++
@@ -165,10 +177,18 @@
 	}
 	c.jobs++
 	c.bytes += int(j.Size)
-	if j.deadline = 0; j.TimeLeft > 0 {
-		j.deadline = max(now, j.NotBefore) + j.TimeLeft
+}
+
+// uncountHeld undoes countHeld.
+func (m *Machine) uncountHeld(j *Job) {
+	m.held--
+	m.heldBytes -= int(j.Size)
+	m.queues[j.Queue].heldCount--
+	c := m.clients[j.Client]
+	c.bytes -= int(j.Size)
+	if c.jobs--; c.jobs == 0 {
+		delete(m.clients, j.Client)
 	}
-	m.armExpiry(j)
 }
 
 // armExpiry sets the timer for the earlier of a job's deadline and its ExpiresAt, which apply until a worker holds it.
@@ -417,6 +437,11 @@
 		j.unlink()
 		m.enqueue(now, j)
 	case Working:
+		if j.isOrphan {
+			m.RequestEnded(now, j, OutcomeFailed, 0, &Failure{Type: "ReservationExpired",
+				Message: "worker " + j.Worker + " did not report in time, and the process that it fetched from has ended"})
+			return
+		}
 		m.actions.ExpireReservation(j)
 	}
 }
@@ -438,11 +463,16 @@
 		m.timers.set(&old.timer, 0)
 		old.job.lock = nil
 	}
+	m.lockUntil(j, max(now, j.NotBefore)+j.UniqueFor)
+}
+
+// lockUntil gives the job the free lock of its fingerprint.
+func (m *Machine) lockUntil(j *Job, until Time) {
 	l := &lock{job: j, key: j.Fingerprint}
 	l.timer.lock = l
 	j.lock = l
 	m.locks[j.Fingerprint] = l
-	m.timers.set(&l.timer, max(now, j.NotBefore)+j.UniqueFor)
+	m.timers.set(&l.timer, until)
 }
 
 // releaseLock removes the job's lock, if it still holds it.
--- a/internal/jobs/outcome.go
+++ b/internal/jobs/outcome.go
@@ -18,7 +18,7 @@
 		}
 	case outcome == OutcomeFailed:
 		m.runFailed(now, j, f)
-	case m.draining:
+	case m.draining && !m.isExporting:
 		m.finish(now, j, j.unrunState(), ShutDown)
 	case isPastDeadline || j.ExpiresAt > 0 && now >= j.ExpiresAt:
 		m.finish(now, j, j.unrunState(), Expired)
@@ -71,7 +71,7 @@
 		j.fetch, fetch.job = nil, nil
 	}
 	m.setNextStep(j, 0)
-	j.Worker = ""
+	j.Worker, j.isRemote, j.isOrphan = "", false, false
 	return fetch, countsAsTable
 }
 
@@ -93,7 +93,7 @@
 		m.finish(now, j, Failed, Discarded)
 	case !m.settings.IsRepeatable[j.Class]:
 		m.finish(now, j, Dead, MayHaveRun)
-	case m.draining:
+	case m.draining && !m.isExporting:
 		m.finish(now, j, Failed, ShutDown)
 	case j.Failures > j.Retry:
 		m.finish(now, j, Dead, RetriesExhausted)
@@ -145,14 +145,7 @@
 
 // finish moves a held job to its one final state.
 func (m *Machine) finish(now Time, j *Job, state State, why Reason) {
-	m.held--
-	m.heldBytes -= int(j.Size)
-	m.queues[j.Queue].heldCount--
-	c := m.clients[j.Client]
-	c.bytes -= int(j.Size)
-	if c.jobs--; c.jobs == 0 {
-		delete(m.clients, j.Client)
-	}
+	m.uncountHeld(j)
 	m.setExpiry(j, 0)
 	m.setNextStep(j, 0)
 	if state == Served || state == Refused {
@@ -172,15 +165,22 @@
 		m.totals.Dead++
 	}
 	m.actions.JobEnded(j)
-	if state == Dead {
+	if state != Dead {
+		j.Payload = ""
+		// ID, Type and Queue are substrings of the payload; clones let it be freed.
+		j.ID, j.Type, j.Queue = strings.Clone(j.ID), strings.Clone(j.Type), strings.Clone(j.Queue)
+		j.Size = int32(endedOverheadBytes + len(j.ID) + len(j.Type) + len(j.Result))
+	}
+	m.keepEnded(j)
+}
+
+// keepEnded adds a job in a final state to those that are kept, and evicts the oldest ones above the limits.
+func (m *Machine) keepEnded(j *Job) {
+	if j.State == Dead {
 		m.dead.add(j)
 		m.evictOldest(&m.dead, m.settings.MaxDead, m.settings.MaxDeadBytes, &m.totals.DeadEvicted)
 		return
 	}
-	j.Payload = ""
-	// ID, Type and Queue are substrings of the payload; clones let it be freed.
-	j.ID, j.Type, j.Queue = strings.Clone(j.ID), strings.Clone(j.Type), strings.Clone(j.Queue)
-	j.Size = int32(endedOverheadBytes + len(j.ID) + len(j.Type) + len(j.Result))
 	m.ended.add(j)
 	m.evictOldest(&m.ended, m.settings.MaxEnded, m.settings.MaxEndedBytes, &m.totals.EndedEvicted)
 }
--- a/internal/jobs/queue.go
+++ b/internal/jobs/queue.go
@@ -166,6 +166,11 @@
 			return nil
 		}
 	}
+	return m.addQueue(name)
+}
+
+// addQueue creates a queue.
+func (m *Machine) addQueue(name string) *queue {
 	q := &queue{name: name, usesTableWorkers: m.usesTableWorkers(name), tableWindow: m.settings.TableWindow}
 	q.resumeTimer.queue = q
 	m.queues[name] = q
