Count an HTTP/2 request's body until it is released, and once

What callers saw: a connection whose answers wait for a window had its bodies counted towards max_body_kb for good, until each request with a body got REFUSED_STREAM (the fifth of 16,000 bytes with max_body_kb 64). And bodies of streams that were reset while a worker had the request did not count, though the core held them.

Cause: removeStream took off what was left of stream.body. Released empties it before the stream of a waiting answer ends; a reset ends the stream before the core releases the body.

Change: a stream keeps the bytes that it has added to the count and takes them off once, in Released, or with the stream if the core never had its request.

--- a/internal/front/http2/conn.go
+++ b/internal/front/http2/conn.go
@@ -71,11 +71,14 @@
 	}
 }
 
-// removeStream removes a closed stream and its bytes from the connection's counts.
+// removeStream removes a closed stream and its bytes from the connection's counts. A body that the core still uses counts
+// until it is released.
 func (c *conn) removeStream(s *stream) {
 	delete(c.streams, s.id)
 	c.unsentBytes -= len(s.unsent)
-	c.bodyBytes -= len(s.body)
+	if s.request == nil {
+		s.uncountBody()
+	}
 	s.unsent, s.closed = nil, true
 	c.lastUsed = c.front.loop.Now()
 }
--- a/internal/front/http2/front.go
+++ b/internal/front/http2/front.go
@@ -236,7 +236,7 @@
 	maxSendFrame      int       // bytes of one DATA frame
 	blockedStreams    []*stream // streams with data that a window holds back, in round-robin order
 	unsentBytes       int       // bytes of data held back
-	bodyBytes         int       // bytes of request bodies that are not complete
+	bodyBytes         int       // bytes of request bodies that are not complete, or not released by the core
 	lastProgress      core.Time // when data was sent last, or when unsentBytes last rose from 0
 	lastUsed          core.Time // when a frame came or a stream ended last
 	receivedAt        core.Time // when the frames had arrived that are being handled
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -20,6 +20,7 @@
 	id           uint32
 	header       *fieldSection
 	body         []byte
+	countedBody  int   // bytes of the body that count in conn.bodyBytes, until the body is released
 	requestEnded bool  // the request is complete
 	sendWindow   int64 // what we may send on the stream, in bytes
 	recvWindow   int64 // what the client may still send on it, in bytes
@@ -47,6 +48,7 @@
 		return // the request was rejected already; the client sent this before it knew
 	}
 	s.body = append(s.body, data...)
+	s.countedBody += len(data)
 	c.bodyBytes += len(data)
 	switch {
 	case s.header.contentLength >= 0 && (int64(len(s.body)) > s.header.contentLength || end && int64(len(s.body)) != s.header.contentLength):
@@ -166,6 +168,13 @@
 func (s *stream) Released(req *core.Request) {
 	s.conn.front.admission.RememberID(req)
 	s.request, s.body = nil, nil
+	s.uncountBody()
+}
+
+// uncountBody takes the body off its connection's count, once.
+func (s *stream) uncountBody() {
+	s.conn.bodyBytes -= s.countedBody
+	s.countedBody = 0
 }
 
 // disconnect handles a client that has reset the stream or disconnected. If the request's class forbids a second
