Bound what the process holds for all clients of all fronts by one account

Cause: each bound was one connection's or one front's. A heap profile of 40 such connections on (445 MB live) told the hypotheses apart: 161 MB of frames in the connections' queues, 68 MB of netpoll's copies of what is being written, 25 MB of answers that windows hold back. On the Faktory front the test found that a connection's queue kept its last written message in its array for as long as the connection was open.

Change: link.Account, one for the process, charged by each queue, command, body, header and backlog of the HTTP/1.1, HTTP/2 and Faktory fronts. Above it the connections that hold most are closed (over-memory). A closed connection's bytes count until its writer has released them, and while the account is over its limit the HTTP/2 and Faktory fronts handle no input, in order, so that nothing more is asked for: the order of events is certain. Messages go to netpoll in parts of 128 KiB; a queue clears what it has written.

Open: netpoll reads whatever comes, so that what a flood brings between two turns is not bounded (docs/incidents).

--- a/internal/faktory/front.go
+++ b/internal/faktory/front.go
@@ -50,6 +50,8 @@
 	core *core.Core
 	conf *config.Config
 	log  *slog.Logger
+	// account is of the bytes that all fronts hold for their clients.
+	account *link.Account
 
 	link.FrontListener
 	server          netpoll.EventLoop // serves the listener's connections
@@ -97,9 +99,9 @@
 
 // New makes the front; Start opens it. The core must have been made with core.WithAtMostOnceClasses: package jobs, not
 // the core, decides whether and when a job that may have run runs again.
-func New(c *core.Core, conf *config.Config, log *slog.Logger) *Front {
+func New(c *core.Core, conf *config.Config, account *link.Account, log *slog.Logger) *Front {
 	cfg := &conf.Faktory
-	f := &Front{loop: c.Loop, core: c, conf: conf, log: log, workers: map[string]*worker{}, queuePools: map[string]*core.Pool{},
+	f := &Front{loop: c.Loop, core: c, conf: conf, account: account, log: log, workers: map[string]*worker{}, queuePools: map[string]*core.Pool{},
 		requests: map[*jobs.Job]*jobRequest{}, mutationWaiters: map[uint64]*session{}, startedAt: clock.Monotonic(), rejected: map[string]uint64{},
 		maxInputBytes: int64(cfg.MaxInputMB) << 20, maxCommandBytes: cfg.MaxCommandKB << 10}
 	f.registered = make(chan struct{})
@@ -209,7 +211,9 @@
 	s.Init(nc, "faktory", nc.RemoteAddr().String(), 0)
 	s.client, _, _ = net.SplitHostPort(s.Peer)
 	s.input.backlog = link.NewBacklog()
-	nc.AddCloseCallback(func(netpoll.Connection) error {
+	s.OnAbandon = s.dropBuffers
+	nc.AddCloseCallback(func(netpoll.Connection) error { // runs once nothing is read any more
+		s.input.buffer = nil
 		f.loop.Post(func() { f.sessionEnded(s) })
 		return nil
 	})
@@ -225,6 +229,7 @@
 	}
 	s.Opened = f.loop.Now()
 	s.ref = f.sessions.Add(s)
+	f.account.Add(&s.Link)
 	if f.closed {
 		s.refuse()
 		return
@@ -319,6 +324,8 @@
 		f.reassign(w, now)
 	}
 	f.sessions.Each(func(_ core.Ref, s *session) {
+		s.unreadInput = s.Conn.Reader().Len()
+		s.countKept()
 		if s.Conn.Reader().Len() > f.maxCommandBytes+link.MaxReadAheadBytes {
 			s.Close(link.Flooding)
 		} else if s.QueuedBytes() > maxUnreadBytes {
--- a/internal/faktory/input.go
+++ b/internal/faktory/input.go
@@ -50,6 +50,7 @@
 }
 
 const (
+	commandCopies        = 2       // of a command that are held at a time: as it was received, and its payload for the job
 	expensiveCommandCost = 8 << 10 // towards the backlog, of a command whose work grows with the number of queues and jobs
 	maxBatchCommands     = 256     // commands handed to the loop at once
 	maxBulkJobsPerTurn   = 500     // jobs of a PUSHB that are pushed in one turn
@@ -191,6 +192,7 @@
 	if !s.input.closed {
 		s.input.heldBytes += n
 		s.front.inputBytes.Add(n)
+		s.Hold(int(n) * commandCopies)
 	}
 }
 
--- a/internal/faktory/session.go
+++ b/internal/faktory/session.go
@@ -35,6 +35,20 @@
 	isBlocked      bool        // a command waits for its reply, and so do the commands behind it
 	queuedCommands []parsedCommand
 	bulkPush       *bulkPush // the PUSHB in progress
+	bulkBytes      int       // of its command
+	unreadInput    int       // bytes that were unread at the last sweep
+}
+
+// countKept tells the account how many bytes the front keeps for the session.
+func (s *session) countKept() { s.SetKept(len(s.replies) + s.bulkBytes + s.unreadInput) }
+
+// dropBuffers drops what waits for the session, as it is about to be closed over the account's limit. No job is given to its
+// FETCH any more. The caller may be in the middle of an event of the jobs' machine, which sessionEnded calls later.
+func (s *session) dropBuffers() {
+	s.replies, s.queuedCommands, s.bulkPush = nil, nil, nil
+	if s.worker != nil {
+		s.worker.removeWaiting(s)
+	}
 }
 
 // reply appends a reply; all replies of a turn are sent in one write.
@@ -47,6 +61,8 @@
 		s.isDirty = true
 		s.front.sessionsToFlush = append(s.front.sessionsToFlush, s)
 	}
+	s.countKept()
+	s.front.account.Enforce()
 }
 
 func (s *session) flush() {
@@ -57,6 +73,7 @@
 	}
 	if out := s.replies; len(out) > 0 {
 		s.replies = nil
+		s.countKept()
 		s.Send(s.front.loop, link.Outgoing{Message: out, CloseAfter: s.CloseReason != "" && !s.ClosedLocally})
 	}
 }
@@ -83,14 +100,24 @@
 		// In a later event, since this call may come from within another event's handler.
 		s.front.loop.Post(func() {
 			if !s.isBlocked {
-				behind := s.queuedCommands
-				s.queuedCommands = nil
-				s.queuedCommands = s.front.runCommands(s, behind)
+				s.runQueued()
 			}
 		})
 	}
 }
 
+// resume goes on with the commands that waited until the account had space.
+func (s *session) resume() {
+	s.isBlocked = false
+	s.runQueued()
+}
+
+func (s *session) runQueued() {
+	behind := s.queuedCommands
+	s.queuedCommands = nil
+	s.queuedCommands = s.front.runCommands(s, behind)
+}
+
 // handle runs a batch of commands. While a command waits for its reply, those behind it are queued, so that replies
 // keep the order of the commands.
 func (f *Front) handle(s *session, batch []parsedCommand) {
@@ -105,6 +132,10 @@
 func (f *Front) runCommands(s *session, batch []parsedCommand) (rest []parsedCommand) {
 	for i := range batch {
 		cmd := &batch[i]
+		if !s.isBlocked && f.account.IsOver() {
+			s.isBlocked = true
+			f.account.WhenFree(s.resume)
+		}
 		if s.isBlocked {
 			return batch[i:]
 		}
--- a/internal/faktory/verbs.go
+++ b/internal/faktory/verbs.go
@@ -89,14 +89,15 @@
 		return
 	}
 	s.isBlocked = true
-	s.bulkPush = &bulkPush{remaining: cmd.bulk, errorsByID: map[string]string{}}
+	s.bulkPush, s.bulkBytes = &bulkPush{remaining: cmd.bulk, errorsByID: map[string]string{}}, cmd.size
+	s.countKept()
 	f.pushNextJobs(s)
 }
 
 // pushNextJobs pushes up to maxBulkJobsPerTurn jobs, and replies after the last.
 func (f *Front) pushNextJobs(s *session) {
 	b := s.bulkPush
-	if s.Ended {
+	if s.Ended || b == nil {
 		return // the rest is not pushed, since no reply can report it
 	}
 	for n := 0; n < maxBulkJobsPerTurn && len(b.remaining) > 0; n++ {
@@ -114,7 +115,7 @@
 		f.loop.Post(func() { f.pushNextJobs(s) })
 		return
 	}
-	s.bulkPush = nil
+	s.bulkPush, s.bulkBytes = nil, 0
 	text, _ := json.Marshal(b.errorsByID)
 	s.finishCommand(bulkReply(text))
 }
--- a/internal/front/http2/conn.go
+++ b/internal/front/http2/conn.go
@@ -9,10 +9,11 @@
 
 // write appends frames; all frames of a turn are sent in one write.
 func (c *conn) write(b []byte) {
-	if c.Ended || c.ClosedLocally {
+	if c.Ended || c.ClosedLocally || c.isAbandoned {
 		return
 	}
 	c.output = append(c.output, b...)
+	c.countKept()
 	if !c.isDirty {
 		c.isDirty = true
 		c.front.connsToFlush = append(c.front.connsToFlush, c)
@@ -23,10 +24,25 @@
 	c.isDirty = false
 	if out := c.output; len(out) > 0 {
 		c.output = nil
+		c.countKept()
 		c.Send(c.front.loop, link.Outgoing{Message: out, CloseAfter: c.CloseReason != ""})
 	}
 }
 
+// countKept tells the account how many bytes the front keeps for the connection.
+func (c *conn) countKept() {
+	c.SetKept(len(c.output) + c.unsentBytes + c.bodyBytes + c.headerBytes + c.unreadInput)
+}
+
+// dropBuffers drops the answers that are not sent, as the connection is about to be closed over the account's limit.
+func (c *conn) dropBuffers() {
+	c.isAbandoned = true
+	for _, s := range c.blockedStreams {
+		s.unsent = nil
+	}
+	c.output, c.blockedStreams, c.unsentBytes = nil, nil, 0
+}
+
 // closeWithGoAway sends a GOAWAY and closes the connection; the log shows the reason. Its open streams end as if the
 // client had reset them.
 func (c *conn) closeWithGoAway(code Code, reason, text string) {
@@ -76,10 +92,12 @@
 func (c *conn) removeStream(s *stream) {
 	delete(c.streams, s.id)
 	c.unsentBytes -= len(s.unsent)
+	c.headerBytes -= s.header.size
 	if s.request == nil {
 		s.uncountBody()
 	}
 	s.unsent, s.closed = nil, true
+	c.countKept()
 	c.lastUsed = c.front.loop.Now()
 }
 
@@ -256,6 +274,8 @@
 	c.front.Stats.Streams++
 	s := &stream{conn: c, id: f.streamID, header: h, sendWindow: c.initialSendWindow, recvWindow: defaultWindow}
 	c.streams[s.id] = s
+	c.headerBytes += h.size
+	c.countKept()
 	if h.checkRequest(); h.malformed != "" {
 		c.reset(s.id, ProtocolError)
 		return nil
--- a/internal/front/http2/fields.go
+++ b/internal/front/http2/fields.go
@@ -13,6 +13,7 @@
 	method, scheme, path, authority string
 	fields                          []hpack.HeaderField // without the pseudo-header fields
 	contentLength                   int64               // Content-Length; -1: none
+	size                            int                 // bytes of all fields, as RFC 9113, section 6.5.2, counts them
 	hasPseudo                       bool                // there is at least one pseudo-header field
 	tooLarge                        bool                // it exceeds max_header_kb, and fields are missing
 	malformed                       string              // why the message is malformed, a stream error (RFC 9113, section 8.1.1); empty: it is not
@@ -28,6 +29,9 @@
 // newFieldSection checks decoded fields; the first error is kept in malformed.
 func newFieldSection(fields []hpack.HeaderField, tooLarge bool) *fieldSection {
 	h := &fieldSection{contentLength: -1, tooLarge: tooLarge}
+	for _, f := range fields {
+		h.size += int(f.Size())
+	}
 	host, hosts := "", 0
 	seen := [4]bool{}
 	h.fields = make([]hpack.HeaderField, 0, len(fields))
--- a/internal/front/http2/front.go
+++ b/internal/front/http2/front.go
@@ -32,6 +32,7 @@
 	limits    Limits
 	admission *admission.Controller
 	ledger    *admission.Ledger
+	account   *link.Account // of the bytes that all fronts hold for their clients
 
 	link.FrontListener
 	server          netpoll.EventLoop
@@ -52,9 +53,9 @@
 type connKey struct{}
 
 // New makes the front; Start opens it.
-func New(c *core.Core, conf *config.Config, controller *admission.Controller, log *slog.Logger) *Front {
+func New(c *core.Core, conf *config.Config, controller *admission.Controller, account *link.Account, log *slog.Logger) *Front {
 	cfg := &conf.HTTP2
-	return &Front{loop: c.Loop, core: c, conf: conf, log: log, admission: controller, Stats: Stats{ClosedByReason: map[string]uint64{}},
+	return &Front{loop: c.Loop, core: c, conf: conf, log: log, admission: controller, account: account, Stats: Stats{ClosedByReason: map[string]uint64{}},
 		ledger: admission.NewLedger(cfg.MaxEndedJobs, cfg.MaxEndedMB<<20, core.Time(cfg.EndedRetentionS*float64(core.Second))),
 		limits: Limits{MaxConnections: cfg.MaxConnections, MaxStreams: cfg.MaxStreams, MaxHeaderListBytes: cfg.MaxHeaderKB << 10, HeaderTableBytes: cfg.HeaderTableBytes,
 			MaxHeaderFrames: 16, MaxUnsentBytes: cfg.MaxUnsentKB << 10, MaxBodyBytes: cfg.MaxBodyKB << 10, StallTimeout: core.Time(cfg.StallTimeoutMS) * core.Millisecond,
@@ -91,6 +92,7 @@
 		recvWindow: defaultWindow, reader: newReader(&f.limits), backlog: link.NewBacklog(), resetStreams: newRecentStreams()}
 	c.encoder = hpack.NewEncoder(&c.headerBuffer)
 	c.Init(nc, "h2-agent", nc.RemoteAddr().String(), 0)
+	c.OnAbandon = c.dropBuffers
 	nc.AddCloseCallback(func(netpoll.Connection) error {
 		f.loop.Post(func() { f.connEnded(c) })
 		return nil
@@ -108,6 +110,7 @@
 	now := f.loop.Now()
 	c.Opened, c.lastUsed, c.lastProgress = now, now, now
 	c.ref = f.conns.Add(c)
+	f.account.Add(&c.Link)
 	f.Stats.Connections++
 	c.write(appendSettings(nil, settingMaxConcurrentStreams, uint32(f.limits.MaxStreams), settingMaxHeaderListSize, uint32(f.limits.MaxHeaderListBytes),
 		settingHeaderTableSize, uint32(f.limits.HeaderTableBytes)))
@@ -151,6 +154,8 @@
 	now := f.loop.Now()
 	f.ledger.Expire(now)
 	f.conns.Each(func(_ core.Ref, c *conn) {
+		c.unreadInput = c.Conn.Reader().Len()
+		c.countKept()
 		switch {
 		case c.CloseReason != "" || c.ClosedLocally:
 		case c.Conn.Reader().Len() > link.MaxBacklogBytes+maxUnreadInputBytes:
@@ -222,6 +227,8 @@
 	reader      *reader // netpoll's
 	readStopped bool    // input is discarded; netpoll's
 	backlog     *link.Backlog
+	// waitingBatches are the batches of frames that are not handled yet.
+	waitingBatches []*frameBatch
 
 	streams           map[uint32]*stream
 	lastStreamID      uint32         // the last stream that was accepted or refused
@@ -237,12 +244,15 @@
 	blockedStreams    []*stream // streams with data that a window holds back, in round-robin order
 	unsentBytes       int       // bytes of data held back
 	bodyBytes         int       // bytes of request bodies that are not complete, or not released by the core
+	headerBytes       int       // bytes of the headers of open streams
+	unreadInput       int       // bytes that were unread at the last sweep
 	lastProgress      core.Time // when data was sent last, or when unsentBytes last rose from 0
 	lastUsed          core.Time // when a frame came or a stream ended last
 	receivedAt        core.Time // when the frames had arrived that are being handled
 	output            []byte    // frames of this turn, not sent yet
 	isDirty           bool      // it is in Front.connsToFlush
 	isGoingAway       bool      // a GOAWAY was sent or received
+	isAbandoned       bool      // it is about to be closed over the account's limit, and nothing is written any more
 
 	resetBudget, controlBudget, emptyDataBudget, excessStreamBudget tokenBucket
 }
--- a/internal/front/http2/input.go
+++ b/internal/front/http2/input.go
@@ -46,7 +46,8 @@
 			receivedAt = min(receivedAt, c.ArrivalTime(c.front.loop))
 			cost := max(used, link.MinMessageCost*len(batch))
 			c.backlog.Add(cost)
-			c.front.loop.Post(func() { c.front.handle(c, batch, cost, receivedAt) })
+			c.Hold(cost)
+			c.front.loop.Post(func() { c.handle(&frameBatch{frames: batch, cost: cost, receivedAt: receivedAt}) })
 			if !c.backlog.Wait() {
 				c.readStopped = true
 				return nil
@@ -79,21 +80,49 @@
 	return batch, used, 0
 }
 
-// handle handles a batch of frames whose last bytes had arrived by receivedAt.
-func (f *Front) handle(c *conn, batch []*frame, cost int, receivedAt core.Time) {
-	c.lastUsed, c.receivedAt = f.loop.Now(), receivedAt
-	for _, fr := range batch {
-		if c.Ended || c.CloseReason != "" {
-			break
-		}
-		c.MessageCount++
-		if fr.err != nil {
-			c.fail(fr.err)
-			break
-		}
-		if err := c.handleFrame(fr); err != nil {
-			c.fail(err)
+// frameBatch is a batch of frames for the loop.
+type frameBatch struct {
+	frames     []*frame
+	cost       int       // towards the backlog
+	receivedAt core.Time // when the last bytes had arrived
+}
+
+// handle handles a batch of frames, behind those that wait.
+func (c *conn) handle(batch *frameBatch) {
+	c.waitingBatches = append(c.waitingBatches, batch)
+	if len(c.waitingBatches) == 1 {
+		c.handleWaiting()
+	}
+}
+
+// handleWaiting handles the batches in the order in which they came, while the account has space for what they ask for.
+func (c *conn) handleWaiting() {
+	for len(c.waitingBatches) > 0 {
+		batch := c.waitingBatches[0]
+		c.lastUsed, c.receivedAt = c.front.loop.Now(), batch.receivedAt
+		for len(batch.frames) > 0 && !c.Ended && c.CloseReason == "" {
+			if c.front.account.IsOver() {
+				c.front.account.WhenFree(c.handleWaiting)
+				return
+			}
+			next := batch.frames[0]
+			batch.frames = batch.frames[1:]
+			c.handleOne(next)
 		}
+		c.waitingBatches = c.waitingBatches[1:]
+		c.backlog.Done(batch.cost)
+		c.Hold(-batch.cost)
+	}
+}
+
+// handleOne handles a frame; an error closes the connection.
+func (c *conn) handleOne(next *frame) {
+	c.MessageCount++
+	err := next.err
+	if err == nil {
+		err = c.handleFrame(next)
+	}
+	if err != nil {
+		c.fail(err)
 	}
-	c.backlog.Done(cost)
 }
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -50,6 +50,7 @@
 	s.body = append(s.body, data...)
 	s.countedBody += len(data)
 	c.bodyBytes += len(data)
+	c.countKept()
 	switch {
 	case s.header.contentLength >= 0 && (int64(len(s.body)) > s.header.contentLength || end && int64(len(s.body)) != s.header.contentLength):
 		c.reset(s.id, ProtocolError) // malformed (RFC 9113, section 8.1.1)
@@ -175,6 +176,7 @@
 func (s *stream) uncountBody() {
 	s.conn.bodyBytes -= s.countedBody
 	s.countedBody = 0
+	s.conn.countKept()
 }
 
 // disconnect handles a client that has reset the stream or disconnected. If the request's class forbids a second
@@ -233,6 +235,8 @@
 	c.unsentBytes += len(body)
 	c.blockedStreams = append(c.blockedStreams, s)
 	c.sendBlockedData()
+	c.countKept()
+	c.front.account.Enforce()
 }
 
 // finish closes the stream after its answer. If the request is not complete, the rest is not waited for.
@@ -279,7 +283,9 @@
 	if n == len(s.unsent) {
 		flags = flagEndStream
 	}
-	c.write(append(appendFrameHeader(make([]byte, 0, frameHeaderBytes+n), n, frameData, flags, s.id), s.unsent[:n]...))
+	c.output = slices.Grow(c.output, frameHeaderBytes+n)
+	c.write(appendFrameHeader(make([]byte, 0, frameHeaderBytes), n, frameData, flags, s.id))
+	c.write(s.unsent[:n])
 	s.sendWindow -= int64(n)
 	c.sendWindow -= int64(n)
 	c.unsentBytes -= n
--- a/internal/gateway/directives.go
+++ b/internal/gateway/directives.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"cobaltflow/internal/clock"
-	"cobaltflow/internal/config"
 	"cobaltflow/internal/core"
 	"cobaltflow/internal/directive"
 	"cobaltflow/internal/platform"
@@ -30,6 +29,7 @@
 	replica  *replica.Replica
 	core     *core.Core
 	front    *platform.Front
+	gateway  *Gateway
 	log      *slog.Logger
 	disabled map[string]bool // table workers that operators have disabled
 	// reload rereads the configuration; nil: reload directives are ignored.
@@ -43,8 +43,9 @@
 // openDirectives joins the other processes of the scheduler and waits for what they have yet to write. If the directory is
 // unavailable, it logs the error and retries. Both take up to maxDirectoryWait together; after that the replica goes on in the
 // background.
-func openDirectives(conf *config.Config, c *core.Core, front *platform.Front, log *slog.Logger) *directives {
-	d := &directives{core: c, front: front, log: log, disabled: map[string]bool{}}
+func openDirectives(g *Gateway) *directives {
+	conf, c, log := g.Conf, g.Core, g.log
+	d := &directives{core: c, front: g.Front, gateway: g, log: log, disabled: map[string]bool{}}
 	period := replica.PollPeriodWithAdmin
 	if conf.Admin == "" {
 		period = replica.PollPeriodWithoutAdmin
@@ -154,7 +155,7 @@
 func (d *directives) updateProcesses(others replica.OtherProcesses) {
 	d.log.Info("other processes of this scheduler", "alive", others.Alive, "successor", others.HasSuccessor)
 	d.front.DivideLimits(1 + others.Alive)
-	ApplyLimits(d.front.Limits())
+	d.gateway.applyLimits()
 	d.knownSuccessor.Store(others.HasSuccessor)
 	d.core.SetSlowStartElsewhere(others.HasSuccessor)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"cobaltflow/internal/front/admin"
 	"cobaltflow/internal/front/admission"
 	"cobaltflow/internal/front/http2"
+	"cobaltflow/internal/link"
 	"cobaltflow/internal/platform"
 )
 
@@ -29,6 +30,7 @@
 	Faktory    *faktory.Front  // nil: off
 	HTTP2      *http2.Front    // nil: off
 	Admin      *admin.Front    // nil: no admin address is configured
+	account    *link.Account   // of the bytes that all fronts hold for their clients
 	log        *slog.Logger
 	closeUntil core.Time // when closeFronts ends its wait; 0: it has not begun
 
@@ -50,14 +52,15 @@
 	if conf.Ownership != nil {
 		g.Core.EnableOwnership(*conf.Ownership)
 	}
+	g.account = link.NewAccount(g.Loop, conf.ClientBufferBytes(conf.Limits.MemoryMB))
 	controller := admission.NewController(g.Core, &conf.Names)
-	g.Front = platform.New(g.Core, conf, controller, log)
+	g.Front = platform.New(g.Core, conf, controller, g.account, log)
 	g.Front.OnListenerDrain(g.closeListeners)
 	if conf.HTTP2.IsEnabled() {
-		g.HTTP2 = http2.New(g.Core, conf, controller, log)
+		g.HTTP2 = http2.New(g.Core, conf, controller, g.account, log)
 	}
 	if conf.Faktory.IsEnabled() {
-		g.Faktory = faktory.New(g.Core, conf, log)
+		g.Faktory = faktory.New(g.Core, conf, g.account, log)
 	}
 	return g
 }
@@ -67,7 +70,7 @@
 	for _, note := range g.Conf.Warnings {
 		g.log.Info("configuration", "note", note)
 	}
-	g.directives = openDirectives(g.Conf, g.Core, g.Front, g.log)
+	g.directives = openDirectives(g)
 	g.directives.reload = g.onReload
 	g.Core.Log = g.log.With("generation", g.directives.generation())
 	// Before the front listens: the first callback may already be one of another process's job.
@@ -130,10 +133,17 @@
 func (g *Gateway) Reload(next *config.Config) {
 	g.Loop.Post(func() {
 		g.Front.Reload(next)
-		ApplyLimits(g.Front.Limits())
+		g.applyLimits()
 	})
 }
 
+// applyLimits applies this process's part of the configured limits.
+func (g *Gateway) applyLimits() {
+	limits := g.Front.Limits()
+	ApplyLimits(limits)
+	g.account.SetLimit(g.Conf.ClientBufferBytes(limits.MemoryMB))
+}
+
 // ReloadFailed logs why the old configuration is kept. It may be called from any goroutine.
 func (g *Gateway) ReloadFailed(err error) {
 	// Logged on the loop goroutine, since the loop runs no event after the log is closed.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -37,6 +37,7 @@
 	AttemptCancelled = "given-up"    // an attempt was cancelled before the worker accepted it
 	NoAnswer         = "no-answer"   // a call was not answered in time
 	OverBudget       = "over-budget" // too many connections of its party (clients, workers)
+	OverMemory       = "over-memory" // it held most of the bytes that the process may hold for all clients
 	ConnectFailed    = "refused"     // the connection was never established
 	AddressChanged   = "moved"       // the peer has another address now
 	Shutdown         = "shut-down"   // the process ends
@@ -66,6 +67,7 @@
 	ClosedLocally bool      // Close was called; the end event may still be pending
 	CloseReason   string    // why this side closes the connection; empty: the peer closed it
 	OnClose       func()    // called by Close before the buffer is released: slices of it are invalid from then on
+	OnAbandon     func()    // called when the link is about to be closed over the account's limit: drops what the front keeps for it
 	// CountsQueuedTime makes ReceivedAt the time of arrival, as far as the kernel tells it, in place of that of the read. It is
 	// set before anything is read.
 	CountsQueuedTime bool
@@ -78,9 +80,11 @@
 
 	mu          sync.Mutex
 	outbox      []Outgoing
+	writing     int // bytes of the message that the writer has in hand
 	isWriting   bool
 	isFDClosed  bool         // the descriptor is being closed: its number may soon be reused
 	queuedBytes atomic.Int64 // bytes that the peer has not accepted yet
+	held        holding
 }
 
 // Outgoing is a message to write.
@@ -120,6 +124,7 @@
 	defer l.mu.Unlock()
 	l.outbox = append(l.outbox, o)
 	l.queuedBytes.Add(int64(len(o.Message)))
+	l.Hold(len(o.Message))
 	if !l.isWriting {
 		l.isWriting = true
 		// A pooled goroutine, as netpoll uses them: the stack of a new one would have to grow for each message.
@@ -136,15 +141,16 @@
 			return
 		}
 		o := l.outbox[0]
+		l.outbox[0] = Outgoing{} // the array would hold the message until it is replaced
 		l.outbox = l.outbox[1:]
+		l.writing = len(o.Message)
+		l.mu.Unlock()
+		err := l.writeMessage(o.Message)
+		l.mu.Lock()
+		l.writing = 0
 		l.mu.Unlock()
-		// Write instead of Writer: a connection that ends releases its buffers at once, and only Write takes the lock
-		// with which netpoll guards them. Writer caused a crash on a message to a peer that had just disconnected.
-		err := errConnEnded
-		if l.Conn.IsActive() {
-			_, err = l.Conn.Write(o.Message)
-		}
 		l.queuedBytes.Add(-int64(len(o.Message)))
+		l.held.releaseWritten(int64(len(o.Message)))
 		if o.Done != nil {
 			loop.Post(func() { o.Done(err) })
 		}
@@ -156,6 +162,28 @@
 	}
 }
 
+// maxWriteBytes is the largest part of a message that is written at once: netpoll copies what it is given to write.
+const maxWriteBytes = 128 << 10
+
+// writeMessage writes a message in parts. It blocks until the peer has accepted all of it, or none of a part within
+// writeTimeout.
+func (l *Link) writeMessage(message []byte) error {
+	for {
+		part := message[:min(len(message), maxWriteBytes)]
+		// Write instead of Writer: a connection that ends releases its buffers at once, and only Write takes the lock
+		// with which netpoll guards them. Writer caused a crash on a message to a peer that had just disconnected.
+		if !l.Conn.IsActive() {
+			return errConnEnded
+		}
+		if _, err := l.Conn.Write(part); err != nil {
+			return err
+		}
+		if message = message[len(part):]; len(message) == 0 {
+			return nil
+		}
+	}
+}
+
 var errConnEnded = errors.New("connection already ended")
 
 // NeverSent reports whether a write failed in the call itself, so that the last byte certainly did not leave. A write
@@ -251,6 +279,7 @@
 		return false
 	}
 	l.Ended = true
+	l.endHolding()
 	reason := l.CloseReason
 	if reason == "" {
 		reason = PeerClosed
--- a/internal/platform/accept.go
+++ b/internal/platform/accept.go
@@ -133,6 +133,7 @@
 		}
 		c.Opened, c.lastUsed, c.partialSince = f.loop.Now(), f.loop.Now(), f.loop.Now()
 		c.ref = f.clients.Add(c)
+		f.account.Add(&c.Link)
 		if c.isOnReserve {
 			f.closeIfSilentAfterGrace(c)
 		}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -64,6 +64,7 @@
 // loop unless their comments say otherwise.
 type Front struct {
 	admission    *admission.Controller
+	account      *link.Account // of the bytes that all fronts hold for their clients
 	loop         *core.Loop
 	core         *core.Core
 	conf         *config.Config
@@ -147,8 +148,8 @@
 }
 
 // New returns a front that is not listening yet; Start opens it.
-func New(c *core.Core, conf *config.Config, controller *admission.Controller, logger *slog.Logger) *Front {
-	f := &Front{loop: c.Loop, core: c, conf: conf, admission: controller, log: logger, listLimits: discovery.DefaultLimits,
+func New(c *core.Core, conf *config.Config, controller *admission.Controller, account *link.Account, logger *slog.Logger) *Front {
+	f := &Front{loop: c.Loop, core: c, conf: conf, admission: controller, account: account, log: logger, listLimits: discovery.DefaultLimits,
 		processes: 1, shutdownTimes: newShutdownSchedule(conf.Settings.Classes),
 		othersCheck: othersCheck{isAlone: func() (bool, error) { return true, nil }, timeout: othersCheckTimeout},
 		forwards:    forwardQueue{offer: offerCallback, byMessage: map[string]*forward{}}}
@@ -236,6 +237,7 @@
 	largestUnread := 0
 	f.clients.Each(func(_ core.Ref, c *clientConn) {
 		unread := c.Conn.Reader().Len()
+		c.SetKept(c.unreadBeyondRequest(unread))
 		if totalUnread += unread; unread > largestUnread {
 			largest, largestUnread = c, unread
 		}
@@ -271,6 +273,14 @@
 	f.loop.At(now+sweepInterval, f.sweep)
 }
 
+// unreadBeyondRequest returns how many of the unread bytes do not belong to the request in hand, whose bytes stay in the buffer.
+func (c *clientConn) unreadBeyondRequest(unread int) int {
+	if c.inFlight == nil && !c.HasPendingMessage() {
+		return unread
+	}
+	return max(0, unread-http1.MaxMessage)
+}
+
 // Ready reports whether the front accepts new clients: startup is over, no drain is in force and SIGTERM was not received.
 func (f *Front) Ready() bool { return f.isStarted && f.drainingSince == 0 && f.stoppingSince == 0 }
 
