Hand an attempt out only with the request that BeginAttempt returns

Cause: an attempt waits there for its worker's FETCH, and nothing asked again whether it may begin. BeginAttempt asks for window, client and worker; the transport to table workers called it, the one to workers that FETCH did not.

Change: Attempt has no request any more. BeginAttempt returns it, or nil where the attempt may not begin, so that a transport has nothing to send before it has asked. An attempt whose FETCH comes too late ends as not sent, and the next one that waits is tried. A FETCH whose session is about to be closed gets no attempt.

In TestNoAttemptBeginsAfterClientIsDetached the check that BeginAttempt is false is now that it is nil, as it returns the request: as strict.

--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -46,7 +46,7 @@
 		c.Log.Error("send for an unknown request", "id", id)
 		return
 	}
-	attempt := &Attempt{Request: request, Worker: worker, Number: request.attempts, sentAt: c.Loop.now}
+	attempt := &Attempt{RequestID: request.ID, Client: request.Client, request: request, Worker: worker, Number: request.attempts, sentAt: c.Loop.now}
 	request.attempts++
 	request.queuedSends--
 	attempt.Ref = c.attempts.Add(attempt)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -93,14 +93,18 @@
 
 const minRetryAfter = 50 * Millisecond
 
-// Attempt is one try to run a request at a worker.
+// Attempt is one try to run a request at a worker. A transport gets what the worker is to do from Core.BeginAttempt alone, so
+// that it cannot send an attempt that may not begin any more.
 type Attempt struct {
 	Ref            Ref
-	Request        *Request
+	RequestID      string
+	Client         Client // of the request
 	Worker         string
 	Number         int // among the attempts of the request, from 0
 	TransportState any // owned by the transport
 
+	request *Request
+
 	transport Transport // nil: the attempt was never handed to one
 	sentAt    Time
 }
@@ -318,7 +322,7 @@
 }
 
 func (c *Core) endAttempt(attempt *Attempt, status rules.Status, result []byte, load rules.Load) {
-	request := attempt.Request
+	request := attempt.request
 	c.attempts.Free(attempt.Ref)
 	for i, ref := range request.inFlight {
 		if ref == attempt.Ref {
@@ -343,20 +347,21 @@
 	c.releaseIfDone(request)
 }
 
-// BeginAttempt returns whether an attempt may begin. A transport calls it right before the first byte leaves: since the
-// send was decided on, the client or the worker may have gone, or the time in which the request may be retried may have
-// passed. An attempt that may not begin ends as not sent, in a later turn.
-func (c *Core) BeginAttempt(ref Ref) bool {
+// BeginAttempt returns the request of an attempt that begins now, or nil if it may not begin. A transport calls it right before
+// the first byte leaves, however long the attempt has waited: since the send was decided on, the client or the worker may
+// have gone, or the time in which the request may be retried may have passed. An attempt that may not begin ends as not
+// sent, in a later turn.
+func (c *Core) BeginAttempt(ref Ref) *Request {
 	attempt, ok := c.attempts.Get(ref)
 	if !ok {
-		return false
+		return nil
 	}
-	if !attempt.Request.clientDetached &&
-		attempt.Request.Pool.dispatcher.Begin(c.Loop.now, rules.RequestID(attempt.Request.ID), attempt.Number) {
-		return true
+	request := attempt.request
+	if !request.clientDetached && request.Pool.dispatcher.Begin(c.Loop.now, rules.RequestID(request.ID), attempt.Number) {
+		return request
 	}
 	c.Loop.Post(func() { c.AttemptEnded(ref, rules.NotSent, nil, rules.Load{}) })
-	return false
+	return nil
 }
 
 // AttemptStarted reports that a worker has started an attempt's job.
@@ -374,7 +379,7 @@
 }
 
 func (c *Core) reportProgress(attempt *Attempt, started bool, fraction float64) {
-	attempt.Request.Pool.dispatcher.Progress(c.Loop.now, &rules.Progress{Request: rules.RequestID(attempt.Request.ID),
+	attempt.request.Pool.dispatcher.Progress(c.Loop.now, &rules.Progress{Request: rules.RequestID(attempt.RequestID),
 		Attempt: attempt.Number, Worker: rules.WorkerID(attempt.Worker), Started: started, FractionDone: fraction})
 }
 
--- a/internal/core/disconnect_test.go
+++ b/internal/core/disconnect_test.go
@@ -62,7 +62,7 @@
 		require.Len(t, s.sent, 1)
 		c.Loop.turn([]func(){func() { c.DetachClient(request) }})
 		require.Zero(t, s.answers, "the attempt goes on")
-		assert.False(t, c.BeginAttempt(s.sent[0].Ref), "it may not begin again, on a second connection")
+		assert.Nil(t, c.BeginAttempt(s.sent[0].Ref), "it may not begin again, on a second connection")
 		c.Loop.turn([]func(){func() { c.AttemptEnded(s.sent[0].Ref, status, nil, rules.Load{}) }})
 		c.Loop.turn(mailbox(c))
 		assert.Len(t, s.sent, 1, "status %d", status)
--- a/internal/core/sites.go
+++ b/internal/core/sites.go
@@ -151,8 +151,8 @@
 		c.Log.Info("worker is silent and gets no new jobs", "worker", worker)
 	}
 	c.attempts.Each(func(ref Ref, attempt *Attempt) {
-		if attempt.Worker == worker && attempt.Request.Pool == c.mainPool && !attempt.Request.closed &&
-			w.mayRepeat(attempt.Request) {
+		if attempt.Worker == worker && attempt.request.Pool == c.mainPool && !attempt.request.closed &&
+			w.mayRepeat(attempt.request) {
 			w.stranded = append(w.stranded, ref)
 		}
 	})
@@ -185,14 +185,14 @@
 	c := w.core
 	waiting := w.stranded[:0]
 	for _, ref := range w.stranded {
-		if attempt, inFlight := c.attempts.Get(ref); inFlight && !attempt.Request.closed && w.machine.IsDisabled(attempt.Worker) {
+		if attempt, inFlight := c.attempts.Get(ref); inFlight && !attempt.request.closed && w.machine.IsDisabled(attempt.Worker) {
 			waiting = append(waiting, ref)
 		}
 	}
 	slices.SortStableFunc(waiting, func(a, b Ref) int {
 		first, _ := c.attempts.Get(a)
 		second, _ := c.attempts.Get(b)
-		return int(min(max(first.Request.Deadline-second.Request.Deadline, -1), 1))
+		return int(min(max(first.request.Deadline-second.request.Deadline, -1), 1))
 	})
 	n := 0
 	for n < len(waiting) && w.retryCredit >= 1 {
--- a/internal/core/trace.go
+++ b/internal/core/trace.go
@@ -24,14 +24,14 @@
 
 func (c *Core) traceAttempt(attempt *Attempt) {
 	if c.isTracing() {
-		c.Log.Debug("request: attempt", "id", attempt.Request.ID, "attempt", attempt.Number, "worker", attempt.Worker,
-			"left_ms", attempt.Request.TimeLeft(c.Loop.now)/Millisecond)
+		c.Log.Debug("request: attempt", "id", attempt.request.ID, "attempt", attempt.Number, "worker", attempt.Worker,
+			"left_ms", attempt.request.TimeLeft(c.Loop.now)/Millisecond)
 	}
 }
 
 func (c *Core) traceEnd(attempt *Attempt, status rules.Status) {
 	if c.isTracing() {
-		c.Log.Debug("request: attempt ended", "id", attempt.Request.ID, "attempt", attempt.Number, "worker", attempt.Worker,
+		c.Log.Debug("request: attempt ended", "id", attempt.request.ID, "attempt", attempt.Number, "worker", attempt.Worker,
 			"status", status.String(), "may_have_run", !status.NeverRan(), "after_ms", (c.Loop.now-attempt.sentAt)/Millisecond)
 	}
 }
--- a/internal/faktory/actions.go
+++ b/internal/faktory/actions.go
@@ -106,7 +106,7 @@
 
 // recordFailure notes why an attempt failed, for the failure that its job keeps.
 func (f *Front) recordFailure(attempt *core.Attempt, kind, message string) {
-	if r, isOurs := attempt.Request.Client.(*jobRequest); isOurs {
+	if r, isOurs := attempt.Client.(*jobRequest); isOurs {
 		r.failure = &jobs.Failure{Type: kind, Message: message}
 	}
 }
--- a/internal/faktory/export_test.go
+++ b/internal/faktory/export_test.go
@@ -46,3 +46,6 @@
 
 // Successors returns the number of processes that wait for a handover. It must be called on the loop.
 func (f *Front) Successors() int { return len(f.successors) }
+
+// Pending returns the number of attempts that wait for a worker's FETCH. It must be called on the loop.
+func (f *Front) Pending(wid string) int { return len(f.workers[wid].pending) }
--- a/internal/faktory/reports.go
+++ b/internal/faktory/reports.go
@@ -75,7 +75,7 @@
 		return false
 	}
 	delete(w.fetched, r.jobID)
-	if request, isOurs := attempt.Request.Client.(*jobRequest); isOurs && r.failure != nil {
+	if request, isOurs := attempt.Client.(*jobRequest); isOurs && r.failure != nil {
 		request.failure = r.failure
 	}
 	f.core.AttemptEnded(attempt.Ref, r.status, r.result, w.load(1))
--- a/internal/faktory/transport.go
+++ b/internal/faktory/transport.go
@@ -96,10 +96,10 @@
 		f.loop.Post(func() { f.core.AttemptEnded(attempt.Ref, rules.Unreachable, nil, rules.Load{}) })
 		return
 	}
-	queue := f.queueOf(attempt.Request)
+	queue := f.queueOf(attempt.Client)
 	for _, s := range w.waitingSessions {
-		if s.fetch.HasQueue(queue) {
-			f.deliver(w, s, attempt)
+		if s.CloseReason == "" && s.fetch.HasQueue(queue) {
+			f.deliver(w, s, attempt) // one that may not begin ends in a later turn
 			return
 		}
 	}
@@ -121,8 +121,8 @@
 				return false
 			}
 		}
-		if w.fetched[attempt.Request.ID] == attempt {
-			delete(w.fetched, attempt.Request.ID)
+		if w.fetched[attempt.RequestID] == attempt {
+			delete(w.fetched, attempt.RequestID)
 		}
 	}
 	return attempt.TransportState.(*attemptState).isFetched
@@ -144,30 +144,40 @@
 		InFlight: float64(len(w.pending) + len(w.fetched)), FreeSlots: float64(len(w.waitingSessions) + extraSlots)}
 }
 
-// deliver answers a FETCH with an attempt, which may have run from here on.
-func (f *Front) deliver(w *worker, s *session, attempt *core.Attempt) {
+// deliver answers a FETCH with an attempt, which may have run from here on. It returns false if the attempt may not begin any
+// more: it may have waited for the FETCH for long.
+func (f *Front) deliver(w *worker, s *session, attempt *core.Attempt) bool {
+	request := f.core.BeginAttempt(attempt.Ref)
+	if request == nil {
+		return false
+	}
 	attempt.TransportState.(*attemptState).isFetched = true
-	w.fetched[attempt.Request.ID] = attempt
+	w.fetched[attempt.RequestID] = attempt
 	w.removeWaiting(s)
 	f.loop.CancelTimer(s.fetchTimer)
 	s.fetchTimer = nil
-	if r, isOurs := attempt.Request.Client.(*jobRequest); isOurs {
+	if r, isOurs := attempt.Client.(*jobRequest); isOurs {
 		f.jobs.Started(f.loop.Now(), r.job, w.wid, &s.fetch)
 	} else {
 		f.jobs.CancelFetch(&s.fetch)
 	}
-	s.finishCommand(bulkReply(f.fetchPayload(attempt.Request)))
+	s.finishCommand(bulkReply(f.fetchPayload(request)))
 	f.core.AttemptStarted(attempt.Ref)
+	return true
 }
 
 // deliverPending answers a FETCH with a pending attempt of its worker, if any: by the order of the FETCH's queues, then
 // by the order in which the attempts were sent.
 func (f *Front) deliverPending(w *worker, s *session) bool {
 	for _, queue := range s.queues {
-		for i, waiting := range w.pending {
-			if waiting.queue == queue {
-				w.pending = append(w.pending[:i], w.pending[i+1:]...)
-				f.deliver(w, s, waiting.attempt)
+		for i := 0; i < len(w.pending); i++ {
+			waiting := w.pending[i]
+			if waiting.queue != queue {
+				continue
+			}
+			w.pending = append(w.pending[:i], w.pending[i+1:]...)
+			i--
+			if f.deliver(w, s, waiting.attempt) {
 				return true
 			}
 		}
@@ -220,8 +230,8 @@
 }
 
 // queueOf is the queue of a request: the pushed job's, or the default queue for a request of the HTTP fronts.
-func (f *Front) queueOf(req *core.Request) string {
-	if r, ok := req.Client.(*jobRequest); ok {
+func (f *Front) queueOf(client core.Client) string {
+	if r, ok := client.(*jobRequest); ok {
 		return r.job.Queue
 	}
 	return f.conf.Faktory.Queue
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -33,7 +33,6 @@
 
 // Send implements core.Transport.
 func (f *Front) Send(attempt *core.Attempt) {
-	request := attempt.Request
 	s := &attemptState{}
 	attempt.TransportState = s
 	ref := attempt.Ref
@@ -43,6 +42,7 @@
 		return
 	}
 	c := &call{}
+	var request *core.Request // set as the attempt begins
 	c.onAcquire = func() { s.state, s.link = stateDialing, nil }
 	c.onBegin = func(l *workerLink) {
 		s.state, s.link = stateWriting, l
@@ -90,9 +90,12 @@
 		}
 		f.core.AttemptEnded(ref, status, nil, rules.Load{})
 	}
-	c.mayBegin = func() bool { return f.core.BeginAttempt(ref) }
+	c.mayBegin = func() bool {
+		request = f.core.BeginAttempt(ref)
+		return request != nil
+	}
 	c.isWanted = func() bool {
-		current, found := f.core.FindAttempt(request.ID, attempt.Worker)
+		current, found := f.core.FindAttempt(attempt.RequestID, attempt.Worker)
 		return found && current.Ref == ref
 	}
 	f.core.ReplyExpected(w.name)
@@ -163,7 +166,7 @@
 		return true
 	}
 	if w := f.pool.workers[attempt.Worker]; w != nil {
-		c := &call{isIdempotent: true, message: http1.AppendRequest(nil, "DELETE", PathJobs+attempt.Request.ID, w.address, -1, nil)}
+		c := &call{isIdempotent: true, message: http1.AppendRequest(nil, "DELETE", PathJobs+attempt.RequestID, w.address, -1, nil)}
 		c.onBegin = func(l *workerLink) { f.setTimeout(c, l, cancelTimeout) }
 		c.onResponse = func(*http1.Response) {}
 		c.onFailed = func(string, bool) {}
