Disable a worker in the pools of all queues

What callers saw: an operator's disable call for a Faktory worker was answered yes, and the worker still got the jobs of queues of its own; one that fetches from no main queue was unknown (404).

Cause: the directive was applied to the main pool's Dispatcher alone, while each Faktory queue has a pool of its own.

Change: SetWorkerDisabled goes to all pools; a pool that is made later begins with what is in force; IsListed asks all pools.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -135,9 +135,10 @@
 
 	settings        rules.Settings
 	mainPool        *Pool
-	pools           []*Pool  // the main pool first
-	pendingActions  []func() // decided on in this turn
-	broadcastBuffer []byte   // messages to the other schedulers, sent at the end of this turn
+	pools           []*Pool         // the main pool first
+	disabledWorkers map[string]bool // by operators
+	pendingActions  []func()        // decided on in this turn
+	broadcastBuffer []byte          // messages to the other schedulers, sent at the end of this turn
 
 	sites *siteWatch // nil: sites are not watched
 
@@ -159,7 +160,7 @@
 
 // New returns a core without workers. Its first worker list must be set before the first request is accepted.
 func New(loop *Loop, settings rules.Settings, seed uint64, log *slog.Logger) *Core {
-	c := &Core{Loop: loop, Log: log, settings: settings, byID: map[string]*Request{}}
+	c := &Core{Loop: loop, Log: log, settings: settings, byID: map[string]*Request{}, disabledWorkers: map[string]bool{}}
 	loop.now = loop.Clock()
 	c.mainPool = c.NewPool("", settings, seed)
 	loop.onTurnEnd = c.runPendingActions
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -58,10 +58,19 @@
 	p := &Pool{Name: name, core: c, list: newWorkerList()}
 	settings.MayBroadcast = settings.MayBroadcast && c.mainPool == nil // the peers share the main pool's workers only
 	p.dispatcher = rules.New(settings, seed, c.Loop.now, actions{p})
+	for worker := range c.disabledWorkers {
+		p.setDisabled(worker, true)
+	}
 	c.pools = append(c.pools, p)
 	return p
 }
 
+// setDisabled disables or enables a worker in the pool, and returns whether the pool lists it.
+func (p *Pool) setDisabled(worker string, disabled bool) (isListed bool) {
+	known := p.dispatcher.SetDisabled(p.core.Loop.now, rules.WorkerID(worker), rules.ByOperator, disabled)
+	return known || p.list.workers[worker] != nil // a worker of another scheduler's share may become ours
+}
+
 // Close removes a pool. It must have no requests.
 func (p *Pool) Close() {
 	p.closed = true
@@ -126,15 +135,22 @@
 	return others
 }
 
-// SetWorkerDisabled applies an operator's directive to a worker of the main pool: while it is disabled, the Dispatcher
-// sends it no new jobs, whatever the list says. It returns whether the worker is listed.
-func (c *Core) SetWorkerDisabled(worker string, disabled bool) bool {
-	known := c.mainPool.dispatcher.SetDisabled(c.Loop.now, rules.WorkerID(worker), rules.ByOperator, disabled)
-	return known || c.mainPool.list.workers[worker] != nil // a worker of another scheduler's share may become ours
+// SetWorkerDisabled applies an operator's directive to a worker in all pools, those that it joins later included: while it is
+// disabled, no Dispatcher sends it new jobs, whatever the list says. It returns whether the worker is listed.
+func (c *Core) SetWorkerDisabled(worker string, disabled bool) (isListed bool) {
+	if delete(c.disabledWorkers, worker); disabled {
+		c.disabledWorkers[worker] = true
+	}
+	for _, p := range c.pools {
+		isListed = p.setDisabled(worker, disabled) || isListed
+	}
+	return isListed
 }
 
-// IsListed returns whether a worker of the main pool is listed.
-func (c *Core) IsListed(worker string) bool { return c.mainPool.list.workers[worker] != nil }
+// IsListed returns whether any pool lists a worker.
+func (c *Core) IsListed(worker string) bool {
+	return slices.ContainsFunc(c.pools, func(p *Pool) bool { return p.list.workers[worker] != nil })
+}
 
 // SetSlowStartElsewhere sets whether a later process of this scheduler uses its slow-start budgets: the Dispatcher's
 // shares of the cold budgets, see rules.Dispatcher.YieldColdBudget.
