End HTTP/2 requests that do not come whole, and let unused connections give way

Cause: a request, and a field block, had no time to come whole in; an unused connection kept its place for idle_s.

Change: 2 s for a request, a field block and the rest of a frame, as on the HTTP/1.1 front, then 408 or a close. At max_connections the connection without a stream that was used least recently gives way to a new one.

--- a/internal/front/http2/conn.go
+++ b/internal/front/http2/conn.go
@@ -272,7 +272,7 @@
 		return nil
 	}
 	c.front.Stats.Streams++
-	s := &stream{conn: c, id: f.streamID, header: h, sendWindow: c.initialSendWindow, recvWindow: defaultWindow}
+	s := &stream{conn: c, id: f.streamID, openedAt: c.front.loop.Now(), header: h, sendWindow: c.initialSendWindow, recvWindow: defaultWindow}
 	c.streams[s.id] = s
 	c.headerBytes += h.size
 	c.countKept()
--- a/internal/front/http2/front.go
+++ b/internal/front/http2/front.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"log/slog"
+	"sync/atomic"
 
 	"github.com/cloudwego/netpoll"
 	"golang.org/x/net/http2/hpack"
@@ -93,6 +94,7 @@
 	c.encoder = hpack.NewEncoder(&c.headerBuffer)
 	c.Init(nc, "h2-agent", nc.RemoteAddr().String(), 0)
 	c.OnAbandon = c.dropBuffers
+	nc.SetReadTimeout(readTimeout)
 	nc.AddCloseCallback(func(netpoll.Connection) error {
 		f.loop.Post(func() { f.connEnded(c) })
 		return nil
@@ -117,7 +119,7 @@
 	switch {
 	case f.closed:
 		c.closeWithGoAway(NoError, link.Shutdown, "")
-	case f.conns.Len() > f.limits.MaxConnections:
+	case f.conns.Len() > f.limits.MaxConnections && !f.closeIdleFor(c):
 		c.closeWithGoAway(EnhanceYourCalm, link.OverBudget, "max_connections is reached")
 	case f.draining:
 		c.sendGoAway(maxStreamID)
@@ -168,6 +170,8 @@
 			c.closeStalled()
 		case len(c.streams) == 0 && now-c.lastUsed > f.limits.IdleTimeout:
 			c.closeWithGoAway(NoError, link.IdleTimeout, "")
+		default:
+			c.endSlowRequests(now)
 		}
 	})
 	if !f.closed {
@@ -245,14 +249,16 @@
 	unsentBytes       int       // bytes of data held back
 	bodyBytes         int       // bytes of request bodies that are not complete, or not released by the core
 	headerBytes       int       // bytes of the headers of open streams
-	unreadInput       int       // bytes that were unread at the last sweep
-	lastProgress      core.Time // when data was sent last, or when unsentBytes last rose from 0
-	lastUsed          core.Time // when a frame came or a stream ended last
-	receivedAt        core.Time // when the frames had arrived that are being handled
-	output            []byte    // frames of this turn, not sent yet
-	isDirty           bool      // it is in Front.connsToFlush
-	isGoingAway       bool      // a GOAWAY was sent or received
-	isAbandoned       bool      // it is about to be closed over the account's limit, and nothing is written any more
+	// blockSince is when a field block began that is not complete, on the loop's clock; 0: there is none.
+	blockSince   atomic.Int64
+	unreadInput  int       // bytes that were unread at the last sweep
+	lastProgress core.Time // when data was sent last, or when unsentBytes last rose from 0
+	lastUsed     core.Time // when a frame came or a stream ended last
+	receivedAt   core.Time // when the frames had arrived that are being handled
+	output       []byte    // frames of this turn, not sent yet
+	isDirty      bool      // it is in Front.connsToFlush
+	isGoingAway  bool      // a GOAWAY was sent or received
+	isAbandoned  bool      // it is about to be closed over the account's limit, and nothing is written any more
 
 	resetBudget, controlBudget, emptyDataBudget, excessStreamBudget tokenBucket
 }
--- a/internal/front/http2/input.go
+++ b/internal/front/http2/input.go
@@ -38,6 +38,7 @@
 			return nil
 		}
 		batch, used, needed := c.splitFrames(buf)
+		c.noteFieldBlock(receivedAt)
 		r.Skip(used)
 		if err := r.Release(); err != nil {
 			return err
@@ -60,6 +61,16 @@
 	}
 }
 
+// noteFieldBlock records since when a field block is incomplete, for the sweep.
+func (c *conn) noteFieldBlock(now core.Time) {
+	switch isOpen := c.reader.blockStream != 0; {
+	case !isOpen:
+		c.blockSince.Store(0)
+	case c.blockSince.Load() == 0:
+		c.blockSince.Store(now)
+	}
+}
+
 // splitFrames takes frames from buf, up to maxBatchFrames. needed above 0 says that the last frame is incomplete, and
 // how many bytes it needs.
 func (c *conn) splitFrames(buf []byte) (batch []*frame, used, needed int) {
--- /dev/null
+++ b/internal/front/http2/slow.go
@@ -0,0 +1,59 @@
+package http2
+
+import (
+	"time"
+
+	"cobaltflow/internal/core"
+	"cobaltflow/internal/link"
+)
+
+const (
+	// messageTimeout is how long a request may take to come whole, as for the HTTP/1.1 front.
+	messageTimeout = 2 * core.Second
+	// evictableAfter is how long a connection without a stream has not been used before it gives way to a new one.
+	evictableAfter = core.Second / 5
+)
+
+// readTimeout is how long the rest of a frame may take to come.
+const readTimeout = time.Duration(messageTimeout) * time.Microsecond
+
+// isUnusedSince reports whether the connection has no stream and has had none, and no frame, since a time.
+func (c *conn) isUnusedSince(since core.Time) bool { return len(c.streams) == 0 && c.lastUsed < since }
+
+// closeIdleFor closes the connection without a stream that was used least recently, in favour of a new one. It returns false
+// if there is none that has been unused for a moment.
+func (f *Front) closeIdleFor(newest *conn) bool {
+	var oldest *conn
+	since := f.loop.Now() - evictableAfter
+	closing := 0
+	f.conns.Each(func(_ core.Ref, c *conn) {
+		switch {
+		case c.CloseReason != "" || c.ClosedLocally:
+			closing++
+		case c != newest && c.isUnusedSince(since) && (oldest == nil || c.lastUsed < oldest.lastUsed):
+			oldest = c
+		}
+	})
+	if f.conns.Len()-closing <= f.limits.MaxConnections {
+		return true
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.closeWithGoAway(NoError, link.OverBudget, "")
+	return true
+}
+
+// endSlowRequests answers requests that have not come whole in time with 408, and closes a connection whose field block has
+// not.
+func (c *conn) endSlowRequests(now core.Time) {
+	if since := c.blockSince.Load(); since > 0 && now-since > messageTimeout {
+		c.closeWithGoAway(EnhanceYourCalm, link.SlowInput, "a block of headers did not come whole in time")
+		return
+	}
+	for _, s := range c.streams {
+		if !s.requestEnded && !s.answered && now-s.openedAt > messageTimeout {
+			s.rejectEarly(408, "no whole request came in time")
+		}
+	}
+}
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -18,6 +18,7 @@
 type stream struct {
 	conn         *conn
 	id           uint32
+	openedAt     core.Time
 	header       *fieldSection
 	body         []byte
 	countedBody  int   // bytes of the body that count in conn.bodyBytes, until the body is released
