Send HTTP/2 clients away in a drain

Cause: the HTTP/2 front's readiness was a constant, and a drain closed the HTTP/1.1 front's connections alone.

Change: readiness is the HTTP/1.1 front's. A drain, by operators or a handover, sends each HTTP/2 connection a GOAWAY and closes it once it has no stream; its end is passed on too.

--- a/internal/front/http2/front.go
+++ b/internal/front/http2/front.go
@@ -39,6 +39,8 @@
 	server          netpoll.EventLoop
 	conns           core.SlotMap[*conn]
 	connsToFlush    []*conn
+	isReady         func() bool // whether new clients are accepted, see SetIsReady
+	clientsDraining bool        // clients are sent to other schedulers, see SetClientsDraining
 	draining        bool
 	finalGoAwaySent bool // the second GOAWAY has been sent
 	closed          bool
@@ -57,7 +59,8 @@
 func New(c *core.Core, conf *config.Config, controller *admission.Controller, account *link.Account, log *slog.Logger) *Front {
 	cfg := &conf.HTTP2
 	return &Front{loop: c.Loop, core: c, conf: conf, log: log, admission: controller, account: account, Stats: Stats{ClosedByReason: map[string]uint64{}},
-		ledger: admission.NewLedger(cfg.MaxEndedJobs, cfg.MaxEndedMB<<20, core.Time(cfg.EndedRetentionS*float64(core.Second))),
+		isReady: func() bool { return true },
+		ledger:  admission.NewLedger(cfg.MaxEndedJobs, cfg.MaxEndedMB<<20, core.Time(cfg.EndedRetentionS*float64(core.Second))),
 		limits: Limits{MaxConnections: cfg.MaxConnections, MaxStreams: cfg.MaxStreams, MaxHeaderListBytes: cfg.MaxHeaderKB << 10, HeaderTableBytes: cfg.HeaderTableBytes,
 			MaxHeaderFrames: 16, MaxUnsentBytes: cfg.MaxUnsentKB << 10, MaxBodyBytes: cfg.MaxBodyKB << 10, StallTimeout: core.Time(cfg.StallTimeoutMS) * core.Millisecond,
 			SettingsTimeout: core.Time(cfg.SettingsTimeoutMS) * core.Millisecond, IdleTimeout: core.Time(cfg.IdleTimeoutS) * core.Second, FinalGoAwayDelay: core.Second,
@@ -121,7 +124,7 @@
 		c.closeWithGoAway(NoError, link.Shutdown, "")
 	case f.conns.Len() > f.limits.MaxConnections && !f.closeIdleFor(c):
 		c.closeWithGoAway(EnhanceYourCalm, link.OverBudget, "max_connections is reached")
-	case f.draining:
+	case f.draining || f.clientsDraining:
 		c.sendGoAway(maxStreamID)
 	}
 }
@@ -170,6 +173,8 @@
 			c.closeStalled()
 		case len(c.streams) == 0 && now-c.lastUsed > f.limits.IdleTimeout:
 			c.closeWithGoAway(NoError, link.IdleTimeout, "")
+		case f.clientsDraining && c.isUnusedSince(now-drainGrace):
+			c.closeWithGoAway(NoError, link.Shutdown, "")
 		default:
 			c.endSlowRequests(now)
 		}
--- a/internal/front/http2/slow.go
+++ b/internal/front/http2/slow.go
@@ -12,11 +12,26 @@
 	messageTimeout = 2 * core.Second
 	// evictableAfter is how long a connection without a stream has not been used before it gives way to a new one.
 	evictableAfter = core.Second / 5
+	// drainGrace is how long a connection without a stream stays open while clients are sent to other schedulers.
+	drainGrace = core.Second / 5
 )
 
 // readTimeout is how long the rest of a frame may take to come.
 const readTimeout = time.Duration(messageTimeout) * time.Microsecond
 
+// SetIsReady sets the function that tells whether new clients are accepted, which GET /-/ready answers. It must be called
+// before Start.
+func (f *Front) SetIsReady(isReady func() bool) { f.isReady = isReady }
+
+// SetClientsDraining begins or ends a drain of the clients, which operators or a handover ask for: each connection gets a GOAWAY
+// and is closed once it has no stream. Requests that come all the same are served.
+func (f *Front) SetClientsDraining(draining bool) {
+	if f.clientsDraining = draining; !draining || f.draining {
+		return
+	}
+	f.conns.Each(func(_ core.Ref, c *conn) { c.sendGoAway(maxStreamID) })
+}
+
 // isUnusedSince reports whether the connection has no stream and has had none, and no frame, since a time.
 func (c *conn) isUnusedSince(since core.Time) bool { return len(c.streams) == 0 && c.lastUsed < since }
 
--- a/internal/front/http2/slow_test.go
+++ b/internal/front/http2/slow_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	xhttp2 "golang.org/x/net/http2"
 
 	"cobaltflow/internal/config"
@@ -53,3 +55,22 @@
 		return err == nil && status == 200
 	})
 }
+
+// Guards against an operators' drain that does not reach clients of HTTP/2: readiness said yes, and they stayed.
+func TestDrainReachesHTTP2Clients(t *testing.T) {
+	n := start(t, nil, standin.NewWorker(t, "s-1", nil))
+	readiness := func() int {
+		r, err := newClient(n).Get("http://" + n.HTTP2.Address() + "/-/ready")
+		require.NoError(t, err)
+		r.Body.Close()
+		return r.StatusCode
+	}
+	require.Equal(t, http.StatusOK, readiness())
+	r := dial(n)
+	n.RunOnLoop(n.Front.Drain)
+	assert.Equal(t, http.StatusServiceUnavailable, readiness())
+	r.readUntil(t, isGoAway)
+	require.Eventually(t, func() bool { _, err := r.ReadFrame(); return err != nil }, answerWithin, time.Millisecond, "an unused connection is closed")
+	n.RunOnLoop(n.Front.Resume)
+	assert.Equal(t, http.StatusOK, readiness())
+}
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -82,7 +82,7 @@
 	path, _, _ := strings.Cut(h.path, "?")
 	switch {
 	case path == "/-/ready" || path == "/-/healthy":
-		s.serveLocal("GET", func() { s.respond(200, nil) })
+		s.serveLocal("GET", s.respondHealth)
 		return
 	case strings.HasPrefix(path, PathJobs):
 		s.serveLocal("GET", func() { s.respondJobState(strings.TrimPrefix(path, PathJobs)) })
@@ -122,6 +122,15 @@
 	respond()
 }
 
+// respondHealth answers 200 while new clients are accepted, else 503.
+func (s *stream) respondHealth() {
+	if s.conn.front.isReady() {
+		s.respond(200, nil)
+	} else {
+		s.respond(503, nil, "retry-after", "1")
+	}
+}
+
 // respondJobState answers with the state of the job with this id, from the ledger.
 func (s *stream) respondJobState(id string) {
 	entry := s.conn.front.ledger.Find(id)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,8 @@
 	g.Front.OnListenerDrain(g.closeListeners)
 	if conf.HTTP2.IsEnabled() {
 		g.HTTP2 = http2.New(g.Core, conf, controller, g.account, log)
+		g.HTTP2.SetIsReady(g.Front.Ready)
+		g.Front.OnDrain(g.HTTP2.SetClientsDraining)
 	}
 	if conf.Faktory.IsEnabled() {
 		g.Faktory = faktory.New(g.Core, conf, g.account, log)
--- a/internal/platform/drain.go
+++ b/internal/platform/drain.go
@@ -90,14 +90,19 @@
 		f.drainingSince = f.loop.Now()
 		f.log.Info("drain: started", "open", f.core.OpenRequests(), "connections", f.clients.Len())
 		f.closeIdleClients(f.drainingSince)
+		f.onDrain(true)
 	}
 }
 
+// OnDrain sets a function that is called as a drain of the clients begins or ends. It must be called before Start.
+func (f *Front) OnDrain(changed func(draining bool)) { f.onDrain = changed }
+
 // Resume ends a drain. It has no effect on a process that has handed over to its successor.
 func (f *Front) Resume() {
 	if f.drainingSince > 0 && !f.isHandingOver {
 		f.drainingSince = 0
 		f.log.Info("drain: ended, clients are accepted again")
+		f.onDrain(false)
 	}
 }
 
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -64,7 +64,8 @@
 // loop unless their comments say otherwise.
 type Front struct {
 	admission    *admission.Controller
-	account      *link.Account // of the bytes that all fronts hold for their clients
+	onDrain      func(draining bool) // see OnDrain
+	account      *link.Account       // of the bytes that all fronts hold for their clients
 	loop         *core.Loop
 	core         *core.Core
 	conf         *config.Config
@@ -150,7 +151,7 @@
 // New returns a front that is not listening yet; Start opens it.
 func New(c *core.Core, conf *config.Config, controller *admission.Controller, account *link.Account, logger *slog.Logger) *Front {
 	f := &Front{loop: c.Loop, core: c, conf: conf, admission: controller, account: account, log: logger, listLimits: discovery.DefaultLimits,
-		processes: 1, shutdownTimes: newShutdownSchedule(conf.Settings.Classes),
+		processes: 1, onDrain: func(bool) {}, shutdownTimes: newShutdownSchedule(conf.Settings.Classes),
 		othersCheck: othersCheck{isAlone: func() (bool, error) { return true, nil }, timeout: othersCheckTimeout},
 		forwards:    forwardQueue{offer: offerCallback, byMessage: map[string]*forward{}}}
 	f.pool = newConnPool(f)
