Hand a pushed job out with the time that is left

What callers saw: a worker that fetched a job which had waited read the time_left_ms of its PUSH, and could go on after its client had given up.

Cause: a pushed job was handed out byte for byte.

Change: custom.time_left_ms is replaced by what is left at the FETCH.

--- a/internal/faktory/payload.go
+++ b/internal/faktory/payload.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"strconv"
 	"strings"
 	"time"
 	"unicode/utf8"
@@ -249,16 +250,29 @@
 	return f.loop.ToWall(at).UTC().Format(time.RFC3339Nano)
 }
 
-// fetchPayload is the reply to a worker's FETCH: a pushed job as it was pushed, with the failure of its last run, if
-// any; any other request as a job whose single argument describes the request.
+// withTimeLeft returns a pushed job's payload with what is left of its client's time in place of what was left at its PUSH.
+func withTimeLeft(payload string, left core.Time) string {
+	pushed := gjson.Get(payload, "custom.time_left_ms")
+	if pushed.Index == 0 {
+		return payload
+	}
+	return payload[:pushed.Index] + strconv.FormatInt(max(1, left/core.Millisecond), 10) + payload[pushed.Index+len(pushed.Raw):]
+}
+
+// fetchPayload is the reply to a worker's FETCH: a pushed job as it was pushed, but for the time left, with the failure of its
+// last run, if any; any other request as a job whose single argument describes the request.
 func (f *Front) fetchPayload(req *core.Request) []byte {
 	if r, ok := req.Client.(*jobRequest); ok {
 		j := r.job
+		payload := j.Payload
+		if j.Deadline() > 0 {
+			payload = withTimeLeft(payload, j.Deadline()-f.loop.Now())
+		}
 		if j.Failure == nil {
-			return []byte(j.Payload)
+			return []byte(payload)
 		}
 		text, _ := json.Marshal(f.failureJSONOf(j))
-		return []byte(strings.TrimSuffix(j.Payload, "}") + `,"failure":` + string(text) + "}")
+		return []byte(strings.TrimSuffix(payload, "}") + `,"failure":` + string(text) + "}")
 	}
 	request := map[string]string{"target": req.Job.Target}
 	if utf8.Valid(req.Job.Body) {
