Bound the open connections of the HTTP/2 and Faktory ports as they are accepted

Cause: the limits were compared as the loop greeted a connection, when the poller had accepted many more.

Change: the listener counts open connections and closes those above a quarter more than the limit at once; up to there a client is told why.

--- a/internal/faktory/front.go
+++ b/internal/faktory/front.go
@@ -39,8 +39,13 @@
 	maxPendingTime     = core.Second / 4 // how long an attempt stays pending for one worker while another waits
 	maxDueStepsPerTurn = 1000            // timers and steps of the jobs' machine in one turn of the loop
 	maxUnreadBytes     = 4 << 20         // bytes of replies that a session may leave unread
-	workerPrefix       = "faktory:"
-	protocolLevel      = 2
+
+	// Connections over max_sessions that may be open, until their clients have read why: a quarter, and at least so many.
+	rejectedConnsShare = 4
+	minRejectedConns   = 8
+
+	workerPrefix  = "faktory:"
+	protocolLevel = 2
 )
 
 // Front is the Faktory front, and the core's transport to the workers that are connected to it. Its fields belong to
@@ -150,6 +155,7 @@
 		return &config.Error{Key: "faktory.listen", Text: err.Error()}
 	}
 	f.FrontListener = link.NewFrontListener(link.NewDrainingListener(ln, "faktory", f.loop, f.log))
+	f.DrainingListener.LimitOpen(f.conf.Faktory.MaxSessions + max(minRejectedConns, f.conf.Faktory.MaxSessions/rejectedConnsShare))
 	f.server, err = netpoll.NewEventLoop(onRequest, netpoll.WithOnPrepare(f.accept),
 		netpoll.WithOnDisconnect(func(ctx context.Context, _ netpoll.Connection) {
 			s := ctx.Value(sessionKey{}).(*session)
@@ -207,12 +213,14 @@
 }
 
 func (f *Front) accept(nc netpoll.Connection) context.Context {
+	listener := f.DrainingListener
 	s := &session{front: f}
 	s.Init(nc, "faktory", nc.RemoteAddr().String(), 0)
 	s.client, _, _ = net.SplitHostPort(s.Peer)
 	s.input.backlog = link.NewBacklog()
 	s.OnAbandon = s.dropBuffers
 	nc.AddCloseCallback(func(netpoll.Connection) error { // runs once nothing is read any more
+		listener.Closed()
 		s.input.buffer = nil
 		f.loop.Post(func() { f.sessionEnded(s) })
 		return nil
--- a/internal/front/http2/front.go
+++ b/internal/front/http2/front.go
@@ -22,6 +22,10 @@
 	sweepInterval  = 50 * core.Millisecond
 	maxBatchFrames = 128     // frames handed to the loop at once, which bounds a connection's work in a turn
 	maxUnreadBytes = 4 << 20 // bytes that a client may leave unread in its socket
+
+	// Connections over max_connections that may be open, until their clients have read why: a quarter, and at least so many.
+	rejectedConnsShare = 4
+	minRejectedConns   = 8
 )
 
 // Front is the HTTP/2 front. All its fields belong to the loop.
@@ -74,6 +78,7 @@
 		return &config.Error{Key: "http2.listen", Text: err.Error()}
 	}
 	f.FrontListener = link.NewFrontListener(link.NewDrainingListener(ln, "http2", f.loop, f.log))
+	f.DrainingListener.LimitOpen(f.limits.MaxConnections + max(minRejectedConns, f.limits.MaxConnections/rejectedConnsShare))
 	f.server, err = netpoll.NewEventLoop(onRequest, netpoll.WithOnPrepare(f.accept),
 		netpoll.WithOnDisconnect(func(ctx context.Context, _ netpoll.Connection) {
 			c := ctx.Value(connKey{}).(*conn)
@@ -92,6 +97,7 @@
 func (f *Front) Address() string { return f.Listener.Addr().String() }
 
 func (f *Front) accept(nc netpoll.Connection) context.Context {
+	listener := f.DrainingListener
 	c := &conn{front: f, streams: map[uint32]*stream{}, sendWindow: defaultWindow, initialSendWindow: defaultWindow, maxSendFrame: defaultMaxFrame,
 		recvWindow: defaultWindow, reader: newReader(&f.limits), backlog: link.NewBacklog(), resetStreams: newRecentStreams()}
 	c.encoder = hpack.NewEncoder(&c.headerBuffer)
@@ -99,6 +105,7 @@
 	c.OnAbandon = c.dropBuffers
 	nc.SetReadTimeout(readTimeout)
 	nc.AddCloseCallback(func(netpoll.Connection) error {
+		listener.Closed()
 		f.loop.Post(func() { f.connEnded(c) })
 		return nil
 	})
--- a/internal/link/drain.go
+++ b/internal/link/drain.go
@@ -46,6 +46,8 @@
 	isDraining      atomic.Bool
 	drained         atomic.Int64 // connections accepted since the drain began
 	pendingAccepts  atomic.Int64 // accepts in progress, and accepted connections not registered on the loop yet
+	openConns       atomic.Int64 // accepted and not closed
+	maxOpenConns    int64        // 0: no limit
 	onListenerClose []func()
 }
 
@@ -75,14 +77,35 @@
 func (d *DrainingListener) Accept() (net.Conn, error) {
 	d.pendingAccepts.Add(1)
 	nc, err := d.Listener.Accept()
-	if nc == nil {
+	switch {
+	case nc == nil:
 		d.pendingAccepts.Add(-1)
-	} else if d.isDraining.Load() {
+	case d.openConns.Add(1) > d.maxOpenConns && d.maxOpenConns > 0:
+		d.reject(nc)
+		return nil, nil
+	case d.isDraining.Load():
 		d.drained.Add(1)
 	}
 	return nc, err
 }
 
+// LimitOpen sets the number of connections above which new ones are closed at once, without a word: a front that is to tell a
+// client why it closes the connection needs a descriptor for that. It must be called before the listener is served, and
+// Closed for each connection that Accept returns.
+func (d *DrainingListener) LimitOpen(connections int) { d.maxOpenConns = int64(connections) }
+
+// Closed records that a connection that Accept has returned is closed. It may be called on any goroutine.
+func (d *DrainingListener) Closed() { d.openConns.Add(-1) }
+
+// reject closes a connection above the limit.
+func (d *DrainingListener) reject(nc net.Conn) {
+	peer := nc.RemoteAddr().String()
+	nc.Close()
+	d.Closed()
+	d.pendingAccepts.Add(-1)
+	d.loop.Post(func() { LogEnd(d.log, d.name, peer, OverBudget, 0, 0) })
+}
+
 // Registered records that a connection that Accept has returned is registered on the loop, or was closed.
 func (d *DrainingListener) Registered() { d.pendingAccepts.Add(-1) }
 
