Drop handled frames and resumed calls from the arrays that held them

What was seen: TestSlowSendersStayWithinTheirShareOfMemory was over its bound by 2 to 6 % in 2 of 9 plays (25.8 and 26.8 MB live, 25.2 allowed), once with -race.

Change: the element is cleared, in the batches of a connection and in the calls that wait for an account.

--- a/internal/front/http2/input.go
+++ b/internal/front/http2/input.go
@@ -120,6 +120,7 @@
 			batch.frames = batch.frames[1:]
 			c.handleOne(next)
 		}
+		c.waitingBatches[0] = nil // the array would hold the frames until it is replaced
 		c.waitingBatches = c.waitingBatches[1:]
 		c.backlog.Done(batch.cost)
 		c.Hold(-batch.cost)
--- a/internal/link/account.go
+++ b/internal/link/account.go
@@ -59,6 +59,7 @@
 func (a *Account) resume() {
 	for len(a.waiting) > 0 && !a.IsOver() {
 		next := a.waiting[0]
+		a.waiting[0] = nil
 		a.waiting = a.waiting[1:]
 		next()
 	}
