Keep the bytes that a writer has in hand under the lock of the link's end

Cause, found by reading, not seen in a run: the end of a link read what its writer had in hand under one lock, and released the rest under another. A write that ended between the two left its bytes in the account for good, until the fronts would have handled no input any more.

Change: the holding keeps what the writer has in hand; the end of the write and of the link are one step each under its lock.

Evidence: TestAccountIsEmptyAfterWritesThatEndWithTheirLinks, 20,000 of these moments, with -race too; it cannot be run on the code before, whose steps were in two places.

--- a/internal/link/account_test.go
+++ b/internal/link/account_test.go
@@ -90,3 +90,24 @@
 	}, 5*time.Second, 10*time.Millisecond)
 	runtime.KeepAlive(l)
 }
+
+// Guards against bytes that count for ever, until the fronts handle no input any more: those of a write that ends in the moment in
+// which its link ends.
+func TestAccountIsEmptyAfterWritesThatEndWithTheirLinks(t *testing.T) {
+	account := NewAccount(core.NewLoop(), 1<<20)
+	for range 20_000 {
+		l := &Link{}
+		l.joinAccount(account)
+		l.Hold(10)
+		written := make(chan struct{})
+		go func() {
+			l.held.beginWrite(10)
+			l.held.endWrite()
+			close(written)
+		}()
+		l.endHolding()
+		<-written
+	}
+	assert.Zero(t, account.used.Load())
+	assert.Zero(t, account.releasing.Load())
+}
--- a/internal/link/held.go
+++ b/internal/link/held.go
@@ -11,8 +11,9 @@
 	mu        sync.Mutex
 	account   *Account // nil: not added yet
 	bytes     int64
+	writing   int64 // bytes of the message that the writer has in hand; part of bytes
 	isEnded   bool  // the link has ended or was abandoned: nothing more counts
-	releasing int64 // bytes that its writer had in hand then, and has not released yet
+	releasing int64 // what writing was then, until the writer has released it
 
 	kept int64 // of bytes, what SetKept has set last; belongs to the loop
 }
@@ -49,24 +50,34 @@
 	}
 }
 
-// releaseWritten releases a message that the writer has had in hand.
-func (h *holding) releaseWritten(n int64) {
+// beginWrite records that the writer has a message in hand. A message that it took as the link ended does not count.
+func (h *holding) beginWrite(n int64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	switch {
-	case !h.isEnded:
+	if !h.isEnded {
+		h.writing = n
+	}
+}
+
+// endWrite releases the message that the writer has had in hand.
+func (h *holding) endWrite() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := h.writing
+	if h.isEnded {
+		n = h.releasing
+		h.releasing = 0
+	} else {
 		h.bytes -= n
-	case h.releasing == 0:
+		h.writing = 0
+	}
+	if h.account == nil {
 		return
-	default:
-		h.releasing -= n
-		if h.account != nil {
-			h.account.releasing.Add(-n)
-		}
 	}
-	if h.account != nil {
-		h.account.charge(-n)
+	if h.isEnded {
+		h.account.releasing.Add(-n)
 	}
+	h.account.charge(-n)
 }
 
 // joinAccount charges the link's bytes to an account from now on.
@@ -80,22 +91,20 @@
 // endHolding releases all bytes, as the link has ended or is about to be closed, but for the message that its writer has in
 // hand: that one is released as the write ends.
 func (l *Link) endHolding() {
-	l.mu.Lock()
-	writing := int64(l.writing)
-	l.mu.Unlock()
 	h := &l.held
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.isEnded {
 		return
 	}
-	h.isEnded, h.releasing = true, writing
+	h.isEnded = true
 	if h.account != nil {
-		h.account.releasing.Add(writing)
-		h.account.charge(writing - h.bytes)
+		h.releasing = h.writing
+		h.account.releasing.Add(h.releasing)
+		h.account.charge(h.releasing - h.bytes)
 		delete(h.account.links, l)
 	}
-	h.bytes = 0
+	h.bytes, h.writing = 0, 0
 }
 
 // abandon drops all that waits to be written, and closes the connection in a later turn: the caller may be in the middle of
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -80,7 +80,6 @@
 
 	mu          sync.Mutex
 	outbox      []Outgoing
-	writing     int // bytes of the message that the writer has in hand
 	isWriting   bool
 	isFDClosed  bool         // the descriptor is being closed: its number may soon be reused
 	queuedBytes atomic.Int64 // bytes that the peer has not accepted yet
@@ -143,14 +142,11 @@
 		o := l.outbox[0]
 		l.outbox[0] = Outgoing{} // the array would hold the message until it is replaced
 		l.outbox = l.outbox[1:]
-		l.writing = len(o.Message)
 		l.mu.Unlock()
+		l.held.beginWrite(int64(len(o.Message)))
 		err := l.writeMessage(o.Message)
-		l.mu.Lock()
-		l.writing = 0
-		l.mu.Unlock()
 		l.queuedBytes.Add(-int64(len(o.Message)))
-		l.held.releaseWritten(int64(len(o.Message)))
+		l.held.endWrite()
 		if o.Done != nil {
 			loop.Post(func() { o.Done(err) })
 		}
