Hand a job's class over by its name

Cause, found by reading, not seen in a run: a record carried the number of its class. A new version whose settings list the classes in another order could take a once-only job for one that may be repeated.

Change: the handover begins with the names; the successor renumbers, and ends a job whose class is gone. What ends and exports a job detach it by one function now, which stood twice.

Evidence: TestClassKeepsItsMeaningInAnUpgrade; the tests of the handover and of the jobs' machine pass.

--- a/internal/faktory/handover.go
+++ b/internal/faktory/handover.go
@@ -156,7 +156,7 @@
 	successor := f.successors[len(f.successors)-1]
 	f.handover = &handover{successor: successor}
 	f.jobs.BeginExport()
-	begin := &handoverBegin{ClockOffset: f.clockOffset(), UncertainUntil: f.uncertainUntil}
+	begin := &handoverBegin{ClockOffset: f.clockOffset(), UncertainUntil: f.uncertainUntil, Classes: f.conf.Names.Classes}
 	for _, queue := range f.jobs.QueueStats(f.loop.Now()) {
 		if queue.Paused {
 			begin.PausedQueues = append(begin.PausedQueues, queue.Name)
--- a/internal/faktory/handover_conn.go
+++ b/internal/faktory/handover_conn.go
@@ -71,6 +71,7 @@
 type handoverBegin struct {
 	ClockOffset  core.Time // from the machine's clock to the one of the records' times
 	PausedQueues []string
+	Classes      []string // by the numbers in the records; the successor's settings may number them otherwise
 	// UncertainUntil is when new jobs may be accepted again, on the records' clock; see Front.uncertainUntil.
 	UncertainUntil core.Time
 }
--- a/internal/faktory/handover_test.go
+++ b/internal/faktory/handover_test.go
@@ -219,3 +219,25 @@
 		return enough
 	})
 }
+
+// The new version's settings list the classes in another order. Guards against a once-only job that is taken for one that may be
+// repeated, as its class was handed over by its number.
+func TestClassKeepsItsMeaningInAnUpgrade(t *testing.T) {
+	u := newUpgrade(t)
+	old := u.start(nil)
+	c := u.connect("")
+	require.Equal(t, "OK", c.Push("job-0001", "settle", 60_000))
+	require.Equal(t, "OK", c.Push("job-0002", "move", 60_000))
+	u.start(func(c *config.Config) {
+		c.Names.Classes = []string{"settle", "board-view"}
+		c.Settings.Classes[0], c.Settings.Classes[1] = c.Settings.Classes[2], c.Settings.Classes[0]
+		c.Settings.Classes = c.Settings.Classes[:2]
+	})
+	stopAndWait(old)
+	w := u.connect("w-1")
+	jid, _ := w.Fetch()
+	require.Equal(t, "job-0001", jid)
+	require.Equal(t, "OK", w.Do("FAIL", `{"jid":"job-0001","errtype":"E","message":"m"}`))
+	assert.Contains(t, u.connect("").Do("TRACK", "GET job-0001"), `"reason":"may-have-run"`)
+	assert.Equal(t, "refused", u.connect("").JobState("job-0002"), "a class that is not in the settings any more")
+}
--- a/internal/faktory/takeover.go
+++ b/internal/faktory/takeover.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sys/unix"
 
 	"cobaltflow/internal/core"
+	"cobaltflow/internal/jobs"
 )
 
 // The successor's side of a handover. A process that finds another owner of the jobs waits at its socket, and does not accept
@@ -28,6 +29,7 @@
 type predecessor struct {
 	conn       *handoverConn
 	shift      core.Time // from its clock to this process's
+	classes    []string  // as its records number them
 	isComplete bool      // all jobs are here
 	reports    map[uint64]*forwardedReport
 	lastToken  uint64
@@ -135,7 +137,7 @@
 	switch {
 	case m.Begin != nil:
 		f.predecessor = p
-		p.shift = f.clockOffset() - m.Begin.ClockOffset
+		p.shift, p.classes = f.clockOffset()-m.Begin.ClockOffset, m.Begin.Classes
 		if m.Begin.UncertainUntil > 0 {
 			f.uncertainUntil = max(f.uncertainUntil, m.Begin.UncertainUntil+p.shift)
 		}
@@ -149,12 +151,28 @@
 	for i := range m.Jobs {
 		record := &m.Jobs[i]
 		record.Shift(p.shift)
+		f.renumberClass(p, record)
 		if !f.jobs.Import(now, *record) {
 			f.log.Error("faktory: the predecessor has handed over a job that is here already", "jid", record.ID)
 		}
 	}
 }
 
+// renumberClass gives a job the number of its class in this process's settings. A job whose class is not in them any more ends.
+func (f *Front) renumberClass(p *predecessor, record *jobs.Record) {
+	name := ""
+	if int(record.Class) < len(p.classes) {
+		name = p.classes[record.Class]
+	}
+	class := f.conf.Names.Class(name)
+	if class < 0 {
+		f.log.Warn("faktory: job of a class that is not in the settings any more ended", "jid", record.ID, "class", name)
+		record.End(jobs.ShutDown)
+		class = 0
+	}
+	record.Class = int32(class)
+}
+
 // predecessorEnded handles the end of the connection to the predecessor.
 func (f *Front) predecessorEnded(p *predecessor) {
 	if f.predecessor != p {
--- a/internal/jobs/outcome.go
+++ b/internal/jobs/outcome.go
@@ -120,15 +120,25 @@
 // terminate removes a job from its list, cancels its request in the core, if any, and ends it. A job that a worker
 // holds ends as Failed.
 func (m *Machine) terminate(now Time, j *Job, state State, why Reason) {
-	var fetch *Fetch
-	switch {
-	case j.State.IsFinal():
+	if j.State.IsFinal() {
 		return
+	}
+	if j.State == Working {
+		j.mayHaveRun, state = true, Failed
+	}
+	fetch := m.detach(j)
+	m.finish(now, j, state, why)
+	if fetch != nil {
+		m.matchFetch(now, fetch)
+	}
+}
+
+// detach removes a job from its list and cancels its request in the core, if any. It returns the FETCH that the request was
+// bound to.
+func (m *Machine) detach(j *Job) (fetch *Fetch) {
+	switch {
 	case j.isOpen:
-		working := j.State == Working
-		if fetch, _ = m.closeRequest(j); working {
-			j.mayHaveRun, state = true, Failed
-		}
+		fetch, _ = m.closeRequest(j)
 		m.actions.CancelRequest(j)
 	case j.State == Enqueued:
 		j.unlink()
@@ -137,10 +147,7 @@
 	default:
 		j.unlink()
 	}
-	m.finish(now, j, state, why)
-	if fetch != nil {
-		m.matchFetch(now, fetch)
-	}
+	return fetch
 }
 
 // finish moves a held job to its one final state.
--- a/internal/jobs/transfer.go
+++ b/internal/jobs/transfer.go
@@ -30,6 +30,19 @@
 	}
 }
 
+// End makes the record one of a job that has ended, if it is not that already: refused if it never ran, else failed.
+func (r *Record) End(why Reason) {
+	if r.State.IsFinal() {
+		return
+	}
+	if r.MayHaveRun || r.State == Working {
+		r.State = Failed
+	} else {
+		r.State = Refused
+	}
+	r.Reason, r.Payload = why, ""
+}
+
 // BeginExport ends admission: from now on new jobs are rejected and no request is opened. The jobs leave with Export.
 func (m *Machine) BeginExport() { m.draining, m.isExporting = true, true }
 
@@ -84,18 +97,7 @@
 		return m.recordOf(j)
 	}
 	record := m.recordOf(j)
-	var fetch *Fetch
-	switch {
-	case j.isOpen:
-		fetch, _ = m.closeRequest(j)
-		m.actions.CancelRequest(j)
-	case j.State == Enqueued:
-		j.unlink()
-		m.queues[j.Queue].backlog--
-		m.enqueued--
-	default:
-		j.unlink()
-	}
+	fetch := m.detach(j)
 	m.forget(j)
 	if fetch != nil {
 		m.matchFetch(now, fetch)
