--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -118,11 +118,6 @@
 	return (r.Status == 503 || r.Status == 504) && string(r.Get(HeaderUnprocessed)) == "1"
 }
 
-// isAttemptAnswer reports whether a response is one that the platform's protocol names for an attempt.
-func isAttemptAnswer(r *http1.Response) bool {
-	return r.Status == 202 || r.Status == 500 || isUnprocessed(r)
-}
-
 // ReportsHeartbeats implements core.Heartbeats: a table worker answers each request at once, whenever its job may run,
 // so that its responses count as heartbeats.
 func (f *Front) ReportsHeartbeats() {}
--- a/internal/platform/worker_link.go
+++ b/internal/platform/worker_link.go
@@ -10,8 +10,8 @@
 
 // duplicateAnswerWindow guards against duplicate answers: a worker may send a second answer to a request some
 // milliseconds late, which behind the next request on the connection would be taken for the answer to that one. Within
-// this time of the previous answer, a response that no attempt gets (to a probe, for example) is dropped, and one which says
-// that a request was not begun is accepted only if no other answer follows it for as long.
+// this time of the previous answer, a response which says that a request was not begun is accepted only if no other
+// answer follows it for as long.
 const duplicateAnswerWindow = 50 * core.Millisecond
 
 // workerLink is a connection to a worker.
@@ -95,25 +95,15 @@
 		l.Close(link.BadInput) // a malformed response, or one without a call
 		return
 	}
-	if c.isAnswerAmbiguous && c.onRefused != nil {
-		switch {
-		case isUnprocessed(&l.response):
-			l.deferRefusal(c)
-			return
-		case !isAttemptAnswer(&l.response) && l.isWithinDuplicateWindow():
-			return // the second answer to the previous call; the call's own is yet to come
-		}
+	if c.isAnswerAmbiguous && c.onRefused != nil && isUnprocessed(&l.response) {
+		l.deferRefusal(c)
+		return
 	}
 	l.front.loop.CancelTimer(c.timeout)
 	l.finishCall(l.response.KeepAlive)
 	c.onResponse(&l.response)
 }
 
-// isWithinDuplicateWindow reports whether the answer to the previous call came less than duplicateAnswerWindow ago.
-func (l *workerLink) isWithinDuplicateWindow() bool {
-	return l.idleBeforeUse+l.front.loop.Now()-l.stateSince < duplicateAnswerWindow
-}
-
 // finishCall ends the use of the connection by a call that has been answered.
 func (l *workerLink) finishCall(keepAlive bool) {
 	l.setCall(nil)
