Review case 7: wait for the kill, and look the lost job up

The case ended the scheduler as soon as the job was lost. It now waits for 3.7 s after SIGTERM, as the platform does, and asks meanwhile for the job's state.

--- a/review/stand-2/h2.go
+++ b/review/stand-2/h2.go
@@ -52,6 +52,15 @@
 	return append(h2Frame(h2Headers, 4, stream, h), h2Frame(h2Data, 1, stream, body)...)
 }
 
+// h2Get is a whole GET request.
+func h2Get(stream uint32, path string) []byte {
+	var h []byte
+	for _, field := range [][2]string{{":method", "GET"}, {":scheme", "http"}, {":path", path}, {":authority", "api.internal"}} {
+		h = hpackField(h, field[0], field[1])
+	}
+	return h2Frame(h2Headers, 5, stream, h)
+}
+
 // dialH2 opens a connection, exchanges SETTINGS and reads from then on.
 func dialH2(address string, note func(format string, args ...any)) (*h2Conn, error) {
 	conn, err := net.Dial("tcp", address)
--- a/review/stand-2/h2restart.go
+++ b/review/stand-2/h2restart.go
@@ -52,9 +52,7 @@
 			}
 		}
 		result, err := h2RestartOnce(r, p, path)
-		if !p.hasEnded() {
-			p.kill() // as the platform does, 3.7 s after SIGTERM at the earliest
-		}
+		p.kill()
 		if err != nil {
 			return cantRun, err
 		}
@@ -97,7 +95,13 @@
 		p.signal(syscall.SIGTERM)
 	}
 	terminated := time.Now()
-	c.await(terminated.Add(3700*time.Millisecond), func() bool { return c.answered[1] != "" && c.ended[1] })
+	kill := terminated.Add(3700 * time.Millisecond) // the platform kills at the earliest then
+	if !c.await(kill, func() bool { return c.answered[1] != "" && c.ended[1] }) {
+		h2LookUp(r, path, first, kill)
+	}
+	for r.trouble && !p.hasEnded() && time.Now().Before(kill) {
+		time.Sleep(20 * time.Millisecond)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if status := c.answered[1]; status != "" {
@@ -110,3 +114,18 @@
 	r.record.say("LOST: settle %s on stream 1 got no answer; the connection ended: %v; %v", first, c.closed, c.goAways)
 	return broken, nil
 }
+
+// h2LookUp asks for the state of a job on new connections, as README has it for a client that lost its connection, until the kill.
+func h2LookUp(r *run, path *relay, id string, kill time.Time) {
+	path.slow.Store(0)
+	for ; time.Now().Before(kill); time.Sleep(300 * time.Millisecond) {
+		c, err := dialH2(path.address(), func(format string, args ...any) { r.record.line("look-up: "+format, args...) })
+		if err != nil {
+			r.record.line("look-up: %v", err)
+			continue
+		}
+		c.conn.Write(h2Get(1, "/jobs/"+id))
+		c.await(time.Now().Add(300*time.Millisecond), func() bool { return c.answered[1] != "" })
+		c.conn.Close()
+	}
+}
