Review: number the cases of lost requests 7 to 9, behind a graver one

A once-only job that runs twice comes before them as case 6. Large bodies in a burst: 6 is now 7. A request past the last GOAWAY: 7 is now 8. Window updates: 8 is now 9.

--- a/review/6/run.sh
+++ b/review/9/run.sh
@@ -7,4 +7,4 @@
 	echo "bin/cobaltflow or review/stand-2/bin/stand is missing: build both first" >&2
 	exit 2
 fi
-exec ../stand-2/bin/stand bodies "$PWD"
+exec ../stand-2/bin/stand h2-burst "$PWD"
