--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/stand-2"
 mkdir -p bin
-GOFLAGS=-mod=mod GOPROXY=off CGO_ENABLED=0 go build -o bin/stand .
+GOFLAGS= GOWORK=off GOPROXY=off GOTOOLCHAIN=local CGO_ENABLED=0 go build -o bin/stand .
--- a/review/stand-2/load.go
+++ b/review/stand-2/load.go
@@ -14,6 +14,7 @@
 	address string
 	shares  []float64 // of the classes
 	keys    int
+	retries int // how often a client that is refused tries again, at once
 	rng     *rand.Rand
 	conns   chan *clientConn
 	wg      sync.WaitGroup
@@ -33,13 +34,18 @@
 	defer t.wg.Done()
 	conn := <-t.conns
 	defer func() { t.conns <- conn }()
-	id := newID()
-	t.r.record.line("client: sends %s %s, key %s", c.name, id, key)
-	o := conn.do(id, c.name, key, time.Duration(c.deadlineMS)*time.Millisecond, "{}")
-	t.r.record.line("client: %s %s %v", c.name, id, o)
-	t.mu.Lock()
-	t.all = append(t.all, o)
-	t.mu.Unlock()
+	for try := 0; ; try++ {
+		id := newID()
+		t.r.record.line("client: sends %s %s, key %s, try %d", c.name, id, key, try+1)
+		o := conn.do(id, c.name, key, time.Duration(c.deadlineMS)*time.Millisecond, "{}")
+		t.r.record.line("client: %s %s %v", c.name, id, o)
+		t.mu.Lock()
+		t.all = append(t.all, o)
+		t.mu.Unlock()
+		if o.status != 503 || try == t.retries {
+			return
+		}
+	}
 }
 
 // phase sends jobs at a rate for a time.
