--- a/review/stand-2/discovery.go
+++ b/review/stand-2/discovery.go
@@ -29,6 +29,8 @@
 	wake    chan struct{}
 	server  *http.Server
 	address string
+	// endsByClose frames the whole list by the end of its connection (RFC 9112, section 6.3), in place of a length.
+	endsByClose bool
 }
 
 type change struct {
@@ -74,6 +76,15 @@
 		d.mu.Lock()
 		text, _ := json.Marshal(list{d.index, true, d.list})
 		d.mu.Unlock()
+		if d.endsByClose {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			conn.Write(append([]byte("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n"), text...))
+			conn.Close()
+			return
+		}
 		w.Write(text)
 		return
 	}
