--- a/review/stand-2/scheduler.go
+++ b/review/stand-2/scheduler.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -88,14 +89,16 @@
 	ended        chan struct{}
 }
 
-// freeAddress returns a loopback address whose port is free.
+// freeAddress returns a loopback address whose port is free. It is below the ports that the kernel gives to connections, so that none of those takes
+// it before the scheduler listens, or while that is started again.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(20000))
+		if l, err := net.Listen("tcp", address); err == nil {
+			l.Close()
+			return address
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 // startScheduler starts the program with the run line of the deploy file. own is the project's own file with further fronts; empty: none.
@@ -137,7 +140,7 @@
 	}
 	p := &scheduler{name: "n0", listen: listen, cmd: cmd, log: log, ended: make(chan struct{})}
 	go func() { cmd.Wait(); close(p.ended) }()
-	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end) && !p.hasEnded(); time.Sleep(50 * time.Millisecond) {
 		if resp, err := http.Get("http://" + listen + "/-/ready"); err == nil {
 			resp.Body.Close()
 			if resp.StatusCode == 200 {
@@ -146,7 +149,7 @@
 		}
 	}
 	p.kill()
-	return nil, fmt.Errorf("the scheduler was not ready within 20 s")
+	return nil, fmt.Errorf("the scheduler has ended, or was not ready within 20 s")
 }
 
 func (p *scheduler) signal(s syscall.Signal) { p.cmd.Process.Signal(s) }
