Tell a stream refused past the last GOAWAY from an idle one, in one place

Cause: lastStreamID was both the highest stream that the client has opened and the last one that a GOAWAY names. It must not rise after the last GOAWAY, so a stream that is refused then stayed idle for the handlers of DATA, RST_STREAM and WINDOW_UPDATE, and its trailers opened it anew. RFC 9113, sections 5.1 and 6.8, has these frames ignored, and DATA counted towards the connection's window.

Change: two fields, lastOpenedID and lastAcceptedID; stateOf tells the state of a stream, and each handler asks it; a refusal notes the stream as reset in either case. As idle is now above all that the client has opened, no frame that was sent before the client knew of the refusal can be taken for one on an idle stream.

--- a/internal/front/http2/client_test.go
+++ b/internal/front/http2/client_test.go
@@ -94,16 +94,26 @@
 	return r
 }
 
+// requestFields are the fields of a request.
+func requestFields(class, id string, leftMS int) [][2]string {
+	return [][2]string{{":method", "POST"}, {":scheme", "http"}, {":path", "/" + class + "/k"}, {":authority", "x"},
+		{"x-correlation-id", id}, {"x-time-left-ms", fmt.Sprint(leftMS)}}
+}
+
 // sendRequest writes the HEADERS of a request and returns its stream ID.
 func (r *rawConn) sendRequest(class, id string, leftMS int, end bool) uint32 {
+	r.next += 2
+	r.writeFields(r.next-2, end, requestFields(class, id, leftMS)...)
+	return r.next - 2
+}
+
+// writeFields writes a field block on a stream.
+func (r *rawConn) writeFields(stream uint32, end bool, fields ...[2]string) {
 	r.buf.Reset()
-	for _, f := range [][2]string{{":method", "POST"}, {":scheme", "http"}, {":path", "/" + class + "/k"}, {":authority", "x"},
-		{"x-correlation-id", id}, {"x-time-left-ms", fmt.Sprint(leftMS)}} {
+	for _, f := range fields {
 		r.enc.WriteField(hpack.HeaderField{Name: f[0], Value: f[1]})
 	}
-	r.next += 2
-	r.WriteHeaders(xhttp2.HeadersFrameParam{StreamID: r.next - 2, BlockFragment: []byte(r.buf.String()), EndHeaders: true, EndStream: end})
-	return r.next - 2
+	r.WriteHeaders(xhttp2.HeadersFrameParam{StreamID: stream, BlockFragment: []byte(r.buf.String()), EndHeaders: true, EndStream: end})
 }
 
 // readUntil reads frames until one matches, and returns it.
--- a/internal/front/http2/conn.go
+++ b/internal/front/http2/conn.go
@@ -57,7 +57,7 @@
 	if c.CloseReason != "" {
 		return
 	}
-	c.write(appendGoAway(nil, c.lastStreamID, code, text))
+	c.write(appendGoAway(nil, c.lastAcceptedID, code, text))
 	c.CloseReason = reason
 	c.DiscardInput()
 	for _, s := range c.streams {
@@ -139,9 +139,6 @@
 	return nil
 }
 
-// isIdle reports whether a stream is idle: not opened by the client yet (RFC 9113, section 5.1).
-func (c *conn) isIdle(id uint32) bool { return id > c.lastStreamID || id%2 == 0 }
-
 // handleSettings applies the client's SETTINGS and acknowledges them, or notes the acknowledgement of ours.
 func (c *conn) handleSettings(f *frame) *connError {
 	if f.flags&flagAck != 0 {
@@ -193,7 +190,7 @@
 		}
 		return c.chargeUnlessProgress(c.sendBlockedData())
 	}
-	if c.isIdle(f.streamID) {
+	if c.stateOf(f.streamID) == stateIdle {
 		return connErrorf(ProtocolError, "WINDOW_UPDATE of idle stream %d (RFC 9113, section 5.1)", f.streamID)
 	}
 	s := c.streams[f.streamID]
@@ -222,7 +219,7 @@
 // handleReset handles a client's RST_STREAM. A stream that is reset before its answer is charged to the reset budget,
 // since its work was wasted (the rapid reset attack).
 func (c *conn) handleReset(f *frame) *connError {
-	if c.isIdle(f.streamID) {
+	if c.stateOf(f.streamID) == stateIdle {
 		return connErrorf(ProtocolError, "RST_STREAM of idle stream %d (RFC 9113, section 6.4)", f.streamID)
 	}
 	s := c.streams[f.streamID]
@@ -242,38 +239,37 @@
 
 // handleHeaders opens a stream, or ends the body of one with trailers.
 func (c *conn) handleHeaders(f *frame) *connError {
-	h, limits := f.header, &c.front.limits
-	end := f.flags&flagEndStream != 0
-	if s := c.streams[f.streamID]; s != nil {
-		switch {
-		case s.requestEnded:
-			return connErrorf(StreamClosed, "HEADERS on half-closed stream %d (RFC 9113, section 5.1)", s.id)
-		case !end || h.hasPseudo || h.malformed != "" || h.tooLarge:
-			c.reset(s.id, ProtocolError) // trailers end the body and have no pseudo-header fields (RFC 9113, section 8.1)
-		default:
-			s.serve()
-		}
-		return nil
-	}
-	if f.streamID <= c.lastStreamID {
-		if c.resetStreams.has(f.streamID) {
-			return nil // the client sent it before it saw the reset, or behind its own
-		}
+	switch c.stateOf(f.streamID) {
+	case stateIdle:
+		return c.openStream(f)
+	case stateOpen:
+		c.streams[f.streamID].addTrailers(f)
+	case stateHalfClosed:
+		return connErrorf(StreamClosed, "HEADERS on half-closed stream %d (RFC 9113, section 5.1)", f.streamID)
+	case stateReset: // the client sent it before it saw the reset, or behind its own
+	case stateClosed:
 		return connErrorf(StreamClosed, "HEADERS on closed stream %d (RFC 9113, section 5.1.1)", f.streamID)
 	}
+	return nil
+}
+
+// openStream opens a stream for a new request, or refuses it.
+func (c *conn) openStream(f *frame) *connError {
+	h, limits := f.header, &c.front.limits
+	if f.streamID%2 == 0 {
+		return connErrorf(ProtocolError, "a client's stream %d (RFC 9113, section 5.1.1)", f.streamID)
+	}
+	c.lastOpenedID = f.streamID
 	if c.front.finalGoAwaySent {
 		// Past the last stream of the GOAWAY: it was never accepted, so the client may send it elsewhere.
-		c.front.Stats.Refused++
-		c.write(appendRSTStream(nil, f.streamID, RefusedStream))
+		c.refuse(f)
 		return nil
 	}
-	c.lastStreamID = f.streamID
+	c.lastAcceptedID = f.streamID
 	if len(c.streams) >= limits.MaxStreams {
 		// Never accepted, so it may be sent again. Until the client has acknowledged our SETTINGS it cannot know the
 		// limit, and is not charged.
-		c.front.Stats.Refused++
-		c.write(appendRSTStream(nil, f.streamID, RefusedStream))
-		c.resetStreams.add(f.streamID)
+		c.refuse(f)
 		if c.settingsAcked && !c.excessStreamBudget.take(c.front.loop.Now(), limits.ResetsPerS) {
 			return &connError{code: EnhanceYourCalm, reason: ReasonStreamFlood, text: "more streams than MAX_CONCURRENT_STREAMS, again and again"}
 		}
@@ -284,27 +280,22 @@
 	c.streams[s.id] = s
 	c.headerBytes += h.size
 	c.countKept()
-	if h.checkRequest(); h.malformed != "" {
-		c.reset(s.id, ProtocolError)
-		return nil
-	}
-	if h.tooLarge {
-		s.rejectEarly(431, "the header list is over max_header_kb")
-		return nil
-	}
-	if end {
-		s.serve()
-	} else {
-		s.checkContentLength()
-	}
+	s.begin(f.flags&flagEndStream != 0)
 	return nil
 }
 
+// refuse resets a new stream that is not accepted.
+func (c *conn) refuse(f *frame) {
+	c.front.Stats.Refused++
+	c.reset(f.streamID, RefusedStream)
+}
+
 // handleData takes a part of a body. Flow control counts the whole frame with its padding, even if the frame is
 // dropped.
 func (c *conn) handleData(f *frame) *connError {
 	now, limits := c.front.loop.Now(), &c.front.limits
-	if c.isIdle(f.streamID) {
+	state := c.stateOf(f.streamID)
+	if state == stateIdle {
 		return connErrorf(ProtocolError, "DATA on idle stream %d (RFC 9113, section 5.1)", f.streamID)
 	}
 	if c.recvWindow -= int64(f.length); c.recvWindow < 0 {
@@ -317,23 +308,17 @@
 	if end := f.flags&flagEndStream != 0; len(f.data) == 0 && !end && !c.emptyDataBudget.take(now, limits.EmptyPerS) {
 		return &connError{code: EnhanceYourCalm, reason: ReasonEmptyFlood, text: "DATA without data, again and again"}
 	}
-	s := c.streams[f.streamID]
-	if s == nil {
-		if !c.resetStreams.has(f.streamID) {
-			c.write(appendRSTStream(nil, f.streamID, StreamClosed))
-			c.resetStreams.add(f.streamID)
+	switch state {
+	case stateClosed, stateHalfClosed:
+		c.reset(f.streamID, StreamClosed)
+	case stateOpen:
+		s := c.streams[f.streamID]
+		if s.recvWindow -= int64(f.length); s.recvWindow < 0 {
+			c.reset(s.id, FlowControlError)
+			return nil
 		}
-		return nil
-	}
-	if s.requestEnded {
-		c.reset(s.id, StreamClosed)
-		return nil
-	}
-	if s.recvWindow -= int64(f.length); s.recvWindow < 0 {
-		c.reset(s.id, FlowControlError)
-		return nil
+		s.addBody(f.data, f.flags&flagEndStream != 0)
 	}
-	s.addBody(f.data, f.flags&flagEndStream != 0)
 	return nil
 }
 
@@ -347,26 +332,4 @@
 	c.closeWithGoAway(EnhanceYourCalm, ReasonWindowFull, "the window stayed full")
 }
 
-// recentStreams remembers the last 256 streams that were reset. Frames that the client sent on them before it saw the
-// reset are no error.
-type recentStreams struct {
-	ring [256]uint32
-	next int
-	ids  map[uint32]bool
-}
-
-func newRecentStreams() *recentStreams { return &recentStreams{ids: map[uint32]bool{}} }
-
-func (r *recentStreams) add(id uint32) {
-	if r.ids[id] {
-		return
-	}
-	delete(r.ids, r.ring[r.next])
-	r.ring[r.next] = id
-	r.ids[id] = true
-	r.next = (r.next + 1) % len(r.ring)
-}
-
-func (r *recentStreams) has(id uint32) bool { return r.ids[id] }
-
 var _ core.Client = (*stream)(nil)
--- a/internal/front/http2/export_test.go
+++ b/internal/front/http2/export_test.go
@@ -1,8 +1,15 @@
 package http2
 
-import "github.com/cloudwego/netpoll"
+import (
+	"github.com/cloudwego/netpoll"
+
+	"cobaltflow/internal/core"
+)
 
 // ReplaceListener sets the listener that Close closes to the result of replace. It is called on the loop.
 func (f *Front) ReplaceListener(replace func(netpoll.Listener) netpoll.Listener) {
 	f.Listener = replace(f.Listener)
 }
+
+// SetFinalGoAwayDelay sets the time between the two GOAWAYs of a drain. It is called on the loop.
+func (f *Front) SetFinalGoAwayDelay(delay core.Time) { f.limits.FinalGoAwayDelay = delay }
--- a/internal/front/http2/front.go
+++ b/internal/front/http2/front.go
@@ -205,7 +205,7 @@
 	f.conns.Each(func(_ core.Ref, c *conn) { c.sendGoAway(maxStreamID) })
 	f.loop.At(f.loop.Now()+min(f.limits.FinalGoAwayDelay, within/2), func() {
 		f.finalGoAwaySent = true
-		f.conns.Each(func(_ core.Ref, c *conn) { c.sendGoAway(c.lastStreamID) })
+		f.conns.Each(func(_ core.Ref, c *conn) { c.sendGoAway(c.lastAcceptedID) })
 	})
 	f.loop.At(f.loop.Now()+within, func() {
 		f.core.AbortRequests(func(client core.Client) bool { _, isOurs := client.(*stream); return isOurs })
@@ -247,7 +247,8 @@
 	waitingBatches []*frameBatch
 
 	streams           map[uint32]*stream
-	lastStreamID      uint32         // the last stream that was accepted or refused
+	lastOpenedID      uint32         // the highest stream that the client has opened
+	lastAcceptedID    uint32         // the last stream that may have been accepted, which a GOAWAY names
 	resetStreams      *recentStreams // streams that were reset lately
 	settingsReceived  bool           // the client's SETTINGS came
 	settingsAcked     bool           // the client acknowledged ours
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -35,6 +35,32 @@
 // PathJobs is the path prefix under which a client looks up the state of a job by its id.
 const PathJobs = "/jobs/"
 
+// begin handles the HEADERS of a new stream. isWhole says that the request has no body.
+func (s *stream) begin(isWhole bool) {
+	h := s.header
+	h.checkRequest()
+	switch {
+	case h.malformed != "":
+		s.conn.reset(s.id, ProtocolError)
+	case h.tooLarge:
+		s.rejectEarly(431, "the header list is over max_header_kb")
+	case isWhole:
+		s.serve()
+	default:
+		s.checkContentLength()
+	}
+}
+
+// addTrailers ends the body with trailers, which have no pseudo-header fields (RFC 9113, section 8.1).
+func (s *stream) addTrailers(f *frame) {
+	h := f.header
+	if f.flags&flagEndStream == 0 || h.hasPseudo || h.malformed != "" || h.tooLarge {
+		s.conn.reset(s.id, ProtocolError)
+		return
+	}
+	s.serve()
+}
+
 // checkContentLength rejects a request whose declared body is too large before the body comes.
 func (s *stream) checkContentLength() {
 	if s.header.contentLength > admission.MaxBody {
