End a stream, not its connection, for a field block that comes behind its end

What callers would see: HEADERS on a half-closed stream, and trailers on a stream that was reset more than 256 resets before, closed the connection, and each accepted request on it lost its answer.

Cause: both were connection errors. RFC 9113, section 5.1, has a stream error for a half-closed stream, and for a closed one leaves the choice; trailers may have been on their way when the front reset their stream, however long it remembers that.

Change: a half-closed stream is reset; trailers on a closed stream are answered by RST_STREAM and charged to control_per_s, as a sound client sends them once for each stream that was reset under it. A new request on a closed or skipped stream stays a connection error, now with the code of section 5.1.1, PROTOCOL_ERROR.

Evidence: of TestFrameOnOneStreamLeavesItsNeighbourAlone the rows half-closed, closed, never opened and "reset 300 streams ago" failed before (eight frames), and pass; the package and the conformance suite pass with -race.

--- a/internal/front/http2/conn.go
+++ b/internal/front/http2/conn.go
@@ -245,11 +245,26 @@
 	case stateOpen:
 		c.streams[f.streamID].addTrailers(f)
 	case stateHalfClosed:
-		return connErrorf(StreamClosed, "HEADERS on half-closed stream %d (RFC 9113, section 5.1)", f.streamID)
-	case stateReset: // the client sent it before it saw the reset, or behind its own
+		c.reset(f.streamID, StreamClosed)
+	case stateReset:
+		// The client sent it before it saw the reset. Behind its last field block it sends nothing any more.
+		c.resetStreams.remove(f.streamID)
 	case stateClosed:
-		return connErrorf(StreamClosed, "HEADERS on closed stream %d (RFC 9113, section 5.1.1)", f.streamID)
+		return c.rejectHeadersOnClosed(f)
+	}
+	return nil
+}
+
+// rejectHeadersOnClosed rejects a field block on a stream that is closed. A request there uses its identifier again, which is a
+// connection error; trailers may belong to a stream that was reset so long ago that nothing is known of it any more.
+func (c *conn) rejectHeadersOnClosed(f *frame) *connError {
+	if f.header.hasPseudo {
+		return connErrorf(ProtocolError, "HEADERS on closed stream %d (RFC 9113, section 5.1.1)", f.streamID)
+	}
+	if !c.controlBudget.take(c.front.loop.Now(), c.front.limits.ControlPerS) {
+		return &connError{code: EnhanceYourCalm, reason: ReasonControlFlood, text: "too many trailers on closed streams"}
 	}
+	c.write(appendRSTStream(nil, f.streamID, StreamClosed))
 	return nil
 }
 
--- a/internal/front/http2/state.go
+++ b/internal/front/http2/state.go
@@ -49,3 +49,5 @@
 }
 
 func (r *recentStreams) has(id uint32) bool { return r.ids[id] }
+
+func (r *recentStreams) remove(id uint32) { delete(r.ids, id) }
--- a/internal/front/http2/stream_state_test.go
+++ b/internal/front/http2/stream_state_test.go
@@ -33,6 +33,7 @@
 // What a frame does.
 const (
 	ignored         = "nothing"
+	streamClosed    = "stream error STREAM_CLOSED"
 	streamProtocol  = "stream error PROTOCOL_ERROR"
 	connProtocol    = "connection error PROTOCOL_ERROR"
 	finalGoAwayTime = 10 * core.Second // longer than a test: requests in hand are not ended by the drain
@@ -67,6 +68,27 @@
 		enter: func(_ *testing.T, r *rawConn) uint32 { return r.sendRequest("move", r.newID(), 9000, false) },
 		want:  map[string]string{"HEADERS": streamProtocol, "WINDOW_UPDATE-0": streamProtocol},
 	},
+	"half-closed": {
+		enter: func(_ *testing.T, r *rawConn) uint32 { return r.sendRequest("move", r.newID(), 9000, true) },
+		want: map[string]string{"DATA": streamClosed, "last": streamClosed, "trailers": streamClosed, "HEADERS": streamClosed,
+			"WINDOW_UPDATE-0": streamProtocol},
+	},
+	"closed": {
+		enter: func(t *testing.T, r *rawConn) uint32 {
+			stream := r.sendRequest("none", "answered", 9000, true)
+			r.readUntil(t, func(f xhttp2.Frame) bool { d, isData := f.(*xhttp2.DataFrame); return isData && d.StreamEnded() })
+			return stream
+		},
+		want: map[string]string{"DATA": streamClosed, "last": streamClosed, "trailers": streamClosed, "HEADERS": connProtocol},
+	},
+	"never opened": {
+		enter: func(t *testing.T, r *rawConn) uint32 {
+			r.next += 2
+			r.sendRequest("move", r.newID(), 9000, false)
+			return r.next - 4
+		},
+		want: map[string]string{"DATA": streamClosed, "last": streamClosed, "trailers": streamClosed, "HEADERS": connProtocol},
+	},
 	"reset by the client": {
 		enter: func(_ *testing.T, r *rawConn) uint32 {
 			stream := r.sendRequest("move", r.newID(), 9000, true)
@@ -76,6 +98,17 @@
 		want: discarded,
 	},
 	"reset by the front": {enter: enterReset, want: discarded},
+	"reset 300 streams ago": {
+		enter: func(t *testing.T, r *rawConn) uint32 {
+			stream := enterReset(t, r)
+			for range 300 {
+				enterReset(t, r)
+			}
+			return stream
+		},
+		// The front may have forgotten what closed it.
+		want: map[string]string{"DATA": streamClosed, "last": streamClosed, "trailers": streamClosed, "HEADERS": connProtocol},
+	},
 	"refused by max_streams": {
 		change: func(c *config.Config) { c.HTTP2.MaxStreams = 1 },
 		enter:  enterRefused,
