Pay for HTTP/2 window updates by the data that they return

Cause: an update was charged to control_per_s unless it let data go that a window had held back. A client that reads at once returns what it has read before its window is full, so that all its updates were charged, on the connection and on the stream; their number grows with its answers, which no rate can tell from a flood.

Change: DATA that was sent and not returned is counted, for the connection, for each stream, and for closed streams together. An update that returns such bytes, at least as many as its own frame takes, is free; below that each DATA frame pays for one update on its stream and one on the connection, and the first update of a stream is free. What returns nothing is charged as before. So free updates are bounded by what was sent, whatever the window, the threshold and the rate.

--- a/internal/front/http2/conn.go
+++ b/internal/front/http2/conn.go
@@ -104,6 +104,7 @@
 	if s.request == nil {
 		s.uncountBody()
 	}
+	c.closedReturnable.addClosed(s.returnable, c.front.limits.MaxStreams)
 	s.unsent, s.closed = nil, true
 	c.countKept()
 	c.lastUsed = c.front.loop.Now()
@@ -178,44 +179,6 @@
 	return nil
 }
 
-// handleWindowUpdate opens a send window and sends the data that it held back.
-func (c *conn) handleWindowUpdate(f *frame) *connError {
-	increment := int64(binary.BigEndian.Uint32(f.data) & maxWindow)
-	if f.streamID == 0 {
-		if increment == 0 {
-			return connErrorf(ProtocolError, "WINDOW_UPDATE by 0 (RFC 9113, section 6.9)")
-		}
-		if c.sendWindow += increment; c.sendWindow > maxWindow {
-			return connErrorf(FlowControlError, "a window over 2^31-1 (RFC 9113, section 6.9.1)")
-		}
-		return c.chargeUnlessProgress(c.sendBlockedData())
-	}
-	if c.stateOf(f.streamID) == stateIdle {
-		return connErrorf(ProtocolError, "WINDOW_UPDATE of idle stream %d (RFC 9113, section 5.1)", f.streamID)
-	}
-	s := c.streams[f.streamID]
-	if s == nil {
-		return c.chargeUnlessProgress(false)
-	}
-	if increment == 0 {
-		c.reset(s.id, ProtocolError)
-		return nil
-	}
-	if s.sendWindow += increment; s.sendWindow > maxWindow {
-		c.reset(s.id, FlowControlError)
-		return nil
-	}
-	return c.chargeUnlessProgress(c.sendBlockedData())
-}
-
-// chargeUnlessProgress charges a WINDOW_UPDATE to the budget of control frames, unless it let data be sent.
-func (c *conn) chargeUnlessProgress(sentData bool) *connError {
-	if !sentData && !c.controlBudget.take(c.front.loop.Now(), c.front.limits.ControlPerS) {
-		return &connError{code: EnhanceYourCalm, reason: ReasonControlFlood, text: "too many window updates of no use"}
-	}
-	return nil
-}
-
 // handleReset handles a client's RST_STREAM. A stream that is reset before its answer is charged to the reset budget,
 // since its work was wasted (the rapid reset attack).
 func (c *conn) handleReset(f *frame) *connError {
--- a/internal/front/http2/front.go
+++ b/internal/front/http2/front.go
@@ -254,14 +254,16 @@
 	settingsAcked     bool           // the client acknowledged ours
 	encoder           *hpack.Encoder
 	headerBuffer      bytes.Buffer
-	sendWindow        int64     // what we may send on the connection, in bytes
-	recvWindow        int64     // what the client may still send on it, in bytes
-	initialSendWindow int64     // sendWindow of a new stream
-	maxSendFrame      int       // bytes of one DATA frame
-	blockedStreams    []*stream // streams with data that a window holds back, in round-robin order
-	unsentBytes       int       // bytes of data held back
-	bodyBytes         int       // bytes of request bodies that are not complete, or not released by the core
-	headerBytes       int       // bytes of the headers of open streams
+	sendWindow        int64          // what we may send on the connection, in bytes
+	recvWindow        int64          // what the client may still send on it, in bytes
+	returnable        returnableData // of the connection's window
+	closedReturnable  returnableData // of the windows of streams that are closed
+	initialSendWindow int64          // sendWindow of a new stream
+	maxSendFrame      int            // bytes of one DATA frame
+	blockedStreams    []*stream      // streams with data that a window holds back, in round-robin order
+	unsentBytes       int            // bytes of data held back
+	bodyBytes         int            // bytes of request bodies that are not complete, or not released by the core
+	headerBytes       int            // bytes of the headers of open streams
 	// blockSince is when a field block began that is not complete, on the loop's clock; 0: there is none.
 	blockSince   atomic.Int64
 	unreadInput  int       // bytes that were unread at the last sweep
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -25,6 +25,8 @@
 	requestEnded bool  // the request is complete
 	sendWindow   int64 // what we may send on the stream, in bytes
 	recvWindow   int64 // what the client may still send on it, in bytes
+	windowRaised bool  // the client has sent a WINDOW_UPDATE for it
+	returnable   returnableData
 
 	request  *core.Request // nil: not accepted, or released
 	answered bool          // the answer's HEADERS have been written
@@ -323,6 +325,8 @@
 	c.write(s.unsent[:n])
 	s.sendWindow -= int64(n)
 	c.sendWindow -= int64(n)
+	s.returnable.add(n)
+	c.returnable.add(n)
 	c.unsentBytes -= n
 	if s.unsent = s.unsent[n:]; len(s.unsent) == 0 {
 		s.finish()
