Let each answered HTTP/2 request pay for a cancelled one

What callers would see: a client with all its jobs on one connection, of whose people more than 50 a second leave before their answer, was closed as a reset flood, and its other requests got no answer.

Cause: resets_per_s is a rate for one connection, however many jobs it carries, while cancellations grow with the jobs.

Change: an answer by the core puts one token into the budget of resets, which holds four seconds' worth as before. Streams that are answered are limited by max_streams, so what is thrown away is bounded by what is worked off and resets_per_s. Answers of the front itself pay for nothing.

--- a/internal/front/http2/conn.go
+++ b/internal/front/http2/conn.go
@@ -180,7 +180,8 @@
 }
 
 // handleReset handles a client's RST_STREAM. A stream that is reset before its answer is charged to the reset budget,
-// since its work was wasted (the rapid reset attack).
+// since its work was wasted (the rapid reset attack). Each answered request pays for one: streams that are answered are limited
+// by max_streams, and a client that stands for many people cancels as they leave.
 func (c *conn) handleReset(f *frame) *connError {
 	if c.stateOf(f.streamID) == stateIdle {
 		return connErrorf(ProtocolError, "RST_STREAM of idle stream %d (RFC 9113, section 6.4)", f.streamID)
--- a/internal/front/http2/limits.go
+++ b/internal/front/http2/limits.go
@@ -6,7 +6,7 @@
 // operator's page show them.
 const (
 	ReasonHeaderFlood  = "header-flood"  // a field block without an end
-	ReasonResetFlood   = "reset-flood"   // streams opened and reset at a higher rate than resets_per_s
+	ReasonResetFlood   = "reset-flood"   // more streams reset than answered, at a higher rate than resets_per_s
 	ReasonControlFlood = "control-flood" // SETTINGS, PING, PRIORITY and useless WINDOW_UPDATE at a higher rate than control_per_s
 	ReasonEmptyFlood   = "empty-flood"   // DATA without data at a higher rate than empty_per_s
 	ReasonWindowFull   = "window-full"   // the client left its window full
@@ -43,13 +43,25 @@
 
 // take takes one token; false: there is none left.
 func (b *tokenBucket) take(now core.Time, rate float64) bool {
-	if b.updatedAt == 0 {
-		b.tokens = burstSeconds * rate
-	}
-	b.tokens = min(burstSeconds*rate, b.tokens+rate*float64(now-b.updatedAt)/float64(core.Second))
-	if b.updatedAt = now; b.tokens < 1 {
+	b.fill(now, rate)
+	if b.tokens < 1 {
 		return false
 	}
 	b.tokens--
 	return true
 }
+
+// put adds one token, which useful traffic has paid for, unless the bucket is full.
+func (b *tokenBucket) put(now core.Time, rate float64) {
+	b.fill(now, rate)
+	b.tokens = min(burstSeconds*rate, b.tokens+1)
+}
+
+// fill adds what has accrued since the last call.
+func (b *tokenBucket) fill(now core.Time, rate float64) {
+	if b.updatedAt == 0 {
+		b.tokens = burstSeconds * rate
+	}
+	b.tokens = min(burstSeconds*rate, b.tokens+rate*float64(now-b.updatedAt)/float64(core.Second))
+	b.updatedAt = now
+}
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -195,6 +195,7 @@
 		return
 	}
 	f.Stats.Answered++
+	s.conn.resetBudget.put(f.loop.Now(), f.limits.ResetsPerS)
 	reply := f.admission.ReplyTo(answer)
 	if reply.RetryAfter != "" {
 		s.respond(reply.Status, reply.Body, "retry-after", reply.RetryAfter)
