Let requests and answers pay for the HTTP/2 control frames that come with them

What callers would see: a busy client was closed as a flood, with all its open requests, for a PING in each round trip of data or with each cancellation, a PRIORITY with each stream, or an empty DATA with each request.

Cause: control_per_s and empty_per_s are rates for a connection, and these frames grow with its traffic, as window updates do.

Change: a stream that is opened, one that is reset before its answer, and a DATA frame that is sent put one token each into the budget of control frames, and a stream that is opened one into that of empty DATA; both hold four seconds' worth as before. The acknowledgement of our SETTINGS is free, once.

--- a/internal/front/http2/conn.go
+++ b/internal/front/http2/conn.go
@@ -119,7 +119,8 @@
 	case frameData:
 		return c.handleData(f)
 	case frameSettings, framePing, framePriority:
-		if !c.controlBudget.take(now, k.ControlPerS) {
+		isOwed := f.kind == frameSettings && f.flags&flagAck != 0 && !c.settingsAcked // the acknowledgement of ours
+		if !isOwed && !c.controlBudget.take(now, k.ControlPerS) {
 			return &connError{code: EnhanceYourCalm, reason: ReasonControlFlood, text: "too many control frames"}
 		}
 	}
@@ -140,6 +141,12 @@
 	return nil
 }
 
+// payForControlFrame lets useful traffic pay for one control frame, so that frames that come with each stream, each reset or
+// each round trip of data are no flood at any rate.
+func (c *conn) payForControlFrame() {
+	c.controlBudget.put(c.front.loop.Now(), c.front.limits.ControlPerS)
+}
+
 // handleSettings applies the client's SETTINGS and acknowledges them, or notes the acknowledgement of ours.
 func (c *conn) handleSettings(f *frame) *connError {
 	if f.flags&flagAck != 0 {
@@ -191,6 +198,7 @@
 		return nil
 	}
 	c.front.Stats.Resets++
+	c.payForControlFrame() // a client may check by a PING that the connection works
 	unanswered := !s.answered
 	s.disconnect()
 	c.resetStreams.add(s.id)
@@ -255,6 +263,8 @@
 		return nil
 	}
 	c.front.Stats.Streams++
+	c.payForControlFrame() // a client may give each of its streams a PRIORITY
+	c.emptyDataBudget.put(c.front.loop.Now(), limits.EmptyPerS)
 	s := &stream{conn: c, id: f.streamID, openedAt: c.front.loop.Now(), header: h, sendWindow: c.initialSendWindow, recvWindow: defaultWindow}
 	c.streams[s.id] = s
 	c.headerBytes += h.size
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -328,6 +328,7 @@
 	c.sendWindow -= int64(n)
 	s.returnable.add(n)
 	c.returnable.add(n)
+	c.payForControlFrame() // a client that measures its bandwidth sends a PING in each round trip of data
 	c.unsentBytes -= n
 	if s.unsent = s.unsent[n:]; len(s.unsent) == 0 {
 		s.finish()
--- a/internal/front/http2/useful_traffic_test.go
+++ b/internal/front/http2/useful_traffic_test.go
@@ -52,3 +52,69 @@
 	require.NoError(t, r.nc.Close())
 	n.Eventually(func() bool { return n.HasLogged("reason=peer-closed") })
 }
+
+// Guards against a client that is closed as a flood for frames that come with its requests and answers, at any rate: a PING in each
+// round trip of data or with each cancellation, a PRIORITY or an empty DATA with each request.
+func TestFramesThatComeWithRequestsAreNoFlood(t *testing.T) {
+	request := func(t *testing.T, r *rawConn) uint32 { return r.sendRequest("move", r.newID(), 9000, true) }
+	for name, exchange := range map[string]func(t *testing.T, r *rawConn){
+		"PING for each answer": func(t *testing.T, r *rawConn) {
+			r.readWholeAnswer(t, request(t, r))
+			r.WritePing(false, [8]byte{1})
+		},
+		"PRIORITY for each request": func(t *testing.T, r *rawConn) {
+			stream := request(t, r)
+			r.WritePriority(stream, xhttp2.PriorityParam{Weight: 100})
+			r.readWholeAnswer(t, stream)
+		},
+		"PING for each cancellation": func(t *testing.T, r *rawConn) {
+			r.WriteRSTStream(r.sendRequest("board-view", r.newID(), 4000, true), xhttp2.ErrCodeCancel)
+			r.WritePing(false, [8]byte{1})
+			r.readWholeAnswer(t, request(t, r))
+		},
+		"empty DATA for each request": func(t *testing.T, r *rawConn) {
+			stream := r.sendRequest("move", r.newID(), 9000, false)
+			r.WriteData(stream, false, nil)
+			r.WriteData(stream, true, []byte("body"))
+			r.readWholeAnswer(t, stream)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := dial(startWithLeavers(t))
+			for range 400 {
+				exchange(t, r)
+			}
+		})
+	}
+}
+
+// Guards against a flood of control frames that hides behind useful traffic, and of acknowledgements that nobody waits for.
+func TestControlFloodBesideUsefulTrafficIsClosed(t *testing.T) {
+	for name, flood := range map[string]func(r *rawConn) error{
+		"PING":         func(r *rawConn) error { return r.WritePing(false, [8]byte{1}) },
+		"PING ACK":     func(r *rawConn) error { return r.WritePing(true, [8]byte{1}) },
+		"PRIORITY":     func(r *rawConn) error { return r.WritePriority(1, xhttp2.PriorityParam{Weight: 100}) },
+		"SETTINGS":     func(r *rawConn) error { return r.WriteSettings() },
+		"SETTINGS ACK": func(r *rawConn) error { return r.WriteSettingsAck() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n := startWithLeavers(t)
+			r := dial(n)
+			for range 100 {
+				r.readWholeAnswer(t, r.sendRequest("move", r.newID(), 9000, true))
+			}
+			go func() {
+				for range 20_000 {
+					if flood(r) != nil {
+						return
+					}
+				}
+			}()
+			goAway := r.readUntil(t, isGoAway).(*xhttp2.GoAwayFrame)
+			require.Equal(t, xhttp2.ErrCodeEnhanceYourCalm, goAway.ErrCode)
+			n.Eventually(func() bool { return n.HasLogged("reason=control-flood") })
+		})
+	}
+}
