Reset streams that wait for a window without ending those beside them

What callers would see: a client that leaves one answer of its HTTP/2 connection unread for stall_ms loses each other request on it, a settle that a worker runs among them.

Change: the connection is closed only if no other stream is open on it.

--- a/internal/front/http2/conn.go
+++ b/internal/front/http2/conn.go
@@ -311,14 +311,18 @@
 	return nil
 }
 
-// closeStalled closes a connection whose client has left its windows full for longer than the stall timeout.
-func (c *conn) closeStalled() {
-	for _, s := range append([]*stream(nil), c.blockedStreams...) {
+// resetStalled resets the streams whose answers have waited for a window for longer than the stall timeout. The connection goes on
+// while it has other requests in hand, which may fit the windows that are left; else it is closed.
+func (c *conn) resetStalled() {
+	for _, s := range c.blockedStreams {
 		if !s.closed {
 			c.reset(s.id, Cancel)
 		}
 	}
-	c.closeWithGoAway(EnhanceYourCalm, ReasonWindowFull, "the window stayed full")
+	c.blockedStreams = nil
+	if len(c.streams) == 0 {
+		c.closeWithGoAway(EnhanceYourCalm, ReasonWindowFull, "the window stayed full")
+	}
 }
 
 var _ core.Client = (*stream)(nil)
