Keep an HTTP/2 connection for its whole requests while a frame comes in slowly

What callers would see: a frame or a field block that is not whole within 2 s ends the connection, and each request that came whole on it before gets no answer.

Cause: the limit is that of the HTTP/1.1 front, where a connection has one request at a time.

Change: on HTTP/2 the connection is kept while a request that came whole is open, and its input is read on as it comes; then it is closed with a GOAWAY. The slow request itself is answered 408 as before, and nothing new can begin behind its frame.

--- a/internal/front/http2/input.go
+++ b/internal/front/http2/input.go
@@ -26,12 +26,12 @@
 	for need := 1; ; {
 		buf, err := r.Peek(max(need, r.Len()))
 		receivedAt := c.front.loop.Clock()
+		if errors.Is(err, netpoll.ErrReadTimeout) {
+			c.front.loop.Post(c.frameTimedOut)
+			continue // until the frame is complete, or the connection closed
+		}
 		if err != nil {
-			reason := link.PeerClosed
-			if errors.Is(err, netpoll.ErrReadTimeout) {
-				reason = link.SlowInput
-			}
-			c.front.loop.Post(func() { c.Close(reason) })
+			c.front.loop.Post(func() { c.Close(link.PeerClosed) })
 			c.readStopped = true
 			r.Skip(r.Len())
 			c.Conn.Close()
--- a/internal/front/http2/slow.go
+++ b/internal/front/http2/slow.go
@@ -59,10 +59,29 @@
 	return true
 }
 
+// hasWholeRequest reports whether a request that came whole is open. The connection is kept for its answer, however slowly
+// another one comes in.
+func (c *conn) hasWholeRequest() bool {
+	for _, s := range c.streams {
+		if s.requestEnded {
+			return true
+		}
+	}
+	return false
+}
+
+// frameTimedOut handles a frame that has not come whole within readTimeout. It is called again each readTimeout until then.
+func (c *conn) frameTimedOut() {
+	if c.Ended || c.CloseReason != "" || c.hasWholeRequest() {
+		return
+	}
+	c.closeWithGoAway(EnhanceYourCalm, link.SlowInput, "a frame did not come whole in time")
+}
+
 // endSlowRequests answers requests that have not come whole in time with 408, and closes a connection whose field block has
 // not.
 func (c *conn) endSlowRequests(now core.Time) {
-	if since := c.blockSince.Load(); since > 0 && now-since > messageTimeout {
+	if since := c.blockSince.Load(); since > 0 && now-since > messageTimeout && !c.hasWholeRequest() {
 		c.closeWithGoAway(EnhanceYourCalm, link.SlowInput, "a block of headers did not come whole in time")
 		return
 	}
