Serve look-ups on HTTP/2 connections that are opened after the last GOAWAY

Cause: each stream was refused after the last GOAWAY, whatever it asked for.

Change: on a connection that is opened later, what the front answers itself is served if it has no body; jobs are refused as before. Such a stream is answered in the turn in which it comes, so the shutdown waits for nothing new. Two cases of one method check become one.

Evidence: TestJobCanBeLookedUpAfterTheLastGoAway failed on (REFUSED_STREAM) and passes twice with -race, as do the tests of the drain.

--- a/internal/front/http2/conn.go
+++ b/internal/front/http2/conn.go
@@ -247,7 +247,8 @@
 		return connErrorf(ProtocolError, "a client's stream %d (RFC 9113, section 5.1.1)", f.streamID)
 	}
 	c.lastOpenedID = f.streamID
-	if c.front.finalGoAwaySent {
+	isLookUp := c.isOpenedLate && f.flags&flagEndStream != 0 && h.isLocal()
+	if c.front.finalGoAwaySent && !isLookUp {
 		// Past the last stream of the GOAWAY: it was never accepted, so the client may send it elsewhere.
 		c.refuse(f)
 		return nil
--- a/internal/front/http2/drain_test.go
+++ b/internal/front/http2/drain_test.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	xhttp2 "golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
 
 	"cobaltflow/internal/standin"
 )
@@ -113,3 +116,46 @@
 	}
 	n.RunOnLoop(func() { assert.Zero(t, n.Core.OpenRequests()) })
 }
+
+// Guards against a client that has lost its connection in a drain and can't learn how its job ended: look-ups are served on
+// connections that are opened after the last GOAWAY, jobs are refused there.
+func TestJobCanBeLookedUpAfterTheLastGoAway(t *testing.T) {
+	held := holdJobs(t, 2)
+	n := start(t, nil, held.workers...)
+	r := dial(n)
+	r.sendRequest("settle", "id-1", 15000, true)
+	n.Eventually(func() bool { return held.count() == 1 })
+	drainToLastGoAway(t, n, r)
+	r.nc.Close()
+	lookUp := func() (status string, body string) {
+		late := dial(n)
+		decoder := hpack.NewDecoder(4096, nil)
+		late.writeFields(1, true, [][2]string{{":method", "GET"}, {":scheme", "http"}, {":path", "/jobs/id-1"}, {":authority", "x"}}...)
+		late.readUntil(t, func(f xhttp2.Frame) bool {
+			switch f := f.(type) {
+			case *xhttp2.RSTStreamFrame:
+				require.Fail(t, "the look-up was refused", "%v", f.ErrCode)
+			case *xhttp2.HeadersFrame:
+				fields, err := decoder.DecodeFull(f.HeaderBlockFragment())
+				require.NoError(t, err)
+				status = fields[0].Value
+				return f.StreamEnded()
+			case *xhttp2.DataFrame:
+				body += string(f.Data())
+				return f.StreamEnded()
+			}
+			return false
+		})
+		return status, body
+	}
+	status, body := lookUp()
+	assert.Equal(t, "200", status)
+	assert.Contains(t, body, `"open"`)
+	enterRefused(t, dial(n))
+	held.finish("id-1")
+	n.Eventually(func() bool {
+		_, body := lookUp()
+		return strings.Contains(body, `"served"`)
+	})
+	assert.Equal(t, 1, held.count())
+}
--- a/internal/front/http2/front.go
+++ b/internal/front/http2/front.go
@@ -121,6 +121,7 @@
 	}
 	now := f.loop.Now()
 	c.Opened, c.lastUsed, c.lastProgress = now, now, now
+	c.isOpenedLate = f.finalGoAwaySent
 	c.ref = f.conns.Add(c)
 	f.account.Add(&c.Link)
 	f.Stats.Connections++
@@ -273,6 +274,7 @@
 	output       []byte    // frames of this turn, not sent yet
 	isDirty      bool      // it is in Front.connsToFlush
 	isGoingAway  bool      // a GOAWAY was sent or received
+	isOpenedLate bool      // it was opened after the drain's last GOAWAY, for look-ups alone
 	isAbandoned  bool      // it is about to be closed over the account's limit, and nothing is written any more
 
 	resetBudget, controlBudget, emptyDataBudget, excessStreamBudget tokenBucket
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -37,6 +37,12 @@
 // PathJobs is the path prefix under which a client looks up the state of a job by its id.
 const PathJobs = "/jobs/"
 
+// Paths under which a client asks whether new clients are accepted.
+const (
+	pathReady   = "/-/ready"
+	pathHealthy = "/-/healthy"
+)
+
 // begin handles the HEADERS of a new stream. isWhole says that the request has no body.
 func (s *stream) begin(isWhole bool) {
 	h := s.header
@@ -108,12 +114,8 @@
 		return
 	}
 	path, _, _ := strings.Cut(h.path, "?")
-	switch {
-	case path == "/-/ready" || path == "/-/healthy":
-		s.serveLocal("GET", s.respondHealth)
-		return
-	case strings.HasPrefix(path, PathJobs):
-		s.serveLocal("GET", func() { s.respondJobState(strings.TrimPrefix(path, PathJobs)) })
+	if h.isLocal() {
+		s.serveLocal(path)
 		return
 	}
 	if f.admission.IsStopped() {
@@ -141,13 +143,23 @@
 	f.ledger.Begin(req.ID)
 }
 
-// serveLocal answers a request of this front's own paths, if it has the method or is a HEAD.
-func (s *stream) serveLocal(method string, respond func()) {
-	if s.header.method != method && s.header.method != "HEAD" {
-		s.respond(405, []byte(method+"\n"), "allow", method)
-		return
+// isLocal reports whether the front itself answers the request: how it stands, or how a job does.
+func (h *fieldSection) isLocal() bool {
+	path, _, _ := strings.Cut(h.path, "?")
+	return path == pathReady || path == pathHealthy || strings.HasPrefix(path, PathJobs)
+}
+
+// serveLocal answers a request that isLocal, if its method is GET or HEAD.
+func (s *stream) serveLocal(path string) {
+	id, isJob := strings.CutPrefix(path, PathJobs)
+	switch {
+	case s.header.method != "GET" && s.header.method != "HEAD":
+		s.respond(405, []byte("GET\n"), "allow", "GET")
+	case isJob:
+		s.respondJobState(id)
+	default:
+		s.respondHealth()
 	}
-	respond()
 }
 
 // respondHealth answers 200 while new clients are accepted, else 503.
