Hold large HTTP/2 answers that come at once for a client that reads

What callers would see: of more than max_unsent_kb (1 MiB) of answers that come within a round trip, some are lost; their streams end with ENHANCE_YOUR_CALM although the client reads at once.

Cause: the bound looked at bytes alone. A window of 65,535 bytes holds back what comes until the client can return some, a round trip later at the earliest; 17 results of 64 KiB are over the bound by then.

Change: answers beyond the bound wait as well, but the more bytes wait without progress, the shorter: stall_ms times max_unsent_kb divided by what waits. Then the last ones are reset down to the bound, and the rest after stall_ms, as before. A connection holds at most what max_streams answers make, in the account of the clients' bytes as before.

--- a/internal/front/http2/conn.go
+++ b/internal/front/http2/conn.go
@@ -312,18 +312,4 @@
 	return nil
 }
 
-// resetStalled resets the streams whose answers have waited for a window for longer than the stall timeout. The connection goes on
-// while it has other requests in hand, which may fit the windows that are left; else it is closed.
-func (c *conn) resetStalled() {
-	for _, s := range c.blockedStreams {
-		if !s.closed {
-			c.reset(s.id, Cancel)
-		}
-	}
-	c.blockedStreams = nil
-	if len(c.streams) == 0 {
-		c.closeWithGoAway(EnhanceYourCalm, ReasonWindowFull, "the window stayed full")
-	}
-}
-
 var _ core.Client = (*stream)(nil)
--- a/internal/front/http2/export_test.go
+++ b/internal/front/http2/export_test.go
@@ -13,3 +13,6 @@
 
 // SetFinalGoAwayDelay sets the time between the two GOAWAYs of a drain. It is called on the loop.
 func (f *Front) SetFinalGoAwayDelay(delay core.Time) { f.limits.FinalGoAwayDelay = delay }
+
+// SetStallTimeout sets the time for which a window may hold back data without progress. It is called on the loop.
+func (f *Front) SetStallTimeout(timeout core.Time) { f.limits.StallTimeout = timeout }
--- a/internal/front/http2/front.go
+++ b/internal/front/http2/front.go
@@ -177,7 +177,7 @@
 			c.Close(link.NotReading)
 		case (!c.settingsReceived || !c.settingsAcked) && now-c.Opened > f.limits.SettingsTimeout:
 			c.closeWithGoAway(SettingsTimeout, ReasonNoSettings, "no SETTINGS, or no acknowledgement of ours, came in time")
-		case c.unsentBytes > 0 && now-c.lastProgress > f.limits.StallTimeout:
+		case c.isStalled(now):
 			c.resetStalled()
 		case len(c.streams) == 0 && now-c.lastUsed > f.limits.IdleTimeout:
 			c.closeWithGoAway(NoError, link.IdleTimeout, "")
--- a/internal/front/http2/limits.go
+++ b/internal/front/http2/limits.go
@@ -21,7 +21,7 @@
 	MaxHeaderListBytes int       // bytes of a decoded field section (RFC 9113, section 6.5.2)
 	HeaderTableBytes   int       // bytes of the HPACK dynamic table
 	MaxHeaderFrames    int       // frames of one field block
-	MaxUnsentBytes     int       // bytes of answers that a connection's windows may hold back
+	MaxUnsentBytes     int       // bytes of answers that a connection's windows may hold back for all of StallTimeout
 	MaxBodyBytes       int       // bytes of incomplete request bodies, of a connection
 	StallTimeout       core.Time // how long a window may hold back data without progress
 	SettingsTimeout    core.Time // for the client's SETTINGS and its acknowledgement of ours
--- a/internal/front/http2/slow.go
+++ b/internal/front/http2/slow.go
@@ -91,3 +91,44 @@
 		}
 	}
 }
+
+// isStalled reports whether answers have waited for a window for too long without progress. A client that reads makes progress in
+// each round trip, so answers beyond MaxUnsentBytes are held too, but the more bytes wait, the shorter they may.
+func (c *conn) isStalled(now core.Time) bool {
+	if c.unsentBytes == 0 {
+		return false
+	}
+	timeout, limit := c.front.limits.StallTimeout, c.front.limits.MaxUnsentBytes
+	if c.unsentBytes > limit {
+		timeout = timeout * core.Time(limit) / core.Time(c.unsentBytes)
+	}
+	return now-c.lastProgress > timeout
+}
+
+// resetStalled resets the streams of a stalled connection whose answers wait for a window: the last ones as far as they are beyond
+// MaxUnsentBytes, or else all. The connection goes on while it has other requests in hand, which may fit the windows that are
+// left; else it is closed.
+func (c *conn) resetStalled() {
+	blocked := c.blockedStreams
+	if limit := c.front.limits.MaxUnsentBytes; c.unsentBytes > limit {
+		for i := len(blocked) - 1; i >= 0 && c.unsentBytes > limit; i-- {
+			c.resetBlocked(blocked[i], EnhanceYourCalm)
+			c.blockedStreams = blocked[:i]
+		}
+		return
+	}
+	c.blockedStreams = nil
+	for _, s := range blocked {
+		c.resetBlocked(s, Cancel)
+	}
+	if len(c.streams) == 0 {
+		c.closeWithGoAway(EnhanceYourCalm, ReasonWindowFull, "the window stayed full")
+	}
+}
+
+// resetBlocked resets a stream whose answer waits for a window. Its client can look the answer up under PathJobs.
+func (c *conn) resetBlocked(s *stream, code Code) {
+	if !s.closed {
+		c.reset(s.id, code)
+	}
+}
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -274,11 +274,6 @@
 		s.finish()
 		return
 	}
-	if c.unsentBytes+len(body) > c.front.limits.MaxUnsentBytes {
-		// The client has requested more than it reads. It can look this answer up under PathJobs.
-		c.reset(s.id, EnhanceYourCalm)
-		return
-	}
 	if c.unsentBytes == 0 {
 		c.lastProgress = c.front.loop.Now()
 	}
--- a/internal/front/http2/window_test.go
+++ b/internal/front/http2/window_test.go
@@ -13,6 +13,7 @@
 	xhttp2 "golang.org/x/net/http2"
 
 	"cobaltflow/internal/config"
+	"cobaltflow/internal/core"
 	"cobaltflow/internal/standin"
 )
 
@@ -167,3 +168,32 @@
 		})
 	}
 }
+
+// Guards against answers that are lost because more of them come at once than max_unsent_kb, to a client that reads at once: a
+// client learns of them in a round trip at the earliest, and its windows hold them until then.
+func TestAnswersThatComeAtOnceAreHeldForTheirReader(t *testing.T) {
+	const requests = 60
+	n := startWithResults(t, largeResultBytes)
+	n.RunOnLoop(func() { n.HTTP2.SetStallTimeout(100 * core.Second) })
+	r := dial(n)
+	w := &windowReturner{rawConn: r, unreturned: map[uint32]int{}}
+	for range requests {
+		r.sendRequest("move", r.newID(), 9000, true)
+	}
+	n.Eventually(func() (allAnswered bool) {
+		n.RunOnLoop(func() { allAnswered = n.HTTP2.Stats.Answered == requests })
+		return allAnswered
+	})
+	for ended := 0; ended < requests; {
+		f := w.readUntil(t, func(f xhttp2.Frame) bool {
+			reset, isReset := f.(*xhttp2.RSTStreamFrame)
+			require.False(t, isReset, "%v after %d answers", reset, ended)
+			_, isData := f.(*xhttp2.DataFrame)
+			return isData
+		})
+		w.read(f.(*xhttp2.DataFrame))
+		if f.(*xhttp2.DataFrame).StreamEnded() {
+			ended++
+		}
+	}
+}
