Bound requests in hand at their admission, and unread input apart from them

A request stays in the read buffer until it is answered, so the sum was that of the requests in hand, and the one that it closed had one.

Change: the sum counts what is unread beyond the requests in hand. Above the bound the connection with most gets a 503 before its end; a client that pipelines more than a message behind one in hand is closed as before. Requests in hand have a bound of the same size where they are admitted: one that does not fit is answered 503, Retry-After 1, over-memory in the log. So memory is bounded as before, and no request in hand is closed for it, also when an upgrade halves the memory.

TestUnreadInputIsBoundedByMemory and TestFloodingClientIsDisconnected are unchanged and pass.

--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -107,8 +107,9 @@
 	isEnding           bool   // nothing is pending: the last connections are being closed
 	beforeIdleClose    func() // test hook: runs between the check that a connection is idle and its close; nil: none
 	// afterAccept is a test hook that runs on the poller between an accept and the count of its connection; nil: none.
-	afterAccept atomic.Pointer[func()]
-	relayed     uint64 // requests written completely to the workers
+	afterAccept   atomic.Pointer[func()]
+	inFlightBytes int    // of the messages of all requests that are not answered yet
+	relayed       uint64 // requests written completely to the workers
 	// processes is the number of live processes of this scheduler, this one included, which divide its limits.
 	processes          int
 	hadThird           bool   // more than two processes have lived at once
@@ -140,6 +141,7 @@
 	front        *Front
 	request      http1.Request // the last parsed request, valid while the loop holds the read buffer
 	inFlight     *core.Request // the request that is not answered yet; nil: none
+	inFlightSize int           // bytes of its message, which stay in the read buffer
 	callback     *heldCallback // the callback that is not answered yet; nil: none, or it was answered at once
 	isCallback   bool          // a worker's connection: it has sent a callback
 	isOnReserve  bool          // it is over the limits and on the callback reserve
@@ -229,40 +231,16 @@
 // Address returns the address that the front listens on. Any goroutine may call it once Start has returned.
 func (f *Front) Address() string { return f.listener.Addr().String() }
 
-// sweep runs every sweepInterval and closes connections that flood, that are slow or silent, or that are idle. netpoll
-// keeps reading whatever the loop does, so the unread bytes are bounded here: for each connection by MaxReadAheadBytes
-// behind a message, and for all together by an eighth of the configured memory.
+// sweep runs every sweepInterval and closes connections that flood, that are slow or silent, or that are idle.
 func (f *Front) sweep() {
-	now, totalUnread := f.loop.Now(), 0
-	var largest *clientConn
-	largestUnread := 0
+	now := f.loop.Now()
+	var unread unreadInput
 	f.clients.Each(func(_ core.Ref, c *clientConn) {
-		unread := c.Conn.Reader().Len()
-		c.SetKept(c.unreadBeyondRequest(unread))
-		if totalUnread += unread; unread > largestUnread {
-			largest, largestUnread = c, unread
-		}
-		if c.HasPendingMessage() || unread == 0 && c.MessageCount > 0 {
-			c.partialSince = 0 // what is unread is a whole message, perhaps a callback that waits for its answer
-		}
-		switch {
-		case c.inFlight != nil:
-			if unread > c.request.Size+link.MaxReadAheadBytes {
-				c.Close(link.Flooding)
-			}
-		case c.CloseReason != "":
-		case unread > http1.MaxMessage+link.MaxReadAheadBytes:
-			c.Close(link.Flooding)
-		case unread > 0 && c.partialSince == 0:
-			c.partialSince = now
-		case c.partialSince > 0 && now-c.partialSince > messageTimeout:
-			f.rejectAndClose(c, link.SlowInput, 408, "no whole request came in time\n")
-		case c.partialSince == 0 && c.jobCount == 0 && !c.isCallback && now-c.lastUsed > messageTimeout:
-			c.closeIfIdle(link.IdleTimeout)
-		}
+		f.sweepClient(c, now)
+		unread.add(c)
 	})
-	if totalUnread > f.Limits().MemoryMB<<20/8 {
-		largest.Close(link.Flooding)
+	if unread.bytes > f.maxInputBytes() {
+		f.endLargestInput(unread.largest)
 	}
 	if f.drainingSince > 0 {
 		f.closeIdleClients(now)
@@ -274,12 +252,28 @@
 	f.loop.At(now+sweepInterval, f.sweep)
 }
 
-// unreadBeyondRequest returns how many of the unread bytes do not belong to the request in hand, whose bytes stay in the buffer.
-func (c *clientConn) unreadBeyondRequest(unread int) int {
-	if c.inFlight == nil && !c.HasPendingMessage() {
-		return unread
+// sweepClient closes a connection that floods, that is slow or silent, or that is idle.
+func (f *Front) sweepClient(c *clientConn, now core.Time) {
+	unread := c.Conn.Reader().Len()
+	c.SetKept(c.unreadBeyondRequest(unread))
+	if c.HasPendingMessage() || unread == 0 && c.MessageCount > 0 {
+		c.partialSince = 0 // what is unread is a whole message, perhaps a callback that waits for its answer
+	}
+	switch {
+	case c.inFlight != nil:
+		if unread > c.request.Size+link.MaxReadAheadBytes {
+			c.Close(link.Flooding)
+		}
+	case c.CloseReason != "":
+	case unread > http1.MaxMessage+link.MaxReadAheadBytes:
+		c.Close(link.Flooding)
+	case unread > 0 && c.partialSince == 0:
+		c.partialSince = now
+	case c.partialSince > 0 && now-c.partialSince > messageTimeout:
+		f.rejectAndClose(c, link.SlowInput, 408, "no whole request came in time\n")
+	case c.partialSince == 0 && c.jobCount == 0 && !c.isCallback && now-c.lastUsed > messageTimeout:
+		c.closeIfIdle(link.IdleTimeout)
 	}
-	return max(0, unread-http1.MaxMessage)
 }
 
 // Ready reports whether the front accepts new clients: startup is over, no drain is in force and SIGTERM was not received.
--- /dev/null
+++ b/internal/platform/input_bounds.go
@@ -0,0 +1,58 @@
+package platform
+
+import (
+	"cobaltflow/internal/http1"
+	"cobaltflow/internal/link"
+)
+
+// netpoll reads whatever the loop does, and a request stays in the read buffer until it is answered. So both are bounded here, each
+// by the same share of the memory: the requests in hand as they are admitted, and what is unread beyond them by the sweep. On each
+// connection MaxReadAheadBytes may be unread behind a message besides.
+
+// inputMemoryShare is the part of the memory that requests in hand may take, and the part that unread input may.
+const inputMemoryShare = 8
+
+// maxInputBytes returns the bytes that requests in hand may take, and those that unread input may.
+func (f *Front) maxInputBytes() int { return f.Limits().MemoryMB << 20 / inputMemoryShare }
+
+// hasMemoryFor reports whether a request may be taken in hand besides those that are.
+func (f *Front) hasMemoryFor(req *http1.Request) bool {
+	return f.inFlightBytes == 0 || f.inFlightBytes+req.Size <= f.maxInputBytes()
+}
+
+// unreadInput is what is unread beyond the requests in hand, and the connection that has most of it.
+type unreadInput struct {
+	bytes        int
+	largest      *clientConn
+	largestBytes int
+}
+
+// add counts a connection, unless it is being closed.
+func (u *unreadInput) add(c *clientConn) {
+	if c.CloseReason != "" {
+		return
+	}
+	unread := c.unreadBeyondRequest(c.Conn.Reader().Len())
+	u.bytes += unread
+	if unread > u.largestBytes {
+		u.largest, u.largestBytes = c, unread
+	}
+}
+
+// endLargestInput ends the connection with most unread input. One that has sent a part of a request gets a 503, since its client
+// could not tell a close without an answer from a request that was accepted and lost.
+func (f *Front) endLargestInput(c *clientConn) {
+	if c.inFlight != nil || c.HasPendingMessage() {
+		c.Close(link.Flooding) // what is unread is pipelined behind a message, beyond MaxMessage
+		return
+	}
+	f.rejectAndClose(c, link.Flooding, 503, "too much input is unread; try again\n", "Retry-After", "1")
+}
+
+// unreadBeyondRequest returns how many of the unread bytes do not belong to the request in hand, whose bytes stay in the buffer.
+func (c *clientConn) unreadBeyondRequest(unread int) int {
+	if c.inFlight == nil && !c.HasPendingMessage() {
+		return unread
+	}
+	return max(0, unread-http1.MaxMessage)
+}
--- /dev/null
+++ b/internal/platform/input_bounds_test.go
@@ -0,0 +1,123 @@
+package platform_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cobaltflow/internal/config"
+	"cobaltflow/internal/standin"
+)
+
+// Of a megabyte of memory two requests of this size fit the eighth that requests in hand may take.
+const largeBodyBytes = 60_000
+
+// largeRequest is a request with a large body.
+func largeRequest(id string) string {
+	return fmt.Sprintf(requestHead, id) + fmt.Sprintf("Content-Length: %d\r\n\r\n", largeBodyBytes) + strings.Repeat("x", largeBodyBytes)
+}
+
+// startHolding starts a node whose workers hold the jobs that they accept; finish ends one.
+func startHolding(t *testing.T, memoryMB int) (n *standin.Node, accepted chan string, finish func(id string)) {
+	var mu sync.Mutex
+	holders := map[string]*standin.Worker{}
+	accepted = make(chan string, 8)
+	var workers []*standin.Worker
+	for i := range 4 {
+		workers = append(workers, standin.NewWorker(t, fmt.Sprint("s-", i), func(w *standin.Worker, id string, rw http.ResponseWriter, _ *http.Request) {
+			mu.Lock()
+			holders[id] = w
+			mu.Unlock()
+			rw.WriteHeader(202)
+			accepted <- id
+		}))
+	}
+	n = standin.Start(t, func(c *config.Config) { c.Limits.MemoryMB = memoryMB }, workers...)
+	return n, accepted, func(id string) {
+		mu.Lock()
+		defer mu.Unlock()
+		holders[id].SendCallback(id, "done", map[string]any{"result": "r"})
+	}
+}
+
+// Guards against requests in hand that are closed as flooding, without an answer, since their bodies count as unread input: one
+// that does not fit the memory besides them is refused, and they are answered.
+func TestRequestsInHandAreNoFlood(t *testing.T) {
+	n, accepted, finish := startHolding(t, 1)
+	var clients []*standin.RawConn
+	for i := range 2 {
+		c := standin.Dial(t, n.Front.Address())
+		c.Send(largeRequest(fmt.Sprint("id-", i)))
+		<-accepted
+		clients = append(clients, c)
+	}
+	third := standin.Dial(t, n.Front.Address())
+	third.Send(largeRequest("id-2"))
+	r, err := http.ReadResponse(third.Reader, nil)
+	require.NoError(t, err)
+	assert.Equal(t, 503, r.StatusCode)
+	assert.Equal(t, "1", r.Header.Get("Retry-After"))
+	sweepTwice(n)
+	for i, c := range clients {
+		finish(fmt.Sprint("id-", i))
+		assert.Equal(t, 200, readStatus(t, c))
+	}
+	again := standin.Dial(t, n.Front.Address())
+	again.Send(largeRequest("id-3"))
+	assert.Equal(t, "id-3", <-accepted, "their bytes are free again")
+	finish("id-3")
+	assert.Equal(t, 200, readStatus(t, again))
+}
+
+// Guards against the same in an upgrade, in which a process has half of its memory from one moment to the next.
+func TestRequestsInHandOutliveDivisionOfMemory(t *testing.T) {
+	n, accepted, finish := startHolding(t, 2)
+	var clients []*standin.RawConn
+	for i := range 3 {
+		c := standin.Dial(t, n.Front.Address())
+		c.Send(largeRequest(fmt.Sprint("id-", i)))
+		<-accepted
+		clients = append(clients, c)
+	}
+	n.RunOnLoop(func() { n.Front.DivideLimits(2) })
+	sweepTwice(n)
+	for i, c := range clients {
+		finish(fmt.Sprint("id-", i))
+		assert.Equal(t, 200, readStatus(t, c))
+	}
+}
+
+// Guards against a bare close of a client that sends its request slowly, as others do at the same time: it can't tell that from a
+// request that was accepted and lost.
+func TestClientOverTheUnreadBoundGets503(t *testing.T) {
+	const most = 3
+	n, accepted, finish := startHolding(t, 1)
+	var clients []*standin.RawConn
+	for i := range most {
+		c := standin.Dial(t, n.Front.Address())
+		c.Send(largeRequest(fmt.Sprint("id-", i))[:largeBodyBytes-1000*i])
+		clients = append(clients, c)
+	}
+	assert.Equal(t, 503, readStatus(t, clients[0]), "the one with most of its request")
+	n.Eventually(func() bool { return n.HasLogged("reason=flooding") })
+	sweepTwice(n)
+	for i := 1; i < most; i++ {
+		id := fmt.Sprint("id-", i)
+		clients[i].Send(largeRequest(id)[largeBodyBytes-1000*i:])
+		assert.Equal(t, id, <-accepted)
+		finish(id)
+		assert.Equal(t, 200, readStatus(t, clients[i]))
+	}
+}
+
+// sweepTwice waits until the front has looked at all connections.
+func sweepTwice(n *standin.Node) {
+	for range 2 {
+		n.RunOnLoop(n.Front.Sweep)
+	}
+}
--- a/internal/platform/requests.go
+++ b/internal/platform/requests.go
@@ -55,6 +55,10 @@
 		f.refuseJob(c, link.Shutdown, "this process ends; try again\n", "0")
 		return
 	}
+	if !isFixed && !f.hasMemoryFor(req) {
+		f.refuseJob(c, link.OverMemory, "too many bytes of requests are in hand; try again\n", "1")
+		return
+	}
 	if !isFixed {
 		if f.admit(c, req, path) {
 			return // the buffer is released with the request
@@ -158,7 +162,8 @@
 		f.rejectRequest(c, fault.Status, fault.Text)
 		return false
 	}
-	c.inFlight = request
+	c.inFlight, c.inFlightSize = request, req.Size
+	f.inFlightBytes += req.Size
 	c.jobCount++
 	return true
 }
@@ -186,6 +191,7 @@
 func (c *clientConn) releaseRequest(request *core.Request) {
 	if c.inFlight == request {
 		c.inFlight = nil
+		c.front.inFlightBytes -= c.inFlightSize
 		c.lastUsed = c.front.loop.Now()
 		c.ReleaseBuffer()
 	}
