Count discarded input from the moment at which the error is written

Cause: input behind an error is skipped, and above 128 KiB the connection is closed. The bytes counted from the rejection on, while the error is written by another goroutine; a fast client had sent more before.

Change: they count from CloseWrite on, which follows the write. Until then the time of a write bounds them; they take no memory.

Evidence: TestInputBeforeTheAnswerIsWrittenDoesNotClose failed on and passes (40 times with -race).

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -75,7 +75,8 @@
 	released          chan struct{} // OnRequest waits here while the loop owns its buffer
 	hasPendingMessage atomic.Bool   // a message is complete and its buffer not released yet
 	discardsInput     atomic.Bool   // input is skipped from now on
-	discardedBytes    int           // bytes skipped so far; used by OnRequest alone
+	lingers           atomic.Bool   // CloseWrite was called: discarded input counts from now on
+	discardedBytes    int           // bytes skipped since then; used by OnRequest alone
 	isWriteClosed     bool          // the writing side is closed; the peer's may stay open for a moment
 
 	mu          sync.Mutex
@@ -192,8 +193,8 @@
 	return errors.Is(err, errConnEnded) || errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.ENOTCONN)
 }
 
-// DiscardInput skips all further input without parsing it, up to maxLingerBytes. The connection stays open so that the
-// peer can read the reason for its end.
+// DiscardInput skips all further input without parsing it. The connection stays open so that the peer can read the reason for
+// its end: until that is written, however much the peer sends, and from CloseWrite on for maxLingerBytes.
 func (l *Link) DiscardInput() { l.discardsInput.Store(true) }
 
 // HasPendingMessage reports whether a complete message waits for the loop or is being processed by it.
@@ -234,6 +235,7 @@
 	}
 	l.mu.Unlock()
 	l.DiscardInput()
+	l.lingers.Store(true)
 	if l.CloseReason == "" {
 		l.CloseReason = reason
 	}
@@ -312,7 +314,10 @@
 	r := l.Conn.Reader()
 	if l.discardsInput.Load() {
 		n := r.Len()
-		if l.discardedBytes += n; l.discardedBytes > maxLingerBytes {
+		if l.lingers.Load() {
+			l.discardedBytes += n
+		}
+		if l.discardedBytes > maxLingerBytes {
 			loop.Post(func() { l.Close(Flooding) })
 			l.Conn.Close()
 		}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -6,12 +6,14 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"testing"
 	"time"
 
 	"github.com/cloudwego/netpoll"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"cobaltflow/internal/core"
 )
@@ -116,6 +118,42 @@
 	<-ended
 }
 
+// unsentBytes returns how many bytes of a TCP connection's output the other side has not received.
+func unsentBytes(t *testing.T, nc net.Conn) (bytes int) {
+	raw, err := nc.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) { bytes, err = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) }))
+	require.NoError(t, err)
+	return bytes
+}
+
+// Guards against an answer that is lost because the connection is closed over a peer that goes on sending, before the answer is
+// written: discarded input counts from then on, and a peer that still sends is closed.
+func TestInputBeforeTheAnswerIsWrittenDoesNotClose(t *testing.T) {
+	l, peer, loop, ended := newTestLink(t)
+	require.NoError(t, l.Conn.SetOnRequest(func(context.Context, netpoll.Connection) error {
+		return l.Read(loop, func([]byte) (int, int, bool) { t.Error("input was parsed"); return 1, 0, false }, func() {})
+	}))
+	l.DiscardInput()
+	_, err := peer.Write(make([]byte, 4*maxLingerBytes))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return unsentBytes(t, peer) == 0 && !l.HasUnreadInput() }, 5*time.Second, time.Millisecond)
+	answer := []byte("answer")
+	l.Send(loop, Outgoing{Message: answer, CloseAfter: true})
+	got := make([]byte, len(answer))
+	require.NoError(t, peer.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err = io.ReadFull(peer, got)
+	require.NoError(t, err)
+	assert.Equal(t, answer, got)
+	_, err = peer.Read(got)
+	require.ErrorIs(t, err, io.EOF, "the writing side is closed")
+	for err = nil; err == nil; {
+		_, err = peer.Write(make([]byte, maxLingerBytes))
+	}
+	assert.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+	<-ended
+}
+
 // A peer that keeps its side open is closed after the linger timeout.
 func TestCloseWriteClosesAfterLingerTimeout(t *testing.T) {
 	l, _, loop, ended := newTestLink(t)
