--- a/internal/platform/export_test.go
+++ b/internal/platform/export_test.go
@@ -207,3 +207,9 @@
 
 // Sweep runs one more sweep at once. It is called on the loop.
 func (f *Front) Sweep() { f.sweep() }
+
+// LargestUnread returns the most bytes that a client's connection has unread. It is called on the loop.
+func (f *Front) LargestUnread() (bytes int) {
+	f.clients.Each(func(_ core.Ref, c *clientConn) { bytes = max(bytes, c.Conn.Reader().Len()) })
+	return bytes
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -266,7 +266,8 @@
 		}
 	case c.CloseReason != "":
 	case unread > http1.MaxMessage+link.MaxReadAheadBytes:
-		c.Close(link.Flooding)
+		// The rejection of what is read may be on its way to the loop.
+		f.rejectAndClose(c, link.Flooding, 413, "more came than a request may have\n")
 	case unread > 0 && c.partialSince == 0:
 		c.partialSince = now
 	case c.partialSince > 0 && now-c.partialSince > messageTimeout:
--- a/internal/platform/input_bounds_test.go
+++ b/internal/platform/input_bounds_test.go
@@ -121,3 +121,20 @@
 		n.RunOnLoop(n.Front.Sweep)
 	}
 }
+
+// Guards against a client that goes on sending a request which is too large and finds its connection closed without the error: the
+// sweep sees what is unread before the loop has the rejection.
+func TestErrorOfLargeRequestPrecedesTheSweep(t *testing.T) {
+	n := standin.Start(t, nil)
+	c := standin.Dial(t, n.Front.Address())
+	eventuallyOnLoop(n, func() bool { registered, _, _ := n.Front.ClientCounts(); return registered == 1 })
+	n.RunOnLoop(func() {
+		c.Send(fmt.Sprintf(requestHead, "id-1") + "Content-Length: 62914560\r\n\r\n" + strings.Repeat("x", 300<<10))
+		blockUntil(t, func() bool {
+			_, _, complete := n.Front.ClientCounts()
+			return complete == 1 && n.Front.LargestUnread() > 300<<10
+		})
+		n.Front.Sweep()
+	})
+	assert.Equal(t, 413, readStatus(t, c))
+}
