Draw a client's cancellation from the time that its try states

Cause: a fault of the harness. A try states what is left in whole milliseconds, and the time of its client's cancellation was drawn from what was really left.

Change: the cancellation is drawn from the stated time.

--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -272,7 +272,7 @@
 	paused := time.Duration(h.scenario.PausedUS(try.SentUS, try.SentUS+try.TimeLeftMS*1000)) * time.Microsecond
 	wait := time.Duration(try.TimeLeftMS)*time.Millisecond + lateAnswerWait + paused
 	if request.RandomDraws[6] < h.scenario.Clients.Leave {
-		wait = time.Duration(request.RandomDraws[5] * float64(time.Until(deadline)))
+		wait = cancelAfter(request.RandomDraws[5], try.TimeLeftMS)
 		try.CancelUS = max(1, h.recorder.USAt(time.Now().Add(wait)))
 	}
 	if try.CancelUS > 0 {
@@ -285,6 +285,12 @@
 	return try
 }
 
+// cancelAfter returns how long after the start of a try its client cancels it: a part, from 0 to 1, of the time that the try states
+// in whole milliseconds. Of the time that is really left the part could be longer than what is stated.
+func cancelAfter(part float64, timeLeftMS int64) time.Duration {
+	return time.Duration(part * float64(timeLeftMS) * float64(time.Millisecond))
+}
+
 // exchange sends a try's request and reads the answer, and sets how the try ended.
 func (c *clients) exchange(ctx context.Context, request *Request, try *record.Try) {
 	h := c.harness
