Let frames wait for an HTTP/2 client that reads slowly, in place of closing it

With large windows 70 results of 64 KiB at once do on a path that takes a moment for them.

Cause: the bound looked at bytes in one moment.

Change: above it the connection's further frames wait, and what is open is answered; a client that takes nothing for 2 s is closed by the time limit of the write, as before. A connection holds the bound and the answers of its open streams, in the account as before.

--- a/internal/front/http2/export_test.go
+++ b/internal/front/http2/export_test.go
@@ -16,3 +16,9 @@
 
 // SetStallTimeout sets the time for which a window may hold back data without progress. It is called on the loop.
 func (f *Front) SetStallTimeout(timeout core.Time) { f.limits.StallTimeout = timeout }
+
+// QueuedBytes returns the most bytes that a connection's client has not taken. It is called on the loop.
+func (f *Front) QueuedBytes() (most int64) {
+	f.conns.Each(func(_ core.Ref, c *conn) { most = max(most, c.Link.QueuedBytes()) })
+	return most
+}
--- a/internal/front/http2/front.go
+++ b/internal/front/http2/front.go
@@ -21,7 +21,7 @@
 const (
 	sweepInterval  = 50 * core.Millisecond
 	maxBatchFrames = 128     // frames handed to the loop at once, which bounds a connection's work in a turn
-	maxUnreadBytes = 4 << 20 // bytes that a client may leave unread in its socket
+	maxUnreadBytes = 4 << 20 // bytes that a client may leave unread in its socket before its frames wait
 
 	// Connections over max_connections that may be open, until their clients have read why: a quarter, and at least so many.
 	rejectedConnsShare = 4
@@ -173,8 +173,6 @@
 		case c.CloseReason != "" || c.ClosedLocally:
 		case c.Conn.Reader().Len() > link.MaxBacklogBytes+maxUnreadInputBytes:
 			c.closeWithGoAway(EnhanceYourCalm, link.Flooding, "more came than a client may send ahead")
-		case c.QueuedBytes() > maxUnreadBytes:
-			c.Close(link.NotReading)
 		case (!c.settingsReceived || !c.settingsAcked) && now-c.Opened > f.limits.SettingsTimeout:
 			c.closeWithGoAway(SettingsTimeout, ReasonNoSettings, "no SETTINGS, or no acknowledgement of ours, came in time")
 		case c.isStalled(now):
--- a/internal/front/http2/input.go
+++ b/internal/front/http2/input.go
@@ -106,7 +106,8 @@
 	}
 }
 
-// handleWaiting handles the batches in the order in which they came, while the account has space for what they ask for.
+// handleWaiting handles the batches in the order in which they came, while the account has space for what they ask for and the
+// client reads what it has asked for before. A client that reads nothing is closed by the timeout of the write.
 func (c *conn) handleWaiting() {
 	for len(c.waitingBatches) > 0 {
 		batch := c.waitingBatches[0]
@@ -116,6 +117,10 @@
 				c.front.account.WhenFree(c.handleWaiting)
 				return
 			}
+			if c.QueuedBytes() > maxUnreadBytes {
+				c.front.loop.At(c.front.loop.Now()+sweepInterval, c.handleWaiting)
+				return
+			}
 			next := batch.frames[0]
 			batch.frames = batch.frames[1:]
 			c.handleOne(next)
--- a/internal/front/http2/window_test.go
+++ b/internal/front/http2/window_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -197,3 +201,43 @@
 		}
 	}
 }
+
+// Guards against a client that is closed as one that does not read, with its open requests, since more answers than the bound come
+// at once than its path takes: its further frames wait until it has read them.
+func TestAnswersOverTheUnreadBoundReachTheirReader(t *testing.T) {
+	const lookUps = 120 // of which each takes a stream
+	n := startWithResults(t, largeResultBytes)
+	status, _, err := send(newClient(n), newRequest(context.Background(), n, "move", "large", 9000, ""))
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	r := dialWithReceiveBuffer(n, 4096, xhttp2.Setting{ID: xhttp2.SettingInitialWindowSize, Val: 16 << 20})
+	require.NoError(t, r.WriteWindowUpdate(0, 16<<20))
+	for range lookUps {
+		r.lookUp("large")
+	}
+	waitUntilHandled(n, 50*time.Millisecond)
+	var queued int64
+	n.RunOnLoop(func() { queued = n.HTTP2.QueuedBytes() })
+	assert.Greater(t, queued, int64(4<<20))
+	time.Sleep(200 * time.Millisecond) // some sweeps, and less than a write may take
+	for ended := 0; ended < lookUps; ended++ {
+		r.readUntil(t, func(f xhttp2.Frame) bool {
+			require.False(t, isGoAway(f), "%v", f)
+			d, isData := f.(*xhttp2.DataFrame)
+			return isData && d.StreamEnded()
+		})
+	}
+}
+
+// dialWithReceiveBuffer connects with a receive buffer of a size, so that little fits into the client's system.
+func dialWithReceiveBuffer(n *standin.Node, bytes int, settings ...xhttp2.Setting) *rawConn {
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+		controlErr := raw.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bytes) })
+		return errors.Join(controlErr, err)
+	}}
+	nc, err := dialer.Dial("tcp", n.HTTP2.Address())
+	require.NoError(n.T, err)
+	n.T.Cleanup(func() { nc.Close() })
+	require.NoError(n.T, nc.SetDeadline(time.Now().Add(2*standin.WaitTimeout)))
+	return newRawConn(nc, settings...)
+}
