Judge attempts that a cut held by when its end began, not when it was complete

Cause: a fault of the harness. The judge excuses an attempt that comes behind the end, but an end is recorded when all paths are released, and what was held arrives from the first release on.

Change: the event of an end has the time from which it took effect, and the judge takes that as the end of a path's fault. What came before it is blamed as before, so the check is not wider than the fault.

Evidence: of two new rows of TestEachCheckDetectsItsViolation the one behind that time failed before; the one before it is still blamed.

--- a/internal/fleet/harness.go
+++ b/internal/fleet/harness.go
@@ -265,10 +265,13 @@
 	senders.close()
 }
 
-// runFaultEvent runs the start or the end of a fault and records it: a start before it takes effect and an end when it has.
+// runFaultEvent runs the start or the end of a fault and records it: a start before it takes effect and an end when it has, with
+// the time from which it did.
 func (h *harness) runFaultEvent(e faultEvent) {
 	event := record.Event{Kind: e.kind, IsEnd: e.isEnd, Scheduler: -1, Worker: -1}
-	if !e.isEnd {
+	if e.isEnd {
+		event.BegunUS = h.recorder.ElapsedUS()
+	} else {
 		h.addEvent(event)
 	}
 	if e.kind == "release-schedulers" {
--- a/internal/fleet/judge/judge.go
+++ b/internal/fleet/judge/judge.go
@@ -57,29 +57,32 @@
 		if fault.ForS <= 0 || fault.Every > 0 || !isPause && !slices.Contains(pathFaults, fault.What) {
 			continue
 		}
-		startS, hasStart := firstEventS(rec, fault.What, false, fault.AtS)
-		endS, hasEnd := firstEventS(rec, fault.What, true, fault.AtS+fault.ForS)
-		if !hasStart || !hasEnd {
+		start := firstEvent(rec, fault.What, false, fault.AtS)
+		end := firstEvent(rec, fault.What, true, fault.AtS+fault.ForS)
+		if start == nil || end == nil {
 			continue
 		}
+		endUS := end.AtUS
 		if isPause { // the length of a pause counts
-			fault.AtS = startS
+			fault.AtS = float64(start.AtUS) / 1e6
+		} else if end.BegunUS > 0 { // what a cut has held arrives from then on
+			endUS = end.BegunUS
 		}
-		fault.ForS = endS - fault.AtS
+		fault.ForS = float64(endUS)/1e6 - fault.AtS
 	}
 }
 
-// firstEventS returns the time, in seconds, of the first start or end of a kind of fault from a time on, and whether there
-// is one.
-func firstEventS(rec *record.Records, kind string, isEnd bool, fromS float64) (atS float64, found bool) {
+// firstEvent returns the first start or end of a kind of fault that came into effect at a time, in seconds, or later; nil: there
+// is none.
+func firstEvent(rec *record.Records, kind string, isEnd bool, fromS float64) (first *record.Event) {
 	for i := range rec.Events {
 		event := &rec.Events[i]
-		eventS := float64(event.AtUS) / 1e6
-		if event.Kind == kind && event.IsEnd == isEnd && event.Scheduler < 0 && event.Worker < 0 && eventS >= fromS && (!found || eventS < atS) {
-			atS, found = eventS, true
+		isFault := event.Kind == kind && event.IsEnd == isEnd && event.Scheduler < 0 && event.Worker < 0
+		if isFault && float64(event.AtUS)/1e6 >= fromS && (first == nil || event.AtUS < first.AtUS) {
+			first = event
 		}
 	}
-	return atS, found
+	return first
 }
 
 // absenceTimes holds, for each scheduler, the intervals in microseconds in which it could not answer: from its end until it
--- a/internal/fleet/judge/judge_test.go
+++ b/internal/fleet/judge/judge_test.go
@@ -176,6 +176,16 @@
 			delayAttempt(t, r, 1950, 1.1)
 			r.Events, r.ListUpdates = nil, []record.ListUpdate{{AtUS: 1.2e6, Scheduler: 0, Worker: 0, Status: "draining"}, {AtUS: 2.95e6, Scheduler: 0, Worker: 0, Status: "up"}}
 		}, ""},
+		{"an attempt sent before its worker was disabled that arrives while a cut ends", func(r *record.Records) {
+			delayAttempt(t, r, 1950, 1.1)
+			addFaultEvents(r, "cut", 1.1e6, 2.75e6)
+			r.Events[len(r.Events)-1].BegunUS = 2.69e6
+		}, ""},
+		{"an attempt sent before its worker was disabled that arrives before a cut begins to end", func(r *record.Records) {
+			delayAttempt(t, r, 1950, 1.1)
+			addFaultEvents(r, "cut", 1.1e6, 2.75e6)
+			r.Events[len(r.Events)-1].BegunUS = 2.71e6
+		}, "nothing new to a table worker that an operator took out"},
 		{"an attempt sent to a draining worker after the grace and delayed by a cut", func(r *record.Records) {
 			delayAttempt(t, r, 300, 1.1)
 			r.Events, r.ListUpdates = nil, []record.ListUpdate{{AtUS: 1.2e6, Scheduler: 0, Worker: 0, Status: "draining"}, {AtUS: 2.95e6, Scheduler: 0, Worker: 0, Status: "up"}}
--- a/internal/fleet/record/record.go
+++ b/internal/fleet/record/record.go
@@ -148,6 +148,7 @@
 	Worker    int32  `parquet:"worker"`    // below 0: none
 	IsEnd     bool   `parquet:"ends"`
 	CalledUS  int64  `parquet:"called_us"` // time of the operator's call that caused the event; 0: none
+	BegunUS   int64  `parquet:"begun_us"`  // of the end of a fault: from when it took effect, bit by bit until AtUS; 0: not known
 }
 
 // Lag is how late the harness itself ran: the greatest delay of a goroutine that does nothing but wake every few
