--- a/internal/platform/input_bounds_test.go
+++ b/internal/platform/input_bounds_test.go
@@ -45,17 +45,22 @@
 	}
 }
 
-// Guards against requests in hand that are closed as flooding, without an answer, since their bodies count as unread input: one
-// that does not fit the memory besides them is refused, and they are answered.
-func TestRequestsInHandAreNoFlood(t *testing.T) {
-	n, accepted, finish := startHolding(t, 1)
-	var clients []*standin.RawConn
-	for i := range 2 {
+// sendAccepted sends large requests, of which each is with a worker before the next.
+func sendAccepted(t *testing.T, n *standin.Node, accepted <-chan string, count int) (clients []*standin.RawConn) {
+	for i := range count {
 		c := standin.Dial(t, n.Front.Address())
 		c.Send(largeRequest(fmt.Sprint("id-", i)))
 		<-accepted
 		clients = append(clients, c)
 	}
+	return clients
+}
+
+// Guards against requests in hand that are closed as flooding, without an answer, since their bodies count as unread input: one
+// that does not fit the memory besides them is refused, and they are answered.
+func TestRequestsInHandAreNoFlood(t *testing.T) {
+	n, accepted, finish := startHolding(t, 1)
+	clients := sendAccepted(t, n, accepted, 2)
 	third := standin.Dial(t, n.Front.Address())
 	third.Send(largeRequest("id-2"))
 	r, err := http.ReadResponse(third.Reader, nil)
@@ -77,13 +82,7 @@
 // Guards against the same in an upgrade, in which a process has half of its memory from one moment to the next.
 func TestRequestsInHandOutliveDivisionOfMemory(t *testing.T) {
 	n, accepted, finish := startHolding(t, 2)
-	var clients []*standin.RawConn
-	for i := range 3 {
-		c := standin.Dial(t, n.Front.Address())
-		c.Send(largeRequest(fmt.Sprint("id-", i)))
-		<-accepted
-		clients = append(clients, c)
-	}
+	clients := sendAccepted(t, n, accepted, 3)
 	n.RunOnLoop(func() { n.Front.DivideLimits(2) })
 	sweepTwice(n)
 	for i, c := range clients {
