Take the commands of a Faktory pipeline that one batch leaves in the buffer

What callers would see: of more than 256 commands that are sent at once, those behind the 256th get no reply until the client sends more. Found as a test of another fault hung; not seen in use.

Cause: splitCommands noted the whole rest of its buffer as searched for a line end, also where it stopped since the batch was full. The next call searched behind that and found no command.

Change: the rest counts as searched only if it is an incomplete command.

Evidence: TestLongPipelineIsAnsweredToItsEnd (700 commands) failed on at reply 256, and passes three times with -race.

--- a/internal/faktory/faktory_test.go
+++ b/internal/faktory/faktory_test.go
@@ -302,3 +302,14 @@
 	})
 	assert.Equal(t, 204, standin.PostCallback(n.URL(platform.PathEvents), map[string]any{"id": "http-move-0-1", "from": "s-1", "state": "done"}))
 }
+
+// Guards against commands that get no reply until their client sends more: those behind the 256th of a pipeline, which one batch does
+// not take.
+func TestLongPipelineIsAnsweredToItsEnd(t *testing.T) {
+	const commands = 700
+	c := session(start(t, nil), "")
+	c.Send(strings.Repeat("TRACK GET job-0001\r\n", commands))
+	for i := range commands {
+		require.NotEqual(t, "(closed)", c.Reply(), "reply %d", i)
+	}
+}
--- a/internal/faktory/input.go
+++ b/internal/faktory/input.go
@@ -110,10 +110,11 @@
 // new buffer, so that it does not keep the batch in memory.
 func (s *session) splitCommands() (batch []parsedCommand, cost int) {
 	f, input := s.front, &s.input
-	used := 0
+	used, isIncomplete := 0, false
 	for used < len(input.buffer) && len(batch) < maxBatchCommands {
 		rest := input.buffer[used:]
 		if used == 0 && input.scanned > 0 && rest[0] != '*' && bytes.IndexByte(rest[input.scanned:], '\n') < 0 && len(rest) <= f.maxCommandBytes {
+			isIncomplete = true
 			break
 		}
 		var parsed Command
@@ -124,7 +125,7 @@
 			used = len(input.buffer)
 			break
 		}
-		if need > 0 {
+		if isIncomplete = need > 0; isIncomplete {
 			break
 		}
 		cmd := parsedCommand{verb: verbString(parsed.Verb), arg: parsed.Arg, size: parsed.Size, cost: max(parsed.Size, link.MinMessageCost)}
@@ -145,7 +146,10 @@
 			rest = nil
 		}
 	}
-	input.buffer, input.scanned = rest, len(rest)
+	input.buffer, input.scanned = rest, 0
+	if isIncomplete { // else whole commands may follow, which the next batch takes
+		input.scanned = len(rest)
+	}
 	return batch, cost
 }
 
