Let commands wait for a Faktory client that reads slowly, in place of closing it

What callers would see: more than 4 MiB of replies that the client's system has not taken close its session, however it reads; 70 pipelined look-ups of 60,000 bytes do on a slow path.

Cause: the bound looked at bytes in one moment.

Change: above it the session's further commands wait until the client has read; one that takes nothing for 2 s is closed by the time limit of the write, as before.

TestClientThatDoesNotReadIsClosed and the tests of the memory are unchanged; the package passed once with -race.

--- a/internal/faktory/export_test.go
+++ b/internal/faktory/export_test.go
@@ -49,3 +49,12 @@
 
 // Pending returns the number of attempts that wait for a worker's FETCH. It must be called on the loop.
 func (f *Front) Pending(wid string) int { return len(f.workers[wid].pending) }
+
+// Sweep runs one more sweep at once. It is called on the loop.
+func (f *Front) Sweep() { f.sweep() }
+
+// QueuedBytes returns the most bytes that a session's client has not taken. It is called on the loop.
+func (f *Front) QueuedBytes() (most int64) {
+	f.sessions.Each(func(_ core.Ref, s *session) { most = max(most, s.Link.QueuedBytes()) })
+	return most
+}
--- a/internal/faktory/front.go
+++ b/internal/faktory/front.go
@@ -38,7 +38,7 @@
 	sweepInterval      = core.Second / 4
 	maxPendingTime     = core.Second / 4 // how long an attempt stays pending for one worker while another waits
 	maxDueStepsPerTurn = 1000            // timers and steps of the jobs' machine in one turn of the loop
-	maxUnreadBytes     = 4 << 20         // bytes of replies that a session may leave unread
+	maxUnreadBytes     = 4 << 20         // bytes of replies that a session may leave unread before its commands wait
 
 	// Connections over max_sessions that may be open, until their clients have read why: a quarter, and at least so many.
 	rejectedConnsShare = 4
@@ -314,7 +314,7 @@
 }
 
 // sweep removes workers that missed their heartbeats, moves attempts that are pending for a busy worker, and closes
-// sessions that flood or do not read.
+// sessions that flood.
 func (f *Front) sweep() {
 	now := f.loop.Now()
 	expiredBefore := now - f.conf.Faktory.HeartbeatTimeout()
@@ -336,8 +336,6 @@
 		s.countKept()
 		if s.Conn.Reader().Len() > f.maxCommandBytes+link.MaxReadAheadBytes {
 			s.Close(link.Flooding)
-		} else if s.QueuedBytes() > maxUnreadBytes {
-			s.Close(link.NotReading)
 		}
 	})
 	if !f.closed {
--- a/internal/faktory/memory_test.go
+++ b/internal/faktory/memory_test.go
@@ -84,3 +84,25 @@
 	requireBoundedHeap(t, before, limit)
 	assert.Equal(t, "served", other.JobState("job-0001"))
 }
+
+// Guards against a client that is closed as one that does not read, since more replies than the bound come at once than its path
+// takes: its further commands wait until it has read them.
+func TestRepliesOverTheUnreadBoundReachTheirReader(t *testing.T) {
+	const lookUps, resultBytes = 600, 60_000 // more than the sockets of both sides and the bound take
+	n := start(t, nil)
+	w, got := startFetching(n, "w-1")
+	require.Equal(t, "OK", session(n, "").Push("job-0001", "settle", 9000))
+	<-got
+	require.Equal(t, "OK", w.Do("ACK", fmt.Sprintf(`{"jid":"job-0001","result":%q}`, strings.Repeat("r", resultBytes))))
+	reader := session(n, "")
+	reader.Send(strings.Repeat("TRACK GET job-0001\r\n", lookUps))
+	var queued int64
+	n.Eventually(func() bool {
+		n.RunOnLoop(func() { queued = n.Faktory.QueuedBytes() })
+		return queued > 4<<20
+	})
+	n.RunOnLoop(n.Faktory.Sweep)
+	for i := range lookUps {
+		require.Greater(t, len(reader.Reply()), resultBytes, "reply %d", i)
+	}
+}
--- a/internal/faktory/session.go
+++ b/internal/faktory/session.go
@@ -27,7 +27,6 @@
 	worker  *worker // nil: a client that only pushes
 	replies []byte  // of this turn, not sent yet
 	isDirty bool    // it is in Front.sessionsToFlush
-	hasSent bool    // a part of this turn's replies is sent
 
 	queues         []string // of the last FETCH
 	lastFetchArg   string   // the argument that queues was parsed from
@@ -58,7 +57,6 @@
 		return
 	}
 	if len(s.replies) >= link.MaxPartBytes {
-		s.hasSent = true
 		s.sendReplies(false)
 	}
 	s.replies = append(s.replies, message...)
@@ -71,12 +69,7 @@
 }
 
 func (s *session) flush() {
-	isUnread := !s.hasSent && s.QueuedBytes() > maxUnreadBytes // what was sent in this turn may be read yet
-	s.isDirty, s.hasSent = false, false
-	if isUnread {
-		s.Close(link.NotReading)
-		return
-	}
+	s.isDirty = false
 	if len(s.replies) > 0 {
 		s.sendReplies(s.CloseReason != "" && !s.ClosedLocally)
 	}
@@ -117,7 +110,7 @@
 	}
 }
 
-// resume goes on with the commands that waited until the account had space.
+// resume goes on with the commands that waited until the account had space, or until the client had read.
 func (s *session) resume() {
 	s.isBlocked = false
 	s.runQueued()
@@ -147,6 +140,10 @@
 			s.isBlocked = true
 			f.account.WhenFree(s.resume)
 		}
+		if !s.isBlocked && s.QueuedBytes() > maxUnreadBytes { // a client that reads nothing is closed by the timeout of the write
+			s.isBlocked = true
+			f.loop.At(f.loop.Now()+sweepInterval, s.resume)
+		}
 		if s.isBlocked {
 			return batch[i:]
 		}
