Name credit and unreturned data in the HTTP/2 front as the field does

"returnable", "payFor", "isPaid" and a bucket's "put" told of payments; a reader of flow control looks for credit and for what has not been returned. With it: openStream's second check for an even stream number went, as the reader has refused the frame before, and a stream that leaves recentStreams also leaves the ring, so that its place can't drop the stream when it is added again.

--- a/internal/front/http2/conn.go
+++ b/internal/front/http2/conn.go
@@ -104,7 +104,7 @@
 	if s.request == nil {
 		s.uncountBody()
 	}
-	c.closedReturnable.addClosed(s.returnable, c.front.limits.MaxStreams)
+	c.closedUnreturned.addClosed(s.unreturned, c.front.limits.MaxStreams)
 	s.unsent, s.closed = nil, true
 	c.countKept()
 	c.lastUsed = c.front.loop.Now()
@@ -141,10 +141,10 @@
 	return nil
 }
 
-// payForControlFrame lets useful traffic pay for one control frame, so that frames that come with each stream, each reset or
-// each round trip of data are no flood at any rate.
-func (c *conn) payForControlFrame() {
-	c.controlBudget.put(c.front.loop.Now(), c.front.limits.ControlPerS)
+// creditControlFrame gives credit for one control frame, so that frames that come with each stream, each reset or each round trip
+// of data are no flood at any rate.
+func (c *conn) creditControlFrame() {
+	c.controlBudget.credit(c.front.loop.Now(), c.front.limits.ControlPerS)
 }
 
 // handleSettings applies the client's SETTINGS and acknowledges them, or notes the acknowledgement of ours.
@@ -187,8 +187,8 @@
 }
 
 // handleReset handles a client's RST_STREAM. A stream that is reset before its answer is charged to the reset budget,
-// since its work was wasted (the rapid reset attack). Each answered request pays for one: streams that are answered are limited
-// by max_streams, and a client that stands for many people cancels as they leave.
+// since its work was wasted (the rapid reset attack). Each answered request gives credit for one: streams that are answered are
+// limited by max_streams, and a client that stands for many people cancels as they leave.
 func (c *conn) handleReset(f *frame) *connError {
 	if c.stateOf(f.streamID) == stateIdle {
 		return connErrorf(ProtocolError, "RST_STREAM of idle stream %d (RFC 9113, section 6.4)", f.streamID)
@@ -198,7 +198,7 @@
 		return nil
 	}
 	c.front.Stats.Resets++
-	c.payForControlFrame() // a client may check by a PING that the connection works
+	c.creditControlFrame() // a client may check by a PING that the connection works
 	unanswered := !s.answered
 	s.disconnect()
 	c.resetStreams.add(s.id)
@@ -240,12 +240,9 @@
 	return nil
 }
 
-// openStream opens a stream for a new request, or refuses it.
+// openStream opens a stream for a new request, or refuses it. The reader has checked that its ID is odd.
 func (c *conn) openStream(f *frame) *connError {
 	h, limits := f.header, &c.front.limits
-	if f.streamID%2 == 0 {
-		return connErrorf(ProtocolError, "a client's stream %d (RFC 9113, section 5.1.1)", f.streamID)
-	}
 	c.lastOpenedID = f.streamID
 	isLookUp := c.isOpenedLate && f.flags&flagEndStream != 0 && h.isLocal()
 	if c.front.finalGoAwaySent && !isLookUp {
@@ -264,8 +261,8 @@
 		return nil
 	}
 	c.front.Stats.Streams++
-	c.payForControlFrame() // a client may give each of its streams a PRIORITY
-	c.emptyDataBudget.put(c.front.loop.Now(), limits.EmptyPerS)
+	c.creditControlFrame() // a client may give each of its streams a PRIORITY
+	c.emptyDataBudget.credit(c.front.loop.Now(), limits.EmptyPerS)
 	s := &stream{conn: c, id: f.streamID, openedAt: c.front.loop.Now(), header: h, sendWindow: c.initialSendWindow, recvWindow: defaultWindow}
 	c.streams[s.id] = s
 	c.headerBytes += h.size
--- a/internal/front/http2/front.go
+++ b/internal/front/http2/front.go
@@ -255,8 +255,8 @@
 	headerBuffer      bytes.Buffer
 	sendWindow        int64          // what we may send on the connection, in bytes
 	recvWindow        int64          // what the client may still send on it, in bytes
-	returnable        returnableData // of the connection's window
-	closedReturnable  returnableData // of the windows of streams that are closed
+	unreturned        unreturnedData // of the connection's window
+	closedUnreturned  unreturnedData // of the windows of streams that are closed
 	initialSendWindow int64          // sendWindow of a new stream
 	maxSendFrame      int            // bytes of one DATA frame
 	blockedStreams    []*stream      // streams with data that a window holds back, in round-robin order
--- a/internal/front/http2/limits.go
+++ b/internal/front/http2/limits.go
@@ -51,8 +51,8 @@
 	return true
 }
 
-// put adds one token, which useful traffic has paid for, unless the bucket is full.
-func (b *tokenBucket) put(now core.Time, rate float64) {
+// credit adds one token, unless the bucket is full.
+func (b *tokenBucket) credit(now core.Time, rate float64) {
 	b.fill(now, rate)
 	b.tokens = min(burstSeconds*rate, b.tokens+1)
 }
--- a/internal/front/http2/state.go
+++ b/internal/front/http2/state.go
@@ -1,5 +1,7 @@
 package http2
 
+import "slices"
+
 // streamState is the state of a stream for the frames that its client sends (RFC 9113, section 5.1). Every handler of a frame
 // asks for it, so that they agree on which streams exist.
 type streamState int
@@ -50,4 +52,10 @@
 
 func (r *recentStreams) has(id uint32) bool { return r.ids[id] }
 
-func (r *recentStreams) remove(id uint32) { delete(r.ids, id) }
+// remove forgets a stream. Its place in the ring is cleared, since the stream may be added again.
+func (r *recentStreams) remove(id uint32) {
+	delete(r.ids, id)
+	if i := slices.Index(r.ring[:], id); i >= 0 {
+		r.ring[i] = 0
+	}
+}
--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -26,7 +26,7 @@
 	sendWindow   int64 // what we may send on the stream, in bytes
 	recvWindow   int64 // what the client may still send on it, in bytes
 	windowRaised bool  // the client has sent a WINDOW_UPDATE for it
-	returnable   returnableData
+	unreturned   unreturnedData
 
 	request  *core.Request // nil: not accepted, or released
 	answered bool          // the answer's HEADERS have been written
@@ -207,7 +207,7 @@
 		return
 	}
 	f.Stats.Answered++
-	s.conn.resetBudget.put(f.loop.Now(), f.limits.ResetsPerS)
+	s.conn.resetBudget.credit(f.loop.Now(), f.limits.ResetsPerS)
 	reply := f.admission.ReplyTo(answer)
 	if reply.RetryAfter != "" {
 		s.respond(reply.Status, reply.Body, "retry-after", reply.RetryAfter)
@@ -333,9 +333,9 @@
 	c.write(s.unsent[:n])
 	s.sendWindow -= int64(n)
 	c.sendWindow -= int64(n)
-	s.returnable.add(n)
-	c.returnable.add(n)
-	c.payForControlFrame() // a client that measures its bandwidth sends a PING in each round trip of data
+	s.unreturned.add(n)
+	c.unreturned.add(n)
+	c.creditControlFrame() // a client that measures its bandwidth sends a PING in each round trip of data
 	c.unsentBytes -= n
 	if s.unsent = s.unsent[n:]; len(s.unsent) == 0 {
 		s.finish()
--- a/internal/front/http2/window.go
+++ b/internal/front/http2/window.go
@@ -9,39 +9,40 @@
 // windowUpdateBytes is the size of a WINDOW_UPDATE frame. An update that returns fewer bytes takes more than it gives.
 const windowUpdateBytes = frameHeaderBytes + 4
 
-// returnableData is DATA that was sent and that the client has not returned by WINDOW_UPDATE yet. It pays for the client's
-// updates, whatever their size and rate: a sound client returns what it has read, and no more.
-type returnableData struct {
+// unreturnedData is DATA that was sent and that the client has not returned by WINDOW_UPDATE yet. It bounds the client's updates by
+// what they are of use for, whatever their size and rate: a sound client returns what it has read, and no more.
+type unreturnedData struct {
 	bytes  int64
-	frames int // each also pays for an update that returns less than windowUpdateBytes
+	frames int // each also allows an update that returns less than windowUpdateBytes
 }
 
 // add counts a DATA frame that was sent.
-func (d *returnableData) add(bytes int) {
+func (d *unreturnedData) add(bytes int) {
 	d.bytes += int64(bytes)
 	d.frames++
 }
 
-// payFor reports whether an update is paid for by the data that it returns. An update by more than that only raises the window.
-func (d *returnableData) payFor(increment int64) bool {
+// giveBack takes off what an update returns, and reports whether that makes it useful. An update by more than was sent raises the
+// window, and returns nothing.
+func (d *unreturnedData) giveBack(increment int64) (isUseful bool) {
 	isReturn := increment <= d.bytes
 	if isReturn {
 		d.bytes -= increment
 	}
-	isPaid := isReturn && increment >= windowUpdateBytes
-	if !isPaid && d.frames > 0 {
+	isUseful = isReturn && increment >= windowUpdateBytes
+	if !isUseful && d.frames > 0 {
 		d.frames--
-		isPaid = true
+		isUseful = true
 	}
 	if d.bytes == 0 {
 		d.frames = 0
 	}
-	return isPaid
+	return isUseful
 }
 
 // addClosed takes over the data of a stream that is closed, which its client may still return, up to what maxStreams streams
 // carry.
-func (d *returnableData) addClosed(closed returnableData, maxStreams int) {
+func (d *unreturnedData) addClosed(closed unreturnedData, maxStreams int) {
 	maxBytes := int64(maxStreams) * admission.MaxBody
 	d.bytes = min(d.bytes+closed.bytes, maxBytes)
 	d.frames = min(d.frames+closed.frames, int(maxBytes/defaultMaxFrame))
@@ -58,7 +59,7 @@
 	}
 	s := c.streams[f.streamID]
 	if s == nil {
-		return c.chargeUpdate(c.closedReturnable.payFor(increment))
+		return c.chargeUpdate(c.closedUnreturned.giveBack(increment))
 	}
 	if increment == 0 {
 		c.reset(s.id, ProtocolError)
@@ -70,8 +71,8 @@
 	}
 	isFirst := !s.windowRaised // a client may raise the window of each of its streams
 	s.windowRaised = true
-	isPaid := s.returnable.payFor(increment)
-	return c.chargeUpdate(c.sendBlockedData() || isPaid || isFirst)
+	isReturn := s.unreturned.giveBack(increment)
+	return c.chargeUpdate(c.sendBlockedData() || isReturn || isFirst)
 }
 
 // raiseConnWindow opens the connection's send window.
@@ -82,8 +83,8 @@
 	if c.sendWindow += increment; c.sendWindow > maxWindow {
 		return connErrorf(FlowControlError, "a window over 2^31-1 (RFC 9113, section 6.9.1)")
 	}
-	isPaid := c.returnable.payFor(increment)
-	return c.chargeUpdate(c.sendBlockedData() || isPaid)
+	isReturn := c.unreturned.giveBack(increment)
+	return c.chargeUpdate(c.sendBlockedData() || isReturn)
 }
 
 // chargeUpdate charges a WINDOW_UPDATE to the budget of control frames if it was of no use: it returned no data that was sent, and
