Take a worker list whose body ends with its connection

Callers saw work go to draining workers for as long as discovery ended the whole list by ending the connection, as HTTP/1.1 lets it (RFC 9112, 6.3): the scheduler refused the list ("list response has no length") and asked again without end.

Cause: ResponseReader.consumeHead knew lengths and chunks only, and nothing told it of the end of the connection.

Now Response.BodyFraming says how a body ends, for this reader and for the parser of workers' responses. The close callback, which runs after the last read, completes the list if the peer ended the connection in order (TCP_CLOSE_WAIT); a reset or a list that is cut short is not taken. The watch follows on another connection at once, also behind a list with a length or chunks and "Connection: close", where it was asked for on the ending connection and opened as a retry.

--- a/internal/discovery/response.go
+++ b/internal/discovery/response.go
@@ -19,11 +19,13 @@
 	phaseChunkData
 	phaseChunkEnd
 	phaseTrailers
-	phaseBody // a body with a Content-Length
+	phaseBody            // a body with a Content-Length
+	phaseBodyUntilClosed // a body that ends with the connection
+	phaseClosed          // discovery has ended the connection, or ends it behind the list
 )
 
 // ResponseReader reads discovery's HTTP responses on one connection: first the response with the full list, if that was
-// requested, then the response to the watch, which is open-ended. Bodies are passed to the decoder in the pieces in which
+// requested, then the response to the watch, which is open-ended, unless the connection ends behind the list. Bodies are passed to the decoder in the pieces in which
 // they arrive, so that memory does not depend on the size of body and chunks.
 type ResponseReader struct {
 	decoder   *Decoder
@@ -43,11 +45,31 @@
 
 // IsPartial reports whether a list, line, chunk or body has begun and its end has not been read yet.
 func (r *ResponseReader) IsPartial() bool {
-	return r.decoder.IsPartial() || r.phase == phaseChunkData || r.phase == phaseChunkEnd || r.phase == phaseTrailers || r.phase == phaseBody
+	switch r.phase {
+	case phaseChunkData, phaseChunkEnd, phaseTrailers, phaseBody, phaseBodyUntilClosed:
+		return true
+	}
+	return r.decoder.IsPartial()
+}
+
+// EndsBehindList reports whether the list is complete and discovery ends the connection behind it, so that the watch needs
+// another one.
+func (r *ResponseReader) EndsBehindList() bool { return r.phase == phaseClosed }
+
+// Close records that discovery has ended the connection behind all that was consumed, which completes a list whose body ends
+// so. It reports whether there was one.
+func (r *ResponseReader) Close() (completesList bool) {
+	if r.phase != phaseBodyUntilClosed {
+		return false
+	}
+	r.endList()
+	return true
 }
 
 // IsWatching reports whether the response to the watch has begun.
-func (r *ResponseReader) IsWatching() bool { return !r.readsList && r.phase != phaseHead }
+func (r *ResponseReader) IsWatching() bool {
+	return !r.readsList && r.phase != phaseHead && r.phase != phaseClosed
+}
 
 // DecodedEndpoints returns the number of endpoints that have been decoded. It may be called from any goroutine.
 func (r *ResponseReader) DecodedEndpoints() uint64 { return r.decoder.DecodedEndpoints() }
@@ -80,6 +102,10 @@
 		return r.consumeHead(buf)
 	case phaseBody, phaseChunkData:
 		return r.consumeData(buf)
+	case phaseBodyUntilClosed:
+		return len(buf), 0, r.decoder.Decode(buf)
+	case phaseClosed:
+		return len(buf), 0, nil // belongs to no response
 	case phaseChunkSize:
 		r.remaining, size, need, parseErr = http1.ParseChunkSize(buf, 0)
 		if need > 0 || parseErr != nil {
@@ -116,7 +142,7 @@
 	if need > 0 {
 		return 0, need, nil
 	}
-	length, chunked, parseErr := r.response.BodyLength()
+	framing, length, parseErr := r.response.BodyFraming()
 	switch {
 	case r.response.Status != 200 && r.readsList:
 		return 0, 0, fmt.Errorf("list response has status %d", r.response.Status)
@@ -124,12 +150,12 @@
 		return 0, 0, fmt.Errorf("watch response has status %d", r.response.Status)
 	case parseErr != nil:
 		return 0, 0, parseErr
-	case chunked:
+	case framing == http1.BodyInChunks:
 		r.phase = phaseChunkSize
 	case !r.readsList:
 		return 0, 0, errors.New("watch response is not chunked")
-	case length < 0:
-		return 0, 0, errors.New("list response has no length")
+	case framing == http1.BodyUntilClosed:
+		r.phase, r.response.KeepAlive = phaseBodyUntilClosed, false
 	case length >= http1.MaxChunkSize:
 		return 0, 0, errors.New("list response is too large")
 	case length == 0:
@@ -157,8 +183,11 @@
 	return size, 0, nil
 }
 
-// endList ends the response with the full list; the response to the watch follows.
+// endList ends the response with the full list. The response to the watch follows, unless discovery ends the connection.
 func (r *ResponseReader) endList() {
 	r.decoder.end()
 	r.phase, r.readsList, r.decoder.singleList = phaseHead, false, false
+	if !r.response.KeepAlive {
+		r.phase = phaseClosed
+	}
 }
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -25,6 +25,34 @@
 	return n, false, nil
 }
 
+// BodyFraming is what ends the body of a response (RFC 9112, section 6.3).
+type BodyFraming uint8
+
+// The framings of a response's body.
+const (
+	NoBody          BodyFraming = iota // the status allows none
+	BodyWithLength                     // ends after Content-Length bytes
+	BodyInChunks                       // ends with the last chunk and its trailers
+	BodyUntilClosed                    // ends with the connection
+)
+
+// BodyFraming returns what ends the body, and its length in bytes if that is given; see BodyLength for the errors.
+func (r *Response) BodyFraming() (framing BodyFraming, length int, err *Error) {
+	if r.Status/100 == 1 || r.Status == 204 || r.Status == 304 {
+		return NoBody, 0, nil
+	}
+	length, chunked, err := r.BodyLength()
+	switch {
+	case err != nil:
+		return NoBody, 0, err
+	case chunked:
+		return BodyInChunks, 0, nil
+	case length < 0:
+		return BodyUntilClosed, 0, nil
+	}
+	return BodyWithLength, length, nil
+}
+
 // parseBody parses the body that starts at at, and sets Body and Size.
 func (m *Message) parseBody(buf []byte, at int) (need int, err *Error) {
 	n, chunked, err := m.BodyLength()
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -104,28 +104,29 @@
 	return need, err
 }
 
-// ParseResponse parses the response at the start of buf; need is as in ParseRequest. The flag ended says that the
-// connection has ended, which also ends a body without a length.
+// ParseResponse parses the response at the start of buf; need is as in ParseRequest. The flag ended says that the peer has
+// ended the connection behind buf, which also ends a body without a length.
 func ParseResponse(buf []byte, resp *Response, ended bool) (need int, err *Error) {
 	at, need, err := ParseHead(buf, resp)
 	if need > 0 || err != nil {
 		return need, err
 	}
-	if resp.Status/100 == 1 || resp.Status == 204 || resp.Status == 304 {
+	framing, _, err := resp.BodyFraming()
+	switch {
+	case err != nil:
+		return 0, err
+	case framing == NoBody:
 		resp.Size = at
 		return 0, nil
-	}
-	if resp.Count("Content-Length") == 0 && resp.Count("Transfer-Encoding") == 0 {
-		if !ended {
-			if len(buf)-at > MaxBody {
-				return 0, &Error{413, "body too large"}
-			}
-			return len(buf) + 1, nil
-		}
-		resp.Body, resp.Size, resp.KeepAlive = buf[at:], len(buf), false
-		return 0, nil
-	}
-	return resp.parseBody(buf, at)
+	case framing != BodyUntilClosed:
+		return resp.parseBody(buf, at)
+	case len(buf)-at > MaxBody:
+		return 0, &Error{413, "body too large"}
+	case !ended:
+		return len(buf) + 1, nil
+	}
+	resp.Body, resp.Size, resp.KeepAlive = buf[at:], len(buf), false
+	return 0, nil
 }
 
 // ParseHead parses the status line and the headers of the response at the start of buf; at is the offset of its body and
--- a/internal/platform/export_test.go
+++ b/internal/platform/export_test.go
@@ -112,6 +112,9 @@
 // on the loop.
 func (f *Front) SetWatchFailures(n int) { f.watch.failures = n }
 
+// ListEndpointsRead returns how many endpoints have been read on the present connection to discovery.
+func (f *Front) ListEndpointsRead() uint64 { return f.watch.stream.reader.DecodedEndpoints() }
+
 // KnowsWorker reports whether the pool has an address for the named worker. It is called on the loop.
 func (f *Front) KnowsWorker(worker string) bool { return f.pool.workers[worker] != nil }
 
--- a/internal/platform/stream.go
+++ b/internal/platform/stream.go
@@ -22,6 +22,7 @@
 	lines      []discovery.Line
 	watchBegun bool  // the answer to the watch has begun with this read
 	isPartial  bool  // something has begun that is not complete yet
+	endsConn   bool  // the list is complete and the connection ends behind it
 	err        error // the connection is unusable
 }
 
@@ -45,15 +46,33 @@
 		size, need, r.err = s.reader.Consume(buf)
 		r.lines, s.lines = s.lines, nil
 		r.isPartial = s.reader.IsPartial()
+		r.endsConn = s.reader.EndsBehindList()
 		r.watchBegun = s.reader.IsWatching() && !s.watchBegun
 		s.watchBegun = s.reader.IsWatching()
 		return size, need, r.err != nil
-	}, func() { s.handleResult(&r) })
+	}, func() {
+		defer s.link.ReleaseBuffer()
+		s.handleResult(&r)
+	})
+}
+
+// readEnd completes a list whose body the end of the connection ends. It runs as a close callback: no read is in progress, and
+// the descriptor is still open.
+func (s *discoveryStream) readEnd() {
+	if !s.link.HasPeerFinished() || !s.reader.Close() {
+		return
+	}
+	r := readResult{lines: s.lines, endsConn: true}
+	s.lines = nil
+	s.watch.front.loop.Post(func() {
+		if s.link.CloseReason == "" { // otherwise a read before it found the list unusable
+			s.handleResult(&r)
+		}
+	})
 }
 
 // handleResult processes the result of a read on the loop.
 func (s *discoveryStream) handleResult(r *readResult) {
-	defer s.link.ReleaseBuffer()
 	w := s.watch
 	if r.watchBegun {
 		w.recordLiveness(s.link)
@@ -62,7 +81,7 @@
 		w.hasPartialLine = r.isPartial
 	}
 	for _, line := range r.lines {
-		w.handleLine(s.link, line)
+		w.handleLine(s.link, line, r.endsConn)
 	}
 	if r.err != nil {
 		var limitErr *discovery.LimitError
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -83,6 +83,7 @@
 	decodedEndpoints uint64    // endpoints decoded on this connection when last checked, those of an incomplete list included
 	lastDecoded      core.Time // when decodedEndpoints last grew
 	listRefused      bool      // the last list exceeded a limit
+	reopensAtOnce    bool      // the list is applied, and the watch needs another connection, without a wait
 	link             *link.Link
 	stream           *discoveryStream // the reader of the connection
 	isStopped        bool
@@ -183,9 +184,10 @@
 			l.Init(nc, "discovery", address, loop.Now())
 			s := newDiscoveryStream(w, l)
 			w.link, w.stream, w.lastReceived, w.answerBegun, w.hasPartialLine, w.stalledSince = l, s, loop.Now(), false, false, 0
-			w.decodedEndpoints, w.lastDecoded = 0, loop.Now()
+			w.decodedEndpoints, w.lastDecoded, w.reopensAtOnce = 0, loop.Now(), false
 			nc.SetOnRequest(func(context.Context, netpoll.Connection) error { return s.read() })
 			nc.AddCloseCallback(func(netpoll.Connection) error {
+				s.readEnd()
 				loop.Post(func() { w.onLinkEnded(l, epoch) })
 				return nil
 			})
@@ -293,12 +295,17 @@
 	}
 }
 
-// onLinkEnded schedules a retry when the connection to the current address has ended.
+// onLinkEnded opens another connection when that to the current address has ended: at once behind a complete list, else as a
+// retry.
 func (w *discoveryWatch) onLinkEnded(l *link.Link, epoch int) {
 	if !l.MarkEnded(w.front.log, w.front.loop.Now()) {
 		return
 	}
-	if epoch == w.epoch {
+	switch {
+	case epoch != w.epoch:
+	case w.reopensAtOnce:
+		w.open(epoch)
+	default:
 		w.scheduleRetry(epoch)
 	}
 }
@@ -312,8 +319,8 @@
 }
 
 // handleLine processes a line of the watch, or the full list if that was requested. After the full list the watch
-// continues on the same connection.
-func (w *discoveryWatch) handleLine(l *link.Link, line discovery.Line) {
+// continues on the same connection, or on another one if discovery ends this one.
+func (w *discoveryWatch) handleLine(l *link.Link, line discovery.Line, endsConn bool) {
 	wantedFullList := w.needsFullList
 	if l != w.link {
 		return // from an earlier address
@@ -321,6 +328,9 @@
 	applied := w.applyLine(l, line)
 	switch {
 	case !wantedFullList:
+	case applied && endsConn:
+		w.reopensAtOnce = true
+		l.Close(link.Answered)
 	case applied:
 		w.sendWatchCall(l)
 	default:
