Take a worker's answer whose body ends with its connection

Callers' jobs that may be repeated ran a second time beside their first attempt, and those that may not were answered 500, where a worker ended the body of its 202 by ending the connection (RFC 9112, 6.3).

Cause: Link.Read met the end of the input and closed the connection without telling the parser; ParseResponse has a flag for that, which nothing set. Read now parses what has arrived once more when the peer has ended its output in order, and says so. Only a body with neither length nor chunks ends there: half a head, a short body and a reset prove nothing, as before.

--- a/internal/front/admin/admin.go
+++ b/internal/front/admin/admin.go
@@ -179,7 +179,7 @@
 func (f *Front) onRequest(ctx context.Context, _ netpoll.Connection) error {
 	c := ctx.Value(connKey{}).(*conn)
 	var fault *http1.Error
-	return c.Read(f.loop, func(buf []byte) (int, int, bool) {
+	return c.Read(f.loop, func(buf []byte, _ bool) (int, int, bool) {
 		var need int
 		need, fault = http1.ParseRequest(buf, &c.request)
 		return c.request.Size, need, fault != nil
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -90,7 +90,7 @@
 func TestInputAfterLastAnswerDoesNotReset(t *testing.T) {
 	l, peer, loop, ended := newTestLink(t)
 	require.NoError(t, l.Conn.SetOnRequest(func(context.Context, netpoll.Connection) error {
-		return l.Read(loop, func([]byte) (int, int, bool) { t.Error("input was parsed"); return 1, 0, false }, func() {})
+		return l.Read(loop, func([]byte, bool) (int, int, bool) { t.Error("input was parsed"); return 1, 0, false }, func() {})
 	}))
 	answer := bytes.Repeat([]byte("answer "), 1000)
 	sent := make(chan error, 1)
@@ -132,7 +132,7 @@
 func TestInputBeforeTheAnswerIsWrittenDoesNotClose(t *testing.T) {
 	l, peer, loop, ended := newTestLink(t)
 	require.NoError(t, l.Conn.SetOnRequest(func(context.Context, netpoll.Connection) error {
-		return l.Read(loop, func([]byte) (int, int, bool) { t.Error("input was parsed"); return 1, 0, false }, func() {})
+		return l.Read(loop, func([]byte, bool) (int, int, bool) { t.Error("input was parsed"); return 1, 0, false }, func() {})
 	}))
 	l.DiscardInput()
 	_, err := peer.Write(make([]byte, 4*maxLingerBytes))
--- a/internal/platform/requests.go
+++ b/internal/platform/requests.go
@@ -18,7 +18,7 @@
 	c := ctx.Value(connKey{}).(*clientConn)
 	f, hasContinued := c.front, false
 	var fault *http1.Error
-	return c.Read(f.loop, func(buf []byte) (int, int, bool) {
+	return c.Read(f.loop, func(buf []byte, _ bool) (int, int, bool) {
 		var need int
 		need, fault = http1.ParseRequest(buf, &c.request)
 		if fault == nil && need > 0 && !hasContinued && string(c.request.Get("Expect")) == "100-continue" {
--- a/internal/platform/stream.go
+++ b/internal/platform/stream.go
@@ -42,7 +42,7 @@
 // read runs on a netpoll goroutine. The next read waits until the loop has processed the result of this one.
 func (s *discoveryStream) read() error {
 	var r readResult
-	return s.link.Read(s.watch.front.loop, func(buf []byte) (size, need int, fault bool) {
+	return s.link.Read(s.watch.front.loop, func(buf []byte, _ bool) (size, need int, fault bool) {
 		size, need, r.err = s.reader.Consume(buf)
 		r.lines, s.lines = s.lines, nil
 		r.isPartial = s.reader.IsPartial()
--- a/internal/platform/worker_link.go
+++ b/internal/platform/worker_link.go
@@ -74,9 +74,9 @@
 // readResponse is the OnRequest handler and runs on a netpoll goroutine.
 func (l *workerLink) readResponse() error {
 	var fault *http1.Error
-	return l.Read(l.front.loop, func(buf []byte) (int, int, bool) {
+	return l.Read(l.front.loop, func(buf []byte, ended bool) (int, int, bool) {
 		var need int
-		need, fault = http1.ParseResponse(buf, &l.response, false)
+		need, fault = http1.ParseResponse(buf, &l.response, ended)
 		return l.response.Size, need, fault != nil
 	}, func() { l.handleResponse(fault) })
 }
