Keep once-only attempts from connections on which a request was refused

Callers' moves and settles ran twice, or were answered 503 and ran: a worker turned a request away, and once more some milliseconds late, when the next request was out on the connection. The second refusal was read as that one's answer.

Cause: within 50 ms of the previous answer a refusal was believed if none followed for 50 ms, though no page says how soon a worker takes a request; after 50 ms it was believed at once.

Now an attempt that must not run twice uses only connections on which nothing was refused, so that a refusal can't be a repetition, with no time involved. One that may be repeated keeps away for the 50 ms in which a second refusal may come. The wait for another answer (deferRefusal) is gone. A worker keeps two idle connections with refusals at most. Whether a request may be repeated has one definition in core in place of two.

TestDuplicateResponseIsNotMatchedToNextRequest wrote the second refusal on the next request's own connection, where it can't come any more; it now comes where the first one came, 150 ms before the next request's own answer, for each kind of request. Four of its seven rows failed before. TestConnectionsThatRefusedAreKeptFromAttempts holds the choice and its bound.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -404,6 +404,14 @@
 	}
 }
 
+// MayRepeat reports whether the request of an attempt may run more than once, at any worker.
+func (c *Core) MayRepeat(attempt *Attempt) bool { return c.isRepeatable(attempt.request) }
+
+// isRepeatable reports whether a request may run more than once, at any worker.
+func (c *Core) isRepeatable(request *Request) bool {
+	return !request.AtMostOnce && c.settings.Classes[request.Job.Class].Effect == rules.Repeatable
+}
+
 // FindAttempt returns the attempt of a request, given by its ID, that is in flight at a worker, and whether there is one.
 func (c *Core) FindAttempt(id, worker string) (*Attempt, bool) {
 	request := c.byID[id]
--- a/internal/core/disconnect.go
+++ b/internal/core/disconnect.go
@@ -27,7 +27,7 @@
 // answerWithoutResult returns the answer to a request that ends without a result: a refusal if it never ran or may run
 // again, else a failure.
 func (c *Core) answerWithoutResult(request *Request) Answer {
-	if !request.mayHaveRun || !request.AtMostOnce && c.settings.Classes[request.Job.Class].Effect == rules.Repeatable {
+	if !request.mayHaveRun || c.isRepeatable(request) {
 		return newRefusal(0)
 	}
 	return Answer{Kind: Failed}
--- a/internal/core/sites.go
+++ b/internal/core/sites.go
@@ -152,16 +152,12 @@
 	}
 	c.attempts.Each(func(ref Ref, attempt *Attempt) {
 		if attempt.Worker == worker && attempt.request.Pool == c.mainPool && !attempt.request.closed &&
-			w.mayRepeat(attempt.request) {
+			c.isRepeatable(attempt.request) {
 			w.stranded = append(w.stranded, ref)
 		}
 	})
 }
 
-func (w *siteWatch) mayRepeat(request *Request) bool {
-	return !request.AtMostOnce && w.core.settings.Classes[request.Job.Class].Effect == rules.Repeatable
-}
-
 // EnableWorker implements sites.Actions: the worker gets jobs again. One that was away with its whole site may have been
 // restarted before the worker list shows it: if it is to be treated as cold, its start time is set to now, so that all
 // schedulers keep to its slow-start budget.
--- a/internal/platform/close_race_test.go
+++ b/internal/platform/close_race_test.go
@@ -293,54 +293,66 @@
 	assert.Len(t, accepted.Jobs(), 1)
 }
 
-// A worker sends a second response to a request some milliseconds late, when the next request is already on the connection.
-// If that response says that the request was not begun, it is not applied to the next request right away: a response that
-// follows it is the next request's own, and only if none follows the next request was refused.
+// Guards against a job that must not run twice and does: a worker turns a request away, and does so once more some milliseconds
+// late, when the next request is out. However late that one's own answer is, the second refusal is not taken for it.
 func TestDuplicateResponseIsNotMatchedToNextRequest(t *testing.T) {
-	const unprocessed = "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
+	const (
+		unprocessed = "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
+		accepted    = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+		muchLater   = 150 * time.Millisecond // than a second answer may come
+	)
+	type job struct {
+		id   string
+		conn net.Conn
+	}
 	for name, c := range map[string]struct {
+		class     string
+		isRested  bool // the connection of the refused request was idle for longer than a second answer may take
 		answer    string
 		isRetried bool
 	}{
-		"duplicate, then its own response": {unprocessed + "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n", false},
-		"its own response":                 {unprocessed, true},
+		"once only, accepted":             {"settle", false, accepted, false},
+		"once only, turned away":          {"settle", false, unprocessed, true},
+		"once only, rested, accepted":     {"settle", true, accepted, false},
+		"once only, rested, turned away":  {"settle", true, unprocessed, true},
+		"may be repeated, accepted":       {"board-view", false, accepted, false},
+		"may be repeated, turned away":    {"board-view", false, unprocessed, true},
+		"another once only one, accepted": {"move", false, accepted, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			type job struct {
-				id      string
-				respond chan string
-				answer  chan error
-			}
+			t.Parallel()
 			jobs := make(chan job, 8)
-			a := newScriptedWorker(t, "s-1", func(c net.Conn, r *bufio.Reader) {
+			a := newScriptedWorker(t, "s-1", func(conn net.Conn, r *bufio.Reader) {
 				for {
 					request, err := http.ReadRequest(r)
 					if err != nil {
 						return
 					}
-					j := job{request.Header.Get(platform.HeaderID), make(chan string), make(chan error)}
-					jobs <- j
-					_, err = io.WriteString(c, <-j.respond)
-					j.answer <- err
+					jobs <- job{request.Header.Get(platform.HeaderID), conn}
 				}
 			})
 			n := standin.Start(t, nil)
 			updateWorkerList(n, a.entry("up"))
 			first := submit(n, "settle", "id-1")
-			j := receive(t, jobs)
-			j.respond <- unprocessed
-			require.NoError(t, receive(t, j.answer))
+			refused := receive(t, jobs)
+			io.WriteString(refused.conn, unprocessed)
 			eventuallyOnLoop(n, func() bool { return n.Front.IdleConns() == 1 })
-			n.RunOnLoop(n.Front.MarkIdleConnsJustUsed)
+			if c.isRested {
+				time.Sleep(muchLater)
+			} else {
+				n.RunOnLoop(n.Front.MarkIdleConnsJustUsed)
+			}
 			b := standin.NewWorker(t, "s-2", nil)
 			b.SendCallbacksTo(n)
-			second := submit(n, "settle", "id-2")
-			j = receive(t, jobs)
-			require.Equal(t, "id-2", j.id)
+			second := submit(n, c.class, "id-2")
+			next := receive(t, jobs)
+			require.Equal(t, "id-2", next.id)
 			updateWorkerList(n, a.entry("up"), b.ListEntry("up"))
 			assert.Equal(t, standin.Answer{Status: 200, Body: "s-2 did id-1"}, receive(t, first), "it never ran and is sent to the other worker")
-			j.respond <- c.answer
-			require.NoError(t, receive(t, j.answer))
+			io.WriteString(refused.conn, unprocessed)
+			time.Sleep(muchLater)
+			_, err := io.WriteString(next.conn, c.answer)
+			require.NoError(t, err)
 			if c.isRetried {
 				assert.Equal(t, standin.Answer{Status: 200, Body: "s-2 did id-2"}, receive(t, second))
 				return
--- a/internal/platform/export_test.go
+++ b/internal/platform/export_test.go
@@ -78,6 +78,7 @@
 		for _, l := range slices.Clone(w.idle) {
 			f.pool.removeIdle(l)
 			l.becomeIdleSince(f.loop.Now() + core.Second)
+			l.refusedAt = f.loop.Now() + core.Second
 		}
 	}
 }
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -53,21 +53,20 @@
 
 // call is one request on a connection to a worker: an attempt, a probe, or the cancellation of an attempt.
 type call struct {
-	message           []byte                                // set by onBegin at the latest
-	onBegin           func(l *workerLink)                   // a connection was found; the message is about to be written
-	onWritten         func(err error)                       // the message was written or the write failed; may be nil
-	onResponse        func(r *http1.Response)               // the response has arrived
-	onRefused         func(load rules.Load)                 // the response proves that the request was not begun; nil: onResponse is called instead
-	onFailed          func(reason string, mayHaveRead bool) // no response will arrive
-	timeout           *core.Timer
-	isIdempotent      bool        // the message may be sent twice
-	needsNewConn      bool        // idle connections must not be used
-	isWanted          func() bool // whether the call is still needed; nil: it is
-	mayBegin          func() bool // whether the call may still begin, checked just before its first byte is sent; nil: it may
-	onAcquire         func()      // a connection is being acquired and nothing of the message has been sent; may be nil
-	isAnswerAmbiguous bool        // the response may be a duplicate answer to the previous call
-	isWritten         bool        // the last byte of the message was written
-	connEnded         bool        // the connection ended before the writer was done
+	message      []byte                                // set by onBegin at the latest
+	onBegin      func(l *workerLink)                   // a connection was found; the message is about to be written
+	onWritten    func(err error)                       // the message was written or the write failed; may be nil
+	onResponse   func(r *http1.Response)               // the response has arrived
+	onFailed     func(reason string, mayHaveRead bool) // no response will arrive
+	timeout      *core.Timer
+	isIdempotent bool        // the message may be sent twice
+	isOnceOnly   bool        // an attempt at a request that must not run twice
+	needsNewConn bool        // idle connections must not be used
+	isWanted     func() bool // whether the call is still needed; nil: it is
+	mayBegin     func() bool // whether the call may still begin, checked just before its first byte is sent; nil: it may
+	onAcquire    func()      // a connection is being acquired and nothing of the message has been sent; may be nil
+	isWritten    bool        // the last byte of the message was written
+	connEnded    bool        // the connection ended before the writer was done
 }
 
 func newConnPool(f *Front) connPool {
@@ -116,20 +115,33 @@
 	p.recordRemovals(update)
 }
 
-// acquireConn starts the call on an idle connection to the worker, the most recently used first, or dials a new one. A
-// call that must not be sent twice never gets a connection that has been idle for longer than the worker is known to
-// keep one open.
+// refusedIdleConns returns how many idle connections the worker has on which a request was refused.
+func (w *poolWorker) refusedIdleConns() (n int) {
+	for _, l := range w.idle {
+		if l.hasRefused {
+			n++
+		}
+	}
+	return n
+}
+
+// acquireConn starts the call on an idle connection to the worker that can carry it, the most recently used first, or dials a
+// new one. A call that must not be sent twice never gets a connection that has been idle for longer than the worker is
+// known to keep one open.
 func (c *call) acquireConn(f *Front, w *poolWorker) {
 	p := &f.pool
 	minIdleSince := f.loop.Now() - p.currentKeepAlive(w)
 	if c.onAcquire != nil {
 		c.onAcquire()
 	}
-	for n := len(w.idle); n > 0 && !c.needsNewConn; n = len(w.idle) {
-		l := w.idle[n-1]
+	for i := len(w.idle) - 1; i >= 0 && !c.needsNewConn; i-- {
+		l := w.idle[i]
 		if !c.isIdempotent && l.stateSince < minIdleSince {
 			break
 		}
+		if !l.canCarry(c) {
+			continue
+		}
 		p.removeIdle(l)
 		if l.Ended || l.CloseReason != "" || !l.Conn.IsActive() {
 			continue
--- a/internal/platform/pool_test.go
+++ b/internal/platform/pool_test.go
@@ -71,3 +71,48 @@
 	p.updateWorkers(&discovery.Update{Workers: []core.ListedWorker{{Name: "a", State: rules.Ready, StartedAt: 7}}, Addresses: []string{address}})
 	assert.Equal(t, p.idleTimeout, p.currentKeepAlive(a), "nothing is known of a restarted process")
 }
+
+// A connection on which a request was refused carries no attempt that must not run twice, one that may be repeated only once a
+// second refusal is no longer to be expected, and probes at any time. A worker keeps few of them.
+func TestConnectionsThatRefusedAreKeptFromAttempts(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	f := &Front{loop: core.NewLoop(), log: slog.New(slog.DiscardHandler), conf: &config.Config{Names: config.Names{ConnIdleTimeout: 60_000_000}}}
+	f.budget.workers = 9
+	f.pool = newConnPool(f)
+	p, now, address := &f.pool, f.loop.Now(), ln.Addr().String()
+	w := &poolWorker{name: "a", address: address}
+	p.workers["a"] = w
+	addIdle := func(hasRefused bool, refusedAt core.Time) *workerLink {
+		nc, err := netpoll.DialConnection("tcp", address, time.Second)
+		require.NoError(t, err)
+		l := p.addLink(nc, w, address)
+		l.hasRefused, l.refusedAt = hasRefused, refusedAt
+		l.becomeIdleSince(now)
+		return l
+	}
+	unused, rested, recent := addIdle(false, 0), addIdle(true, now-duplicateAnswerWindow), addIdle(true, now)
+	surplus := addIdle(true, now-duplicateAnswerWindow)
+	assert.True(t, surplus.ClosedLocally, "a third one is closed")
+	assert.Len(t, w.idle, 3)
+	for _, want := range []struct {
+		call *call
+		link *workerLink
+	}{
+		{&call{isIdempotent: true}, recent},
+		{&call{}, rested},
+		{&call{isOnceOnly: true}, unused},
+	} {
+		want.call.onBegin = func(*workerLink) {}
+		want.call.acquireConn(f, w)
+		assert.Same(t, want.call, want.link.call)
+	}
+	assert.Zero(t, p.pendingDials)
+	addIdle(true, now)
+	for _, c := range []*call{{isOnceOnly: true}, {}} {
+		c.acquireConn(f, w)
+	}
+	assert.Equal(t, 2, p.pendingDials, "no connection is left for attempts")
+	assert.Len(t, w.idle, 1)
+}
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -41,7 +41,7 @@
 		f.loop.Post(func() { f.core.AttemptEnded(ref, rules.NotSent, nil, rules.Load{}) })
 		return
 	}
-	c := &call{}
+	c := &call{isOnceOnly: !f.core.MayRepeat(attempt)}
 	var request *core.Request // set as the attempt begins
 	c.onAcquire = func() { s.state, s.link = stateDialing, nil }
 	c.onBegin = func(l *workerLink) {
@@ -56,20 +56,13 @@
 			s.state = stateSent
 		}
 	}
-	c.onRefused = func(load rules.Load) {
-		s.link = nil
-		f.core.WorkerResponded(w.name)
-		f.core.AttemptEnded(ref, rules.Refused, nil, load)
-	}
 	c.onResponse = func(r *http1.Response) {
 		load := parseLoad(r.Get(HeaderLoad))
-		if isUnprocessed(r) {
-			c.onRefused(load)
-			return
-		}
 		s.link = nil
 		f.core.WorkerResponded(w.name)
 		switch {
+		case isUnprocessed(r):
+			f.core.AttemptEnded(ref, rules.Refused, nil, load)
 		case r.Status == 202:
 			s.state = stateAccepted
 		case r.Status >= 500:
--- a/internal/platform/worker_link.go
+++ b/internal/platform/worker_link.go
@@ -8,11 +8,14 @@
 	"cobaltflow/internal/link"
 )
 
-// duplicateAnswerWindow guards against duplicate answers: a worker may send a second answer to a request some
-// milliseconds late, which behind the next request on the connection would be taken for the answer to that one. Within
-// this time of the previous answer, a response which says that a request was not begun is accepted only if no other
-// answer follows it for as long.
-const duplicateAnswerWindow = 50 * core.Millisecond
+const (
+	// duplicateAnswerWindow is how late a worker may send a second answer to a request. Behind the next request on the
+	// connection that answer would be taken for the answer to that one.
+	duplicateAnswerWindow = 50 * core.Millisecond
+	// maxRefusedIdleConns is how many idle connections on which a request was refused a worker may have: attempts that must not
+	// run twice can't use them.
+	maxRefusedIdleConns = 2
+)
 
 // workerLink is a connection to a worker.
 type workerLink struct {
@@ -24,6 +27,8 @@
 	idleElem      *list.Element // its element of idleLinks.order; nil: it is not idle
 	stateSince    core.Time     // since when it has been idle or in use
 	idleBeforeUse core.Time     // how long it was idle before the last call
+	hasRefused    bool          // a request was refused on it
+	refusedAt     core.Time     // when that was the case last
 	response      http1.Response
 }
 
@@ -37,7 +42,6 @@
 	l.setCall(c)
 	now := l.front.loop.Now()
 	l.idleBeforeUse, l.stateSince = now-l.stateSince, now
-	c.isAnswerAmbiguous = l.MessageCount > 0 && l.idleBeforeUse < duplicateAnswerWindow
 	l.MessageCount++
 	c.onBegin(l)
 	l.Send(l.front.loop, link.Outgoing{Message: c.message, Done: func(err error) {
@@ -95,9 +99,8 @@
 		l.Close(link.BadInput) // a malformed response, or one without a call
 		return
 	}
-	if c.isAnswerAmbiguous && c.onRefused != nil && isUnprocessed(&l.response) {
-		l.deferRefusal(c)
-		return
+	if isUnprocessed(&l.response) {
+		l.hasRefused, l.refusedAt = true, l.front.loop.Now()
 	}
 	l.front.loop.CancelTimer(c.timeout)
 	l.finishCall(l.response.KeepAlive)
@@ -114,18 +117,17 @@
 	}
 }
 
-// deferRefusal waits for duplicateAnswerWindow whether another answer follows a refusal that may be a duplicate answer
-// to the previous call. If the connection ends meanwhile, the refusal proves nothing and the call fails.
-func (l *workerLink) deferRefusal(c *call) {
-	c.isAnswerAmbiguous = false
-	load, keepAlive := parseLoad(l.response.Get(HeaderLoad)), l.response.KeepAlive
-	c.timeout = l.front.loop.At(l.front.loop.Now()+duplicateAnswerWindow, func() {
-		if l.call != c || l.Ended || l.CloseReason != "" {
-			return
-		}
-		l.finishCall(keepAlive)
-		c.onRefused(load)
-	})
+// canCarry reports whether the answer to a call can't be mistaken for a refusal that is a second answer to an earlier request.
+// Such a refusal of an attempt that must not run twice would send it to another worker while it runs: it gets a connection on
+// which nothing was refused, so that a refusal there can only be its own, however late a second answer comes.
+func (l *workerLink) canCarry(c *call) bool {
+	switch {
+	case !l.hasRefused || c.isIdempotent:
+		return true
+	case c.isOnceOnly:
+		return false
+	}
+	return l.front.loop.Now()-l.refusedAt >= duplicateAnswerWindow
 }
 
 // setCall sets the call that uses the connection; nil: none.
@@ -143,12 +145,16 @@
 func (l *workerLink) becomeIdle() { l.becomeIdleSince(l.front.loop.Now()) }
 
 // becomeIdleSince returns the connection to the idle ones, as idle since the given time. It closes the connection if
-// the worker's address has changed.
+// the worker's address has changed, or if there are enough of its kind.
 func (l *workerLink) becomeIdleSince(since core.Time) {
 	if l.Peer != l.worker.address {
 		l.Close(link.AddressChanged)
 		return
 	}
+	if l.hasRefused && l.worker.refusedIdleConns() >= maxRefusedIdleConns {
+		l.Close(link.OverBudget)
+		return
+	}
 	l.stateSince = since
 	l.front.pool.addIdle(l)
 }
