Wait at a process's end for the operators' calls that it could not write

Operators took a table worker out while the folder was away, at the old process of an upgrade (in force there, answered 503); the process ended, the folder came back, and the worker got jobs from the new process, though the call binds.

Cause: the end of a process waits for requests, connections and callbacks, and not for what it alone knows. Seen in the logs of: "directive: changed" at the old process, no "adopted" at the new one.

Replica.HasUnwrittenChanges counts the changes made here against those in the file, and the last step of the shutdown waits until they are equal, or until the kill may be near. Then an error is logged.

--- a/cmd/cobaltflow/upgrade_directives_test.go
+++ b/cmd/cobaltflow/upgrade_directives_test.go
@@ -259,6 +259,36 @@
 	assert.Equal(t, 503, only.disable("s-1"))
 }
 
+// Guards against an operator's call that is forgotten in an upgrade: it comes to the old process while the directory is away, is in
+// force there and answered 503, and the process has nothing left to do but to end. It waits for the directory, and the new
+// process hears of the call.
+func TestProcessEndsOnlyWithItsDirectivesWritten(t *testing.T) {
+	const awayAfterSIGTERM = 1500 * time.Millisecond // longer than an idle process takes to end
+	h := newUpgradeHarness(t, "s-1", "s-2")
+	old, fresh := h.start(), h.start()
+	h.sendAttempts(4, old, fresh)
+	restore := h.hideStateDir()
+	require.Equal(t, 503, old.disable("s-1"))
+	old.terminate()
+	terminated := time.Now()
+	ended := make(chan struct{})
+	go func() {
+		old.cmd.Wait()
+		close(ended)
+	}()
+	time.Sleep(awayAfterSIGTERM)
+	restore()
+	restored := time.Now()
+	select {
+	case <-ended:
+	case <-time.After(earliestKill - time.Since(terminated)):
+		t.Error("the old process has not ended by itself")
+	}
+	assert.False(t, old.logged("could not write"))
+	eventually(t, func() bool { return fresh.logged("adopted from another process") })
+	h.assertNoJobs(0, restored, fresh)
+}
+
 // A second upgrade begins before the first has ended: the directives of each of the three processes are in force in all.
 func TestSecondUpgradeBeforeTheFirstHasEnded(t *testing.T) {
 	h := newUpgradeHarness(t, "s-1", "s-2", "s-3", "s-4")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -231,19 +231,31 @@
 	g.awaitClose(g.Front.LingerUntil())
 }
 
-// awaitClose ends the loop when the other fronts have no connection left, or at until.
+// awaitClose ends the loop when the other fronts have no connection left, or at until. Directives that operators gave to this
+// process alone, and that it can't write yet, are waited for until the kill may be near.
 func (g *Gateway) awaitClose(until core.Time) {
-	now, isOpen := g.Loop.Now(), false
-	for _, front := range g.otherFronts() {
-		isOpen = isOpen || !front.IsClosed()
-	}
-	if isOpen && now < until {
+	now := g.Loop.Now()
+	isWaiting := now < until && g.hasOpenConnections() || now < g.Front.CloseBy() && g.directives.hasUnwritten()
+	if isWaiting {
 		g.Loop.At(now+closeCheckPeriod, func() { g.awaitClose(until) })
 		return
 	}
+	if g.directives.hasUnwritten() {
+		g.log.Error("directive: this process ends with changes that it could not write", "generation", g.directives.generation())
+	}
 	g.Loop.Post(g.Loop.Stop) // behind the ends of the connections, which are logged
 }
 
+// hasOpenConnections reports whether a front besides the HTTP/1.1 front is not closed yet.
+func (g *Gateway) hasOpenConnections() bool {
+	for _, front := range g.otherFronts() {
+		if !front.IsClosed() {
+			return true
+		}
+	}
+	return false
+}
+
 // areFrontsDrained reports whether the other fronts' listeners are closed and the HTTP/2 front has sent its answers.
 func (g *Gateway) areFrontsDrained() bool {
 	for _, front := range g.otherFronts() {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -94,6 +94,8 @@
 	// registered is the generation that is locked, or was last, for the goroutines that may not read generation.
 	registered atomic.Int64
 	failedAt   atomic.Int64 // monotonic time of the directory's last failure, in nanoseconds; 0: none
+	// changesMade and changesWritten count the changes made in this process, and those that are in its file or were refused.
+	changesMade, changesWritten atomic.Uint64
 
 	// The fields below belong to the goroutine of Run, and before it to Open and the methods called before Run.
 	place             int // lowest generation: the time of Open by the machine's clock, which no process that started earlier reaches
@@ -108,6 +110,7 @@
 	dirty             bool                   // the file does not hold the whole set
 	writtenServing    bool                   // value of serving in the file
 	pending           []*change
+	changesApplied    uint64        // changes made in this process that are part of the set, or were refused
 	isFailing         bool          // the last step failed
 	failureLoggedAt   time.Duration // monotonic time of the last log line about it
 	invalidLogged     map[int]bool  // generations whose invalid file was logged
@@ -311,13 +314,19 @@
 // ErrBusy it is called from the caller's goroutine. It is not called after Close.
 func (r *Replica) Change(key directive.Key, on bool, within time.Duration, done func(error)) {
 	c := &change{key: key, on: on, changedAt: clock.MachineMicros(), deadline: clock.Monotonic() + within, done: done}
+	r.changesMade.Add(1)
 	select {
 	case r.changes <- c:
 	default:
+		r.changesMade.Add(^uint64(0)) // one less
 		done(ErrBusy)
 	}
 }
 
+// HasUnwrittenChanges reports whether a change that was made in this process is not in its file yet. If the process ends, no other
+// one hears of that change.
+func (r *Replica) HasUnwrittenChanges() bool { return r.changesMade.Load() != r.changesWritten.Load() }
+
 // Close ends the goroutine and releases this process's lock. Directives that are on stay in the directory for the next
 // process.
 func (r *Replica) Close() {
@@ -381,6 +390,9 @@
 	if scanned {
 		r.reportProcesses()
 	}
+	if !r.dirty {
+		r.changesWritten.Store(r.changesApplied)
+	}
 	r.recordResult(err)
 	r.completeChanges(scanned)
 }
@@ -414,6 +426,7 @@
 			continue
 		}
 		c.applied = true
+		r.changesApplied++
 		entry, err := r.set.Change(c.key, c.on, c.changedAt)
 		changed = append(changed, entry) // after an error: the previous state
 		if err != nil {
