Answer a request in hand whose client pipelines more than may be read ahead

A client that pipelined more than 64 KiB behind a request in hand, two requests with large bodies, lost that request: its connection was closed as flooding without an answer, and the request cancelled. Accepted requests are owed one, whatever comes behind them on their connection.

Cause: the request stays in the read buffer, behind which the poller reads on, and the close was the only end to that.

Now the request gets memory of its own, the buffer is released, and what came behind it is discarded. Its answer says close, and the connection ends behind it as flooding; the pipelined requests reach no worker. Who sends more than an eighth of the memory meanwhile is closed at once, as before.

TestRequestInHandIsAnsweredBesidePipelinedOnes (192 MB and 2 MB) and TestRequestInHandKeepsItsBodyBesidePipelinedOnes failed before.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -77,6 +77,8 @@
 	discardsInput     atomic.Bool   // input is skipped from now on
 	lingers           atomic.Bool   // CloseWrite was called: discarded input counts from now on
 	discardedBytes    int           // bytes skipped since then; used by OnRequest alone
+	maxDiscarded      atomic.Int64  // bytes that may be skipped before CloseWrite; 0: any number
+	discardedBefore   int64         // bytes skipped before CloseWrite; used by OnRequest alone
 	isWriteClosed     bool          // the writing side is closed; the peer's may stay open for a moment
 
 	mu          sync.Mutex
@@ -197,6 +199,13 @@
 // its end: until that is written, however much the peer sends, and from CloseWrite on for maxLingerBytes.
 func (l *Link) DiscardInput() { l.discardsInput.Store(true) }
 
+// DiscardInputUpTo is DiscardInput for a peer that has an answer due which may take long: the connection is closed as flooding if
+// it sends more than this before CloseWrite.
+func (l *Link) DiscardInputUpTo(bytes int) {
+	l.maxDiscarded.Store(int64(bytes))
+	l.DiscardInput()
+}
+
 // HasPendingMessage reports whether a complete message waits for the loop or is being processed by it.
 func (l *Link) HasPendingMessage() bool { return l.hasPendingMessage.Load() }
 
--- a/internal/link/read.go
+++ b/internal/link/read.go
@@ -62,8 +62,11 @@
 	n := r.Len()
 	if l.lingers.Load() {
 		l.discardedBytes += n
+	} else {
+		l.discardedBefore += int64(n)
 	}
-	if l.discardedBytes > maxLingerBytes {
+	limit := l.maxDiscarded.Load()
+	if l.discardedBytes > maxLingerBytes || limit > 0 && l.discardedBefore > limit {
 		loop.Post(func() { l.Close(Flooding) })
 		l.Conn.Close()
 	}
--- a/internal/platform/export_test.go
+++ b/internal/platform/export_test.go
@@ -11,6 +11,7 @@
 
 	"cobaltflow/internal/core"
 	"cobaltflow/internal/discovery"
+	"cobaltflow/internal/link"
 )
 
 // HoldDials makes each dial to a worker wait, once its connection is established, until the test sends on release. The
@@ -212,6 +213,16 @@
 // Sweep runs one more sweep at once. It is called on the loop.
 func (f *Front) Sweep() { f.sweep() }
 
+// EndingAsFlooding returns how many clients' connections end since too much came on them. It is called on the loop.
+func (f *Front) EndingAsFlooding() (n int) {
+	f.clients.Each(func(_ core.Ref, c *clientConn) {
+		if c.CloseReason == link.Flooding {
+			n++
+		}
+	})
+	return n
+}
+
 // LargestUnread returns the most bytes that a client's connection has unread. It is called on the loop.
 func (f *Front) LargestUnread() (bytes int) {
 	f.clients.Each(func(_ core.Ref, c *clientConn) { bytes = max(bytes, c.Conn.Reader().Len()) })
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -260,11 +260,11 @@
 		c.partialSince = 0 // what is unread is a whole message, perhaps a callback that waits for its answer
 	}
 	switch {
+	case c.CloseReason != "":
 	case c.inFlight != nil:
 		if unread > c.request.Size+link.MaxReadAheadBytes {
-			c.Close(link.Flooding)
+			f.refusePipelined(c)
 		}
-	case c.CloseReason != "":
 	case unread > http1.MaxMessage+link.MaxReadAheadBytes:
 		// The rejection of what is read may be on its way to the loop.
 		f.rejectAndClose(c, link.Flooding, 413, "more came than a request may have\n")
--- a/internal/platform/input_bounds.go
+++ b/internal/platform/input_bounds.go
@@ -1,6 +1,8 @@
 package platform
 
 import (
+	"bytes"
+
 	"cobaltflow/internal/http1"
 	"cobaltflow/internal/link"
 )
@@ -42,11 +44,27 @@
 // endLargestInput ends the connection with most unread input. One that has sent a part of a request gets a 503, since its client
 // could not tell a close without an answer from a request that was accepted and lost.
 func (f *Front) endLargestInput(c *clientConn) {
-	if c.inFlight != nil || c.HasPendingMessage() {
+	switch {
+	case c.inFlight != nil:
+		f.refusePipelined(c)
+	case c.HasPendingMessage():
 		c.Close(link.Flooding) // what is unread is pipelined behind a message, beyond MaxMessage
-		return
+	default:
+		f.rejectAndClose(c, link.Flooding, 503, "too much input is unread; try again\n", "Retry-After", "1")
 	}
-	f.rejectAndClose(c, link.Flooding, 503, "too much input is unread; try again\n", "Retry-After", "1")
+}
+
+// refusePipelined ends a connection on which too much is pipelined behind the request in hand, with the answer to that one. The
+// pipelined requests are not served: their client sends them again, as after any close. The request gets memory of its own, so
+// that the read buffer is free and the rest can be discarded; a client that sends more than all of them may have unread is
+// closed at once, and its request cancelled.
+func (f *Front) refusePipelined(c *clientConn) {
+	c.CloseReason = link.Flooding
+	job := &c.inFlight.Job
+	job.Body = bytes.Clone(job.Body)
+	c.request = http1.Request{Method: []byte("POST")} // as all jobs; the answer needs no more of it
+	c.DiscardInputUpTo(f.maxInputBytes())
+	c.ReleaseBuffer()
 }
 
 // unreadBeyondRequest returns how many of the unread bytes do not belong to the request in hand, whose bytes stay in the buffer.
--- a/internal/platform/input_bounds_test.go
+++ b/internal/platform/input_bounds_test.go
@@ -5,12 +5,14 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"cobaltflow/internal/config"
+	"cobaltflow/internal/platform"
 	"cobaltflow/internal/standin"
 )
 
@@ -114,6 +116,71 @@
 	}
 }
 
+// Guards against a request in hand that gets no answer, since its client pipelines more behind it than may be read ahead: it is
+// answered, and the connection ends behind the answer. The requests behind it reach no worker.
+func TestRequestInHandIsAnsweredBesidePipelinedOnes(t *testing.T) {
+	const pipelined = 4 // each of them nearly what may be read ahead
+	for _, memoryMB := range []int{192, 2} {
+		t.Run(fmt.Sprint(memoryMB, " MB"), func(t *testing.T) {
+			n, accepted, finish := startHolding(t, memoryMB)
+			clients := sendAccepted(t, n, accepted, 2)
+			piped, other := clients[0], clients[1]
+			go func() {
+				for i := range pipelined {
+					fmt.Fprint(piped.Conn, largeRequest(fmt.Sprint("piped-", i)))
+				}
+			}()
+			eventuallyOnLoop(n, func() bool {
+				n.Front.Sweep()
+				return n.Front.EndingAsFlooding() == 1
+			})
+			sweepTwice(n)
+			for i, c := range []*standin.RawConn{piped, other} {
+				finish(fmt.Sprint("id-", i))
+				assert.Equal(t, 200, readStatus(t, c))
+			}
+			n.Eventually(func() bool { return n.HasLogged("reason=flooding") })
+			n.RunOnLoop(func() { assert.Zero(t, n.Core.OpenRequests()) })
+			assert.Empty(t, accepted, "what came behind it is not served")
+		})
+	}
+}
+
+// Guards against a request in hand that is sent on with other bytes, since its connection's buffer is free for what its client
+// pipelines behind it: a second attempt carries the body as it came.
+func TestRequestInHandKeepsItsBodyBesidePipelinedOnes(t *testing.T) {
+	var attempts atomic.Int32
+	refuse := make(chan struct{})
+	release := sync.OnceFunc(func() { close(refuse) })
+	defer release()
+	do := func(w *standin.Worker, id string, rw http.ResponseWriter, r *http.Request) {
+		if attempts.Add(1) > 1 {
+			standin.CompleteJob(w, id, rw, r)
+			return
+		}
+		<-refuse
+		rw.Header().Set(platform.HeaderUnprocessed, "1")
+		rw.WriteHeader(503)
+	}
+	a, b := standin.NewWorker(t, "s-0", do), standin.NewWorker(t, "s-1", do)
+	n := standin.Start(t, nil, a, b)
+	c := standin.Dial(t, n.Front.Address())
+	c.Send(largeRequest("id-0"))
+	n.Eventually(func() bool { return attempts.Load() == 1 })
+	go c.Write([]byte(strings.Repeat("y", 4*largeBodyBytes)))
+	eventuallyOnLoop(n, func() bool {
+		n.Front.Sweep()
+		return n.Front.EndingAsFlooding() == 1 && n.Front.LargestUnread() == 0
+	})
+	release()
+	assert.Equal(t, 200, readStatus(t, c))
+	jobs := append(a.Jobs(), b.Jobs()...)
+	require.Len(t, jobs, 2)
+	for _, job := range jobs {
+		assert.Equal(t, strings.Repeat("x", largeBodyBytes), job.Body)
+	}
+}
+
 // sweepTwice waits until the front has looked at all connections.
 func sweepTwice(n *standin.Node) {
 	for range 2 {
