--- a/internal/platform/idle_test.go
+++ b/internal/platform/idle_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"fmt"
-	"log/slog"
 	"testing"
 
 	"github.com/cloudwego/netpoll"
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
 
-	"cobaltflow/internal/config"
 	"cobaltflow/internal/core"
 	"cobaltflow/internal/link"
 )
@@ -22,8 +20,7 @@
 
 // newIdlePool returns a pool that knows the given number of workers and has no connection, and the workers.
 func newIdlePool(workers int) (*connPool, []*poolWorker) {
-	f := &Front{loop: core.NewLoop(), log: slog.New(slog.DiscardHandler), conf: &config.Config{Names: config.Names{ConnIdleTimeout: 60_000_000}}}
-	f.pool = newConnPool(f)
+	f := newPoolFront()
 	all := make([]*poolWorker, workers)
 	for i := range all {
 		name := fmt.Sprint("w-", i)
--- a/internal/platform/pool_test.go
+++ b/internal/platform/pool_test.go
@@ -17,15 +17,21 @@
 	"cobaltflow/rules"
 )
 
+// newPoolFront returns a front of which only the pool of connections to workers works.
+func newPoolFront() *Front {
+	f := &Front{loop: core.NewLoop(), log: slog.New(slog.DiscardHandler), conf: &config.Config{Names: config.Names{ConnIdleTimeout: 60_000_000}}}
+	f.budget.workers = 9
+	f.pool = newConnPool(f)
+	return f
+}
+
 // Some workers close idle connections after a fraction of a second, some of them only when the next request arrives. A
 // job that must not run twice is lost by such a close, so it must not get a connection that was idle for as long.
 func TestJobsAvoidConnectionsPastKeepAlive(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer ln.Close()
-	f := &Front{loop: core.NewLoop(), log: slog.New(slog.DiscardHandler), conf: &config.Config{Names: config.Names{ConnIdleTimeout: 60_000_000}}}
-	f.budget.workers = 9
-	f.pool = newConnPool(f)
+	f := newPoolFront()
 	p, now := &f.pool, f.loop.Now()
 	address := ln.Addr().String()
 	a, b, c := &poolWorker{name: "a", address: address}, &poolWorker{name: "b"}, &poolWorker{name: "c"}
@@ -78,9 +84,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer ln.Close()
-	f := &Front{loop: core.NewLoop(), log: slog.New(slog.DiscardHandler), conf: &config.Config{Names: config.Names{ConnIdleTimeout: 60_000_000}}}
-	f.budget.workers = 9
-	f.pool = newConnPool(f)
+	f := newPoolFront()
 	p, now, address := &f.pool, f.loop.Now(), ln.Addr().String()
 	w := &poolWorker{name: "a", address: address}
 	p.workers["a"] = w
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -7,7 +7,6 @@
 	"errors"
 	"io/fs"
 	"log/slog"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -116,18 +115,6 @@
 	invalidLogged     map[int]bool  // generations whose invalid file was logged
 }
 
-// change is a pending change of a directive.
-type change struct {
-	key       directive.Key
-	on        bool
-	entry     directive.Entry // set once applied
-	applied   bool            // part of the set
-	persisted bool            // written to this process's file
-	changedAt uint64          // time of the call, in microseconds of the machine's clock
-	deadline  time.Duration   // monotonic time; 0: refused
-	done      func(error)
-}
-
 // Open registers this process in the directory and adopts the other processes' directives. A process can start without
 // the directory: if it is unavailable, Open returns the error together with a usable Replica, which goes on trying.
 func Open(o Options) (*Replica, error) {
@@ -155,105 +142,6 @@
 	}
 }
 
-// join registers this process (in listGenerations) and then reads the others' files. The order matters: a process that makes
-// a change after the registration waits for this one to confirm it, and earlier changes are found in the files.
-func (r *Replica) join() error {
-	for range maxJoinAttempts {
-		_, vanished, err := r.scan()
-		if err != nil || !vanished {
-			return err
-		}
-	}
-	return nil
-}
-
-// AwaitFirstScan completes the first scan. It retries to adopt the other processes' directives if Open could not, and returns
-// the last error if that fails for the given time. For the rest of that time it waits until the other live processes have
-// written what they could not before; a log line tells if they have not. It may be called only between Open and Run.
-func (r *Replica) AwaitFirstScan(within time.Duration) error {
-	deadline := clock.Monotonic() + within
-	for !r.hasScanned {
-		err := r.join()
-		if err == nil {
-			break
-		}
-		r.noteFailure(err)
-		if clock.Monotonic() >= deadline {
-			return err
-		}
-		time.Sleep(awaitPollPeriod)
-	}
-	if r.otherProcesses().Alive > 0 {
-		r.awaitPeerFiles(deadline)
-	}
-	if !r.dirty {
-		return nil
-	}
-	return r.write()
-}
-
-// awaitPeerFiles waits until every other live process has written its file after it has read this one's, or until the
-// deadline. While the directory was unavailable the others may have put directives in force that they could not write, so
-// that the first scan misses them. A change of Join, which reaches a process's file only together with all its directives,
-// tells that it has written them. A process that can't write its own file can't ask for that, and does not wait.
-func (r *Replica) awaitPeerFiles(deadline time.Duration) {
-	request, err := r.set.Change(directive.Join, false, clock.MachineMicros())
-	for err == nil {
-		writeErr := r.write()
-		_, _, scanErr := r.scan()
-		r.noteFailure(errors.Join(writeErr, scanErr))
-		switch {
-		case scanErr == nil && writeErr == nil && r.isConfirmed(request):
-			return
-		case scanErr == nil && writeErr != nil:
-			err = writeErr
-		case clock.Monotonic() >= deadline:
-			err = errors.Join(ErrNotConfirmed, scanErr, writeErr)
-		default:
-			time.Sleep(awaitPollPeriod)
-		}
-	}
-	r.Log.Warn("directive: other processes may know directives that are not in the directory yet", "error", err)
-}
-
-// register acquires the lock of a free generation.
-func (r *Replica) register() error {
-	if r.lock != nil {
-		r.noteFailure(errNotRegistered) // the lock file was removed, and others may have been
-		r.lock.Unlock()
-		r.lock = nil
-	}
-	var err error
-	for range maxJoinAttempts {
-		var names []string
-		if names, err = r.FileSystem.List(r.Dir); err != nil {
-			return err
-		}
-		next := r.nextGeneration(generations(names))
-		if r.lock, err = r.FileSystem.Lock(r.path(next, lockExtension)); err == nil {
-			r.generation, r.dirty = next, true
-			r.registered.Store(int64(next))
-			return nil
-		}
-	}
-	return err
-}
-
-// nextGeneration returns a free generation: above all others for a process that starts, and close to its own place for one that
-// registers again, or has served without the directory. Others may have started and registered meanwhile.
-func (r *Replica) nextGeneration(found map[int]int) int {
-	next := max(r.generation, r.place)
-	if r.generation == 0 && !r.serving.Load() {
-		for generation := range found {
-			next = max(next, generation+1)
-		}
-	}
-	for found[next] != 0 {
-		next++
-	}
-	return next
-}
-
 // Active returns the directives that are on. It may be called only between Open and Run.
 func (r *Replica) Active() (on []directive.Entry) {
 	for _, e := range r.set.Entries() {
@@ -309,24 +197,6 @@
 // serves, if MarkServing was called before Run. Earlier processes find their successor from then on.
 func (r *Replica) Announced() <-chan struct{} { return r.announced }
 
-// Change sets a directive. done is called once, from the replica's goroutine: with nil when the directive is in force in,
-// and persisted by, every process of the scheduler, or with the error that prevented this within the given time. After
-// ErrBusy it is called from the caller's goroutine. It is not called after Close.
-func (r *Replica) Change(key directive.Key, on bool, within time.Duration, done func(error)) {
-	c := &change{key: key, on: on, changedAt: clock.MachineMicros(), deadline: clock.Monotonic() + within, done: done}
-	r.changesMade.Add(1)
-	select {
-	case r.changes <- c:
-	default:
-		r.changesMade.Add(^uint64(0)) // one less
-		done(ErrBusy)
-	}
-}
-
-// HasUnwrittenChanges reports whether a change that was made in this process is not in its file yet. If the process ends, no other
-// one hears of that change.
-func (r *Replica) HasUnwrittenChanges() bool { return r.changesMade.Load() != r.changesWritten.Load() }
-
 // Close ends the goroutine and releases this process's lock. Directives that are on stay in the directory for the next
 // process.
 func (r *Replica) Close() {
@@ -417,33 +287,6 @@
 	r.reportedProcesses = current
 }
 
-// applyChanges assigns versions to new changes. After a successful scan they are above those of all earlier changes in other
-// processes. If the scan failed, the time of the call ensures that: without it, a process that has never read the directory
-// would count from 1, below the versions of changes made long before.
-func (r *Replica) applyChanges() (changed []directive.Entry) {
-	for _, c := range r.pending {
-		if c.applied {
-			continue
-		}
-		c.applied = true
-		r.changesApplied++
-		entry, err := r.set.Change(c.key, c.on, c.changedAt)
-		changed = append(changed, entry) // after an error: the previous state
-		if err != nil {
-			c.done(err)
-			c.deadline = 0
-			continue
-		}
-		c.entry, r.dirty = entry, true
-		if !r.hasScanned {
-			r.changedBeforeScan[c.key] = c.on
-		}
-		r.Log.Info("directive: changed", "key", string(c.key), "on", c.on, "version", entry.Version, "generation", r.generation)
-	}
-	r.pending = slices.DeleteFunc(r.pending, func(c *change) bool { return c.deadline == 0 })
-	return changed
-}
-
 // write writes the set to this process's file.
 func (r *Replica) write() error {
 	if r.lock == nil {
@@ -460,24 +303,6 @@
 	return nil
 }
 
-// completeChanges completes the changes that all processes hold, and those whose deadline has passed.
-func (r *Replica) completeChanges(scanned bool) {
-	now := clock.Monotonic()
-	r.pending = slices.DeleteFunc(r.pending, func(c *change) bool {
-		switch {
-		case scanned && c.persisted && r.isConfirmed(c.entry):
-			c.done(nil)
-		case now < c.deadline:
-			return false
-		case !c.persisted:
-			c.done(ErrNotPersisted)
-		default:
-			c.done(ErrNotConfirmed)
-		}
-		return true
-	})
-}
-
 // canRemoveFiles reports whether this process's files can be removed at its end: no directive is on, or another live process
 // holds all of them.
 func (r *Replica) canRemoveFiles() bool {
