Exchange directives through the open directory while its path is away

Each process now keeps the folder open in which it is registered. While the path is away, the live processes write their sets through it and merge the others'. A change counts as written and confirmed by the path only, so that the answer stays 503.

TestChangeOutlivesItsProcessWhileTheDirectoryIsMissing and TestSuccessorHearsOfDirectivesWhileTheDirectoryIsAway (real processes) failed before.

--- a/cmd/cobaltflow/upgrade_directives_test.go
+++ b/cmd/cobaltflow/upgrade_directives_test.go
@@ -289,6 +289,28 @@
 	h.assertNoJobs(0, restored, fresh)
 }
 
+// Guards against the same where the directory stays away until the old process has ended: the new one has heard of the call by then.
+func TestSuccessorHearsOfDirectivesWhileTheDirectoryIsAway(t *testing.T) {
+	h := newUpgradeHarness(t, "s-1", "s-2")
+	old, fresh := h.start(), h.start()
+	h.sendAttempts(4, old, fresh)
+	restore := h.hideStateDir()
+	require.Equal(t, 503, old.disable("s-1"), "a change that a crash would lose must not be confirmed")
+	eventually(t, func() bool { return fresh.logged("adopted from another process") })
+	adopted := time.Now()
+	old.terminate()
+	old.cmd.Wait()
+	h.assertNoJobs(0, adopted, fresh)
+	restore()
+	eventually(t, func() bool { return fresh.logged("directory available again") })
+	require.Equal(t, 200, fresh.disable("s-2"))
+	fresh.kill()
+	restarted := h.start()
+	h.sendUntil(func() bool { return time.Since(adopted) > 2*drainGrace })
+	assert.Zero(t, h.workers[0].jobsAfter(adopted.Add(drainGrace)), "it is kept for later processes")
+	restarted.kill()
+}
+
 // A second upgrade begins before the first has ended: the directives of each of the three processes are in force in all.
 func TestSecondUpgradeBeforeTheFirstHasEnded(t *testing.T) {
 	h := newUpgradeHarness(t, "s-1", "s-2", "s-3", "s-4")
--- a/internal/replica/files.go
+++ b/internal/replica/files.go
@@ -33,6 +33,15 @@
 	Lock(path string) (Lock, error)
 	// IsLocked reports whether a live process holds the lock of a file.
 	IsLocked(path string) (bool, error)
+	// Hold opens a directory, which stays reachable while its own path names it no longer.
+	Hold(path string) (HeldDirectory, error)
+}
+
+// HeldDirectory is an open directory.
+type HeldDirectory interface {
+	// Path returns a path of the directory that holds wherever it was moved to.
+	Path() string
+	Close() error
 }
 
 // Lock is a file lock held by this process.
@@ -110,6 +119,21 @@
 	return err
 }
 
+// openDirectory is a HeldDirectory by its descriptor.
+type openDirectory struct{ *os.File }
+
+// Path implements HeldDirectory.
+func (d openDirectory) Path() string { return "/proc/self/fd/" + strconv.Itoa(int(d.Fd())) }
+
+// Hold implements FileSystem.
+func (OSFileSystem) Hold(path string) (HeldDirectory, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	return openDirectory{file}, nil
+}
+
 type fileLock struct{ file *os.File }
 
 // Unlock implements Lock.
--- a/internal/replica/names.go
+++ b/internal/replica/names.go
@@ -23,7 +23,12 @@
 )
 
 func (r *Replica) path(generation int, extension string) string {
-	return filepath.Join(r.Dir, fmt.Sprintf("%08d%s", generation, extension))
+	return filepath.Join(r.Dir, fileName(generation, extension))
+}
+
+// fileName returns the name of a generation's file.
+func fileName(generation int, extension string) string {
+	return fmt.Sprintf("%08d%s", generation, extension)
 }
 
 // generations returns the generations that have files among the names, each with its has... bits. Other names are ignored.
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -101,15 +101,23 @@
 		return nil, err
 	}
 	text, err := r.FileSystem.Read(r.path(generation, setExtension))
-	if err != nil || bytes.Equal(text, p.text) {
+	if err != nil {
 		return nil, err
 	}
+	return r.merge(generation, p, text), nil
+}
+
+// merge merges the directives of another process's set file, if it has changed, and returns those that it changes here.
+func (r *Replica) merge(generation int, p *peer, text []byte) (changed []directive.Entry) {
+	if bytes.Equal(text, p.text) {
+		return nil
+	}
 	snap, err := decode(text)
 	if err != nil || snap.badLines > 0 || !snap.complete {
 		r.logInvalidFile(generation, snap, err)
 	}
 	if err != nil {
-		return nil, nil
+		return nil
 	}
 	p.text, p.snap = text, snap
 	r.set.Observe(snap.set.Clock())
@@ -121,7 +129,7 @@
 				"generation", r.generation)
 		}
 	}
-	return changed, nil
+	return changed
 }
 
 // logInvalidFile logs a file that is corrupt or of an unknown version, once for each generation.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -100,6 +100,7 @@
 	place             int // lowest generation: the time of Open by the machine's clock, which no process that started earlier reaches
 	generation        int
 	lock              Lock
+	held              heldDirectory
 	set               directive.Set
 	peers             map[int]*peer
 	reportedProcesses OtherProcesses         // last passed to OnProcessesChanged
@@ -206,6 +207,7 @@
 	if r.lock != nil {
 		r.lock.Unlock()
 	}
+	r.held.close()
 	if !canRemove {
 		return
 	}
@@ -244,6 +246,9 @@
 	}
 	changed, _, err := r.scan()
 	scanned := err == nil
+	if !scanned {
+		changed = append(changed, r.readHeldDirectory()...)
+	}
 	changed = append(changed, r.applyChanges()...)
 	if len(changed) > 0 {
 		r.Apply(changed)
@@ -254,6 +259,9 @@
 	if r.dirty || r.writtenServing != r.serving.Load() {
 		err = errors.Join(err, r.write())
 	}
+	if !scanned && r.dirty {
+		r.writeHeldDirectory()
+	}
 	if scanned && !r.dirty {
 		r.removeDead()
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -340,6 +340,29 @@
 	assert.True(t, after.inForce(workerB))
 }
 
+// Guards against a change that is forgotten, since the process that has it in force ends while the directory is missing: the
+// other live process adopts it meanwhile, though it is not confirmed, and writes it when the directory is back.
+func TestChangeOutlivesItsProcessWhileTheDirectoryIsMissing(t *testing.T) {
+	parent := t.TempDir()
+	state, away := filepath.Join(parent, "state"), filepath.Join(parent, "away")
+	require.NoError(t, os.Mkdir(state, dirMode))
+	dir := filepath.Join(state, "directives")
+	old := start(t, dir, nil)
+	fresh := start(t, dir, nil)
+	require.NoError(t, old.change(workerB, true, testTimeout))
+	require.NoError(t, os.Rename(state, away))
+	assert.ErrorIs(t, old.change(workerA, true, 30*time.Millisecond), ErrNotPersisted)
+	assert.ErrorIs(t, old.change(workerB, false, 30*time.Millisecond), ErrNotPersisted)
+	eventually(t, func() bool { return fresh.inForce(workerA) && !fresh.inForce(workerB) })
+	old.kill()
+	require.NoError(t, os.Rename(away, state))
+	require.NoError(t, fresh.change(directive.Drain, true, testTimeout))
+	fresh.kill()
+	after := start(t, dir, nil)
+	assert.True(t, after.inForce(workerA))
+	assert.False(t, after.inForce(workerB))
+}
+
 // Of two changes made while the directory is missing, the later one wins, whichever process made it.
 //
 // Guards against a fault found by soak seed 3005: the directory was missing for 1 s during an upgrade, and a worker was
--- a/internal/replica/start.go
+++ b/internal/replica/start.go
@@ -88,6 +88,7 @@
 		if r.lock, err = r.FileSystem.Lock(r.path(next, lockExtension)); err == nil {
 			r.generation, r.dirty = next, true
 			r.registered.Store(int64(next))
+			r.holdDirectory()
 			return nil
 		}
 	}
