--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -265,6 +265,7 @@
 		if unread > c.request.Size+link.MaxReadAheadBytes {
 			f.refusePipelined(c)
 		}
+	case c.awaitsItsTurn():
 	case unread > http1.MaxMessage+link.MaxReadAheadBytes:
 		// The rejection of what is read may be on its way to the loop.
 		f.rejectAndClose(c, link.Flooding, 413, "more came than a request may have\n")
--- a/internal/platform/input_bounds.go
+++ b/internal/platform/input_bounds.go
@@ -47,13 +47,20 @@
 	switch {
 	case c.inFlight != nil:
 		f.refusePipelined(c)
+	case c.awaitsItsTurn():
 	case c.HasPendingMessage():
-		c.Close(link.Flooding) // what is unread is pipelined behind a message, beyond MaxMessage
+		c.Close(link.Flooding) // more came behind a callback that waits, which its worker repeats
 	default:
 		f.rejectAndClose(c, link.Flooding, 503, "too much input is unread; try again\n", "Retry-After", "1")
 	}
 }
 
+// awaitsItsTurn reports whether a message is complete that the loop has yet to handle, in its next turn. What is unread behind it
+// is looked at by the next sweep, when the message is in hand or answered.
+func (c *clientConn) awaitsItsTurn() bool {
+	return c.HasPendingMessage() && c.inFlight == nil && c.callback == nil
+}
+
 // refusePipelined ends a connection on which too much is pipelined behind the request in hand, with the answer to that one. The
 // pipelined requests are not served: their client sends them again, as after any close. The request gets memory of its own, so
 // that the read buffer is free and the rest can be discarded; a client that sends more than all of them may have unread is
--- a/internal/platform/input_bounds_test.go
+++ b/internal/platform/input_bounds_test.go
@@ -146,6 +146,31 @@
 	}
 }
 
+// Guards against a valid request that is answered 413, or not at all, over what is pipelined behind it, since the sweep looks before
+// the loop has handled it.
+func TestRequestIsHandledBeforeTheSweepOfPipelinedOnes(t *testing.T) {
+	for _, memoryMB := range []int{192, 2} { // of 2 MB what is unread is over the bound of all clients as well
+		t.Run(fmt.Sprint(memoryMB, " MB"), func(t *testing.T) {
+			n, accepted, finish := startHolding(t, memoryMB)
+			c := standin.Dial(t, n.Front.Address())
+			eventuallyOnLoop(n, func() bool { registered, _, _ := n.Front.ClientCounts(); return registered == 1 })
+			n.RunOnLoop(func() {
+				for i := range 7 { // beyond MaxMessage and what may be read ahead; more than an eighth of 2 MB
+					c.Send(largeRequest(fmt.Sprint("id-", i)))
+				}
+				blockUntil(t, func() bool {
+					_, _, complete := n.Front.ClientCounts()
+					return complete == 1 && n.Front.LargestUnread() > 6*largeBodyBytes
+				})
+				n.Front.Sweep()
+			})
+			assert.Equal(t, "id-0", receive(t, accepted))
+			finish("id-0")
+			assert.Equal(t, 200, readStatus(t, c))
+		})
+	}
+}
+
 // Guards against a request in hand that is sent on with other bytes, since its connection's buffer is free for what its client
 // pipelines behind it: a second attempt carries the body as it came.
 func TestRequestInHandKeepsItsBodyBesidePipelinedOnes(t *testing.T) {
