Use one name for what is in the replica's file, and check both writes of a test

"unwritten" and "persisted" named one thing, and HeldDirectory and heldDirectory differed by a letter's case: they are HasUnpersistedChanges and OpenDirectory now. A comment no longer points at the line above, and a long one is wrapped.

TestDuplicateResponseIsNotMatchedToNextRequest had lost the checks that the worker's two refusals are written; they are back.

--- a/internal/discovery/response.go
+++ b/internal/discovery/response.go
@@ -25,7 +25,8 @@
 )
 
 // ResponseReader reads discovery's HTTP responses on one connection: first the response with the full list, if that was
-// requested, then the response to the watch, which is open-ended, unless the connection ends behind the list. Bodies are passed to the decoder in the pieces in which
+// requested, then the response to the watch, which is open-ended, unless the connection ends behind the list. Bodies are
+// passed to the decoder in the pieces in which
 // they arrive, so that memory does not depend on the size of body and chunks.
 type ResponseReader struct {
 	decoder   *Decoder
--- a/internal/gateway/directives.go
+++ b/internal/gateway/directives.go
@@ -215,8 +215,8 @@
 	}
 }
 
-// hasUnwritten reports whether a change that operators made at this process is not in the directory yet.
-func (d *directives) hasUnwritten() bool { return d.replica.HasUnwrittenChanges() }
+// hasUnpersisted reports whether a change that operators made at this process is not in the directory yet.
+func (d *directives) hasUnpersisted() bool { return d.replica.HasUnpersistedChanges() }
 
 // generation returns the number of this process among those of the scheduler, as the log shows it.
 func (d *directives) generation() string { return fmt.Sprintf("%08d", d.replica.Generation()) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -235,12 +235,12 @@
 // process alone, and that it can't write yet, are waited for until the kill may be near.
 func (g *Gateway) awaitClose(until core.Time) {
 	now := g.Loop.Now()
-	isWaiting := now < until && g.hasOpenConnections() || now < g.Front.CloseBy() && g.directives.hasUnwritten()
+	isWaiting := now < until && g.hasOpenConnections() || now < g.Front.CloseBy() && g.directives.hasUnpersisted()
 	if isWaiting {
 		g.Loop.At(now+closeCheckPeriod, func() { g.awaitClose(until) })
 		return
 	}
-	if g.directives.hasUnwritten() {
+	if g.directives.hasUnpersisted() {
 		g.log.Error("directive: this process ends with changes that it could not write", "generation", g.directives.generation())
 	}
 	g.Loop.Post(g.Loop.Stop) // behind the ends of the connections, which are logged
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -76,7 +76,7 @@
 	hasPendingMessage atomic.Bool   // a message is complete and its buffer not released yet
 	discardsInput     atomic.Bool   // input is skipped from now on
 	lingers           atomic.Bool   // CloseWrite was called: discarded input counts from now on
-	discardedBytes    int           // bytes skipped since then; used by OnRequest alone
+	discardedBytes    int           // bytes skipped since CloseWrite; used by OnRequest alone
 	maxDiscarded      atomic.Int64  // bytes that may be skipped before CloseWrite; 0: any number
 	discardedBefore   int64         // bytes skipped before CloseWrite; used by OnRequest alone
 	isWriteClosed     bool          // the writing side is closed; the peer's may stay open for a moment
--- a/internal/platform/close_race_test.go
+++ b/internal/platform/close_race_test.go
@@ -335,7 +335,8 @@
 			updateWorkerList(n, a.entry("up"))
 			first := submit(n, "settle", "id-1")
 			refused := receive(t, jobs)
-			io.WriteString(refused.conn, unprocessed)
+			_, err := io.WriteString(refused.conn, unprocessed)
+			require.NoError(t, err)
 			eventuallyOnLoop(n, func() bool { return n.Front.IdleConns() == 1 })
 			if c.isRested {
 				time.Sleep(muchLater)
@@ -349,9 +350,10 @@
 			require.Equal(t, "id-2", next.id)
 			updateWorkerList(n, a.entry("up"), b.ListEntry("up"))
 			assert.Equal(t, standin.Answer{Status: 200, Body: "s-2 did id-1"}, receive(t, first), "it never ran and is sent to the other worker")
-			io.WriteString(refused.conn, unprocessed)
+			_, err = io.WriteString(refused.conn, unprocessed)
+			require.NoError(t, err)
 			time.Sleep(muchLater)
-			_, err := io.WriteString(next.conn, c.answer)
+			_, err = io.WriteString(next.conn, c.answer)
 			require.NoError(t, err)
 			if c.isRetried {
 				assert.Equal(t, standin.Answer{Status: 200, Body: "s-2 did id-2"}, receive(t, second))
--- a/internal/replica/changes.go
+++ b/internal/replica/changes.go
@@ -36,9 +36,11 @@
 	}
 }
 
-// HasUnwrittenChanges reports whether a change that was made in this process is not in its file yet. If the process ends, no other
+// HasUnpersistedChanges reports whether a change that was made in this process is not in its file yet. If the process ends, no other
 // one hears of that change.
-func (r *Replica) HasUnwrittenChanges() bool { return r.changesMade.Load() != r.changesWritten.Load() }
+func (r *Replica) HasUnpersistedChanges() bool {
+	return r.changesMade.Load() != r.changesPersisted.Load()
+}
 
 // applyChanges assigns versions to new changes. After a successful scan they are above those of all earlier changes in other
 // processes. If the scan failed, the time of the call ensures that: without it, a process that has never read the directory
--- a/internal/replica/files.go
+++ b/internal/replica/files.go
@@ -34,11 +34,11 @@
 	// IsLocked reports whether a live process holds the lock of a file.
 	IsLocked(path string) (bool, error)
 	// Hold opens a directory, which stays reachable while its own path names it no longer.
-	Hold(path string) (HeldDirectory, error)
+	Hold(path string) (OpenDirectory, error)
 }
 
-// HeldDirectory is an open directory.
-type HeldDirectory interface {
+// OpenDirectory is an open directory.
+type OpenDirectory interface {
 	// Path returns a path of the directory that holds wherever it was moved to.
 	Path() string
 	Close() error
@@ -119,19 +119,19 @@
 	return err
 }
 
-// openDirectory is a HeldDirectory by its descriptor.
-type openDirectory struct{ *os.File }
+// directoryFile is a OpenDirectory by its descriptor.
+type directoryFile struct{ *os.File }
 
-// Path implements HeldDirectory.
-func (d openDirectory) Path() string { return "/proc/self/fd/" + strconv.Itoa(int(d.Fd())) }
+// Path implements OpenDirectory.
+func (d directoryFile) Path() string { return "/proc/self/fd/" + strconv.Itoa(int(d.Fd())) }
 
 // Hold implements FileSystem.
-func (OSFileSystem) Hold(path string) (HeldDirectory, error) {
+func (OSFileSystem) Hold(path string) (OpenDirectory, error) {
 	file, err := os.Open(path)
 	if err != nil {
 		return nil, err
 	}
-	return openDirectory{file}, nil
+	return directoryFile{file}, nil
 }
 
 type fileLock struct{ file *os.File }
--- a/internal/replica/held.go
+++ b/internal/replica/held.go
@@ -11,7 +11,7 @@
 // on exchanging directives while its path is unavailable: a process that ends meanwhile would take what it could not write
 // with it. A change does not count as written by that, since a process that is started later finds the directory by its path only.
 type heldDirectory struct {
-	directory HeldDirectory // nil: it could not be opened
+	directory OpenDirectory // nil: it could not be opened
 	written   []byte        // content that was last written to this process's file in it, for want of the path
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -93,8 +93,8 @@
 	// registered is the generation that is locked, or was last, for the goroutines that may not read generation.
 	registered atomic.Int64
 	failedAt   atomic.Int64 // monotonic time of the directory's last failure, in nanoseconds; 0: none
-	// changesMade and changesWritten count the changes made in this process, and those that are in its file or were refused.
-	changesMade, changesWritten atomic.Uint64
+	// changesMade and changesPersisted count the changes made in this process, and those that are in its file or were refused.
+	changesMade, changesPersisted atomic.Uint64
 
 	// The fields below belong to the goroutine of Run, and before it to Open and the methods called before Run.
 	place             int // lowest generation: the time of Open by the machine's clock, which no process that started earlier reaches
@@ -269,7 +269,7 @@
 		r.reportProcesses()
 	}
 	if !r.dirty {
-		r.changesWritten.Store(r.changesApplied)
+		r.changesPersisted.Store(r.changesApplied)
 	}
 	r.recordResult(err)
 	r.completeChanges(scanned)
