Evict connections whose answer is written before any others

What callers saw: beside 77 clients that send callbacks at full speed, at 256 sockets and with the machine's cores busy, 21 of 636 requests of well-behaved clients had no answer: their connections were evicted unread as the newest ones.

Cause: a connection that lingers behind its last answer, while its client goes on sending, has input that no turn has looked at, and counted as busy. So nothing could be evicted but new connections and idle ones.

--- a/internal/platform/accept.go
+++ b/internal/platform/accept.go
@@ -164,7 +164,7 @@
 // since it could not distinguish a close without an answer from a request that was accepted and lost. The connection then stays
 // open until the answer is sent, which the accept limit allows for.
 func (f *Front) evictClient(c *clientConn) {
-	if c.UnreadBytes() > 0 {
+	if c.UnreadBytes() > 0 && !c.IsWriteClosed() {
 		f.rejectAndClose(c, link.OverBudget, 503, "too many connections; try again\n", "Retry-After", "1")
 		return
 	}
@@ -177,6 +177,9 @@
 // evictionRank orders connections for eviction, lowest first: 0 is closing or has been silent for too long, 1 has brought
 // no job, 2 is new, 3 is idle, 4 has unread input and busyRank has a request or an answer in flight.
 func (c *clientConn) evictionRank() int {
+	if c.IsWriteClosed() {
+		return 0 // its answer is written
+	}
 	if c.inFlight != nil || c.HasPendingMessage() {
 		return busyRank
 	}
