Ask the kernel whether a client has gone, right before its attempt begins

What callers saw: in floods beside a loaded machine 4 to 14 attempts of clients that pipeline and leave began 0.22 to 0.55 s after their end.

Cause: the front asked what the poller had been told. A poller that gets no processor time learns of an end later than the loop sends. poll(2) for POLLRDHUP answers at that instant, for the decision to send, for the first byte and for the admission of a job; requests of HTTP/2 streams are asked alike.

--- a/internal/front/http2/stream.go
+++ b/internal/front/http2/stream.go
@@ -43,6 +43,9 @@
 	pathHealthy = "/-/healthy"
 )
 
+// IsGone implements core.PresenceReporter.
+func (s *stream) IsGone() bool { return s.conn.IsPeerGone() }
+
 // begin handles the HEADERS of a new stream. isWhole says that the request has no body.
 func (s *stream) begin(isWhole bool) {
 	h := s.header
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -154,6 +154,9 @@
 // HasUnseenInput reports whether input of an accepted connection waits for its turn: it may be a whole message.
 func (l *Link) HasUnseenInput() bool { return l.accepted != nil && l.accepted.HasUnseenInput() }
 
+// IsPeerGone is HasPeerEnded by the present state of the system, which the poller may have to learn yet.
+func (l *Link) IsPeerGone() bool { return l.accepted != nil && l.accepted.IsPeerGone() }
+
 // SeenBytes returns how many of the unread bytes of an accepted connection are known to be a part of a message.
 func (l *Link) SeenBytes() int { return l.accepted.Seen() }
 
--- a/internal/platform/requests.go
+++ b/internal/platform/requests.go
@@ -54,8 +54,8 @@
 // Closed implements reactor.Handler.
 func (c *clientConn) Closed() { c.front.loop.Post(func() { c.front.onConnClosed(c) }) }
 
-// IsGone implements core.Client.
-func (c *clientConn) IsGone() bool { return c.HasPeerEnded() }
+// IsGone implements core.PresenceReporter.
+func (c *clientConn) IsGone() bool { return c.IsPeerGone() }
 
 // refuseUnread refuses a request that there is no memory for. It was not read.
 func (f *Front) refuseUnread(c *clientConn) {
@@ -84,7 +84,7 @@
 	}
 	path := string(req.Path)
 	r, isFixed := routes[path]
-	if !isFixed && c.HasPeerEnded() {
+	if !isFixed && c.IsPeerGone() {
 		c.Close(link.PeerClosed) // nobody waits for the answer
 		return
 	}
--- a/internal/reactor/conn.go
+++ b/internal/reactor/conn.go
@@ -90,6 +90,20 @@
 // HasPeerEnded reports whether the peer has ended its output, or has gone.
 func (c *Conn) HasPeerEnded() bool { return c.hasPeerEnded.Load() }
 
+// IsPeerGone asks the kernel whether the peer has ended its output, or has gone, of which the poller may have to learn yet.
+func (c *Conn) IsPeerGone() bool {
+	if c.HasPeerEnded() {
+		return true
+	}
+	isGone := false
+	isOpen := c.WithFD(func(fd int) {
+		events := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(events, 0) // returns at once
+		isGone = err == nil && n > 0
+	})
+	return isGone || !isOpen
+}
+
 // WithFD calls f with the descriptor, which stays open for the call. It returns false if the connection is closed.
 func (c *Conn) WithFD(f func(fd int)) bool {
 	c.fdMu.RLock()
