Share the IDs of requests that must not run twice among a scheduler's processes

Cause: a process knows the IDs that it has open or has lately had, and nothing of the other's.

It waits for nobody, needs no lock that a killed process could keep, and works from a process's first moment; an exchange of messages, as callbacks have, would hold each such request up for an answer that may not come. An ID that is taken gets the same 400 as at one process. Repeatable classes claim nothing. Where the file can't be opened, a process warns and knows its own IDs alone, as before.

--- a/internal/fleet/flood/flood.go
+++ b/internal/fleet/flood/flood.go
@@ -29,12 +29,16 @@
 	UnreadAnswers   Kind = "unread-answers"    // requests whose answers are not read
 	ConnectAndLeave Kind = "connect-and-leave" // connections that are closed at once
 	PipelineAndGo   Kind = "pipeline-and-go"   // pipeline requests, leave at once and come again
-	Mixed           Kind = "mixed"             // another one of these each second
+	Mixed           Kind = "mixed"             // another one of the above each second
+	RepeatedIDs     Kind = "repeated-ids"      // a request, an end some milliseconds later, and the same request again
 )
 
 // Kinds are all kinds of floods.
 var Kinds = []Kind{HalfBody, SlowBody, LargeRequests, SmallRequests, HugeBody, Unreadable, ManyFields, Callbacks, UnreadAnswers,
-	ConnectAndLeave, PipelineAndGo, Mixed}
+	ConnectAndLeave, PipelineAndGo, Mixed, RepeatedIDs}
+
+// mixable are the kinds that Mixed draws from.
+var mixable = Kinds[:len(Kinds)-2]
 
 // Case is one play.
 type Case struct {
--- a/internal/fleet/flood/flood_test.go
+++ b/internal/fleet/flood/flood_test.go
@@ -34,6 +34,7 @@
 	{Flood: ManyFields, MemoryMB: 64, Sockets: 512}, {Flood: Callbacks, MemoryMB: 48, Sockets: 256},
 	{Flood: UnreadAnswers, MemoryMB: 64, Sockets: 512}, {Flood: ConnectAndLeave, MemoryMB: 64, Sockets: 512},
 	{Flood: PipelineAndGo, MemoryMB: 64, Sockets: 512}, {Flood: Mixed, MemoryMB: 96, Sockets: 1024},
+	{Flood: RepeatedIDs, MemoryMB: 96, Sockets: 512, Clients: 30, WithUpgrade: true},
 	{Flood: Mixed, MemoryMB: 96, Sockets: 512, WithUpgrade: true}, {Flood: PipelineAndGo, MemoryMB: 96, Sockets: 512, KillAtS: 1},
 }
 
@@ -128,6 +129,13 @@
 func TestNoAttemptBeginsOnceItsClientHasLeft(t *testing.T) {
 	for _, r := range reportsOf(t).reports {
 		assert.Zero(t, r.LateAttempts, "%s", r)
+	}
+}
+
+// Guards against requests that run twice, since their ID comes again after their client has left: at the same process, or at the
+// other one of an upgrade.
+func TestRepeatedIDRunsOnceBesideAnUpgrade(t *testing.T) {
+	for _, r := range reportsOf(t).reports {
 		assert.Empty(t, r.RanTwice, "%s", r)
 	}
 }
--- a/internal/fleet/flood/misbehaving.go
+++ b/internal/fleet/flood/misbehaving.go
@@ -18,6 +18,7 @@
 	slowWithin        = 1600 * time.Millisecond
 	pipelinedRequests = 40
 	writeBatch        = 16                     // requests of a full-speed flood in one write
+	longestStay       = 32 * time.Millisecond  // before the client of a request that comes again leaves
 	writeBufferBytes  = 64 << 10               // of a client's system: what the scheduler does not read waits there
 	reconnectPause    = 2 * time.Millisecond   // between the connections of one client
 	refusedPause      = 10 * time.Millisecond  // after a connection that could not be opened
@@ -43,7 +44,7 @@
 		present := kind
 		if kind == Mixed {
 			turn := int(time.Since(m.started) / mixedPeriod)
-			present = Kinds[(client+turn+int(m.seed))%(len(Kinds)-1)]
+			present = mixable[(client+turn+int(m.seed))%len(mixable)]
 		}
 		conn, err := net.DialTimeout("tcp", m.address, time.Second)
 		if err != nil {
@@ -113,6 +114,8 @@
 	case ConnectAndLeave:
 	case PipelineAndGo:
 		m.pipelineAndGo(conn)
+	case RepeatedIDs:
+		m.repeat(ctx, conn, rng)
 	}
 }
 
@@ -165,6 +168,23 @@
 	m.departures.clientLeft(ids, time.Now())
 }
 
+// repeat sends a request, closes the connection some milliseconds later and sends the same request on a new one.
+func (m *misbehaving) repeat(ctx context.Context, conn net.Conn, rng *rand.Rand) {
+	request := m.request(4)
+	conn.Write(request)
+	pause(ctx, time.Duration(rng.Int64N(int64(longestStay))))
+	conn.Close()
+	m.written.Add(1)
+	again, err := net.DialTimeout("tcp", m.address, time.Second)
+	if err != nil {
+		return
+	}
+	defer again.Close()
+	again.SetDeadline(time.Now().Add(time.Second))
+	again.Write(request)
+	again.Read(make([]byte, 512))
+}
+
 func (m *misbehaving) nextID() string {
 	return fmt.Sprintf("bad%05x%08x", m.seed&0xfffff, m.serial.Add(1))
 }
--- a/internal/front/admission/admission.go
+++ b/internal/front/admission/admission.go
@@ -8,8 +8,11 @@
 	"strconv"
 	"strings"
 
+	"cobaltflow/internal/claims"
+	"cobaltflow/internal/clock"
 	"cobaltflow/internal/config"
 	"cobaltflow/internal/core"
+	"cobaltflow/rules"
 )
 
 // Request headers of the platform's protocol.
@@ -80,12 +83,25 @@
 	core      *core.Core
 	names     *config.Names
 	recentIDs recentIDs
+	claims    *claims.Table
 	isStopped bool
 }
 
 // NewController returns an admission controller for a core.
 func NewController(c *core.Core, names *config.Names) *Controller {
-	return &Controller{core: c, names: names}
+	return &Controller{core: c, names: names, claims: claims.NewLocal()}
+}
+
+// ShareClaims sets the table of the IDs that all processes of this scheduler have claimed. It must be called before requests are
+// admitted.
+func (c *Controller) ShareClaims(table *claims.Table) { c.claims = table }
+
+// claim claims the ID of a request that must not run twice, and reports whether no other request had it, at any process.
+func (c *Controller) claim(request *core.Request) bool {
+	if c.core.Settings().Classes[request.Job.Class].Effect == rules.Repeatable {
+		return true
+	}
+	return c.claims.Claim(request.ID, int64(clock.MachineMicros()/uint64(core.Second)))
 }
 
 // Stop ends admission for good: the listener that the workers' callbacks need is about to close. It is called on the loop.
@@ -112,7 +128,7 @@
 	}
 	// Every request needs a new ID. A recently ended one belongs to an earlier request, which workers still know and for
 	// which they would reject this one.
-	if c.recentIDs.has(request.ID) {
+	if c.recentIDs.has(request.ID) || !c.claim(request) {
 		return nil, &Rejection{Status: 400, Text: HeaderID + " was in use"}
 	}
 	if tenant, n := q.Header(HeaderTenant); n == 1 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 
+	"cobaltflow/internal/claims"
 	"cobaltflow/internal/clock"
 	"cobaltflow/internal/config"
 	"cobaltflow/internal/core"
@@ -31,6 +32,7 @@
 	Faktory    *faktory.Front  // nil: off
 	HTTP2      *http2.Front    // nil: off
 	Admin      *admin.Front    // nil: no admin address is configured
+	admission  *admission.Controller
 	poller     *reactor.Poller // of the connections of all fronts
 	pollerErr  error           // why there is no poller
 	account    *link.Account   // of the bytes that all fronts hold for their clients
@@ -58,6 +60,7 @@
 	g.poller, g.pollerErr = reactor.New(g.Loop.Post)
 	g.account = link.NewAccount(g.Loop, conf.ClientBufferBytes(conf.Limits.MemoryMB))
 	controller := admission.NewController(g.Core, &conf.Names)
+	g.admission = controller
 	g.Front = platform.New(g.Core, conf, controller, g.account, g.poller, log)
 	g.Front.OnListenerDrain(g.closeListeners)
 	if conf.HTTP2.IsEnabled() {
@@ -82,6 +85,11 @@
 	}
 	g.directives = openDirectives(g)
 	g.directives.reload = g.onReload
+	if table, err := claims.Open(stateFilePath(g.Conf, "ids")); err != nil {
+		g.log.Warn("request IDs are not shared with the scheduler's other processes", "error", err)
+	} else {
+		g.admission.ShareClaims(table)
+	}
 	g.Core.Log = g.log.With("generation", g.directives.generation())
 	// Before the front listens: the first callback may already be one of another process's job.
 	if others := g.directives.replica.InitialProcesses(); others.Alive > 0 {
