Give Faktory sessions turns of bounded work, and free what an ended one has read

Causes: a turn read 64 KiB and handed all commands in it to the loop, 256 in one event, so that a few sessions kept the loop from everybody; and the timer of HELLO kept an ended session, with the part of a command that it had read, for five seconds, which the old reader's close callback had hidden.

Change: a turn hands over 32 commands at most and reads nothing more while whole ones are left; what waits for the loop is bounded in messages, of all connections together, so that a batch counts as many (HTTP/2 frames alike). The timer is cancelled with its session.

Two plays of the flood tests force it.

--- a/internal/faktory/front.go
+++ b/internal/faktory/front.go
@@ -240,7 +240,7 @@
 	}
 	text, _ := json.Marshal(greeting)
 	s.reply(simpleReply("HI " + string(text)))
-	f.loop.At(f.loop.Now()+helloTimeout, func() {
+	s.helloTimer = f.loop.At(f.loop.Now()+helloTimeout, func() {
 		if !s.greeted && !s.Ended {
 			s.Close(link.SlowInput)
 		}
@@ -254,6 +254,7 @@
 	}
 	s.releaseInput()
 	f.sessions.Free(s.ref)
+	f.loop.CancelTimer(s.helloTimer) // which would keep the session, and what it has read, until its time
 	f.loop.CancelTimer(s.fetchTimer)
 	f.jobs.CancelFetch(&s.fetch)
 	if w := s.worker; w != nil {
--- a/internal/faktory/input.go
+++ b/internal/faktory/input.go
@@ -38,10 +38,11 @@
 // inputState is the reading side of a session. It belongs to the session's turns, except for the atomic and the locked
 // fields.
 type inputState struct {
-	buffer  []byte      // bytes of a command that is not complete yet
-	scanned int         // bytes of buffer without a line end
-	greeted atomic.Bool // HELLO was accepted, so payloads are parsed outside of the loop
-	stopped bool        // nothing more is read
+	buffer   []byte      // bytes of a command that is not complete yet
+	scanned  int         // bytes of buffer without a line end
+	greeted  atomic.Bool // HELLO was accepted, so payloads are parsed outside of the loop
+	stopped  bool        // nothing more is read
+	hasWhole bool        // more whole commands may be in buffer, which go before further input
 	// mu guards heldBytes, pendingCost, isHeld and closed.
 	mu          sync.Mutex
 	heldBytes   int64 // what this session counts in Front.inputBytes
@@ -53,7 +54,7 @@
 const (
 	commandCopies        = 2       // of a command that are held at a time: as it was received, and its payload for the job
 	expensiveCommandCost = 8 << 10 // towards the backlog, of a command whose work grows with the number of queues and jobs
-	maxBatchCommands     = 256     // commands handed to the loop at once
+	maxBatchCommands     = 32      // commands handed to the loop at once
 	maxBulkJobsPerTurn   = 500     // jobs of a PUSHB that are pushed in one turn
 	longCommandBytes     = 128 << 10
 )
@@ -70,18 +71,20 @@
 	if s.holdForAccount() {
 		return reactor.Pause
 	}
-	data, err := in.PeekShared()
-	if err != nil {
-		input.stopped = true
-		s.front.poller.Post(func() { s.Close(link.PeerClosed) })
-		return reactor.Pause
-	}
-	if len(data) == 0 && len(input.buffer) == 0 {
-		return reactor.Wait
+	if !input.hasWhole {
+		data, err := in.PeekShared()
+		if err != nil {
+			input.stopped = true
+			s.front.poller.Post(func() { s.Close(link.PeerClosed) })
+			return reactor.Pause
+		}
+		if len(data) == 0 {
+			return reactor.Wait
+		}
+		s.addInputBytes(int64(len(data)))
+		input.buffer = append(input.buffer, data...)
+		in.Consume(len(data))
 	}
-	s.addInputBytes(int64(len(data)))
-	input.buffer = append(input.buffer, data...)
-	in.Consume(len(data))
 	if len(input.buffer) > longCommandBytes {
 		gopool.Go(func() {
 			if s.postCommands() {
@@ -94,9 +97,6 @@
 	if !s.postCommands() {
 		return reactor.Pause
 	}
-	if len(data) == 0 {
-		return reactor.Wait
-	}
 	return reactor.Again
 }
 
@@ -114,19 +114,17 @@
 	return true
 }
 
-// postCommands posts the complete commands in the buffer to the loop. It returns false if the session's turns have to wait until
+// postCommands posts a batch of the complete commands in the buffer to the loop. It returns false if the session's turns have to wait until
 // the loop has handled some, which resumes them.
 func (s *session) postCommands() bool {
 	f, input := s.front, &s.input
-	for !input.stopped {
-		batch, cost := s.splitCommands()
-		if len(batch) == 0 {
-			break
-		}
+	batch, cost := s.splitCommands()
+	input.hasWhole = len(batch) == maxBatchCommands
+	if len(batch) > 0 {
 		mayGoOn := s.addPending(cost)
-		f.poller.Post(func() { f.handle(s, batch) })
-		if !mayGoOn {
-			return false
+		f.poller.PostBatch(len(batch), func() { f.handle(s, batch) })
+		if !mayGoOn || input.hasWhole {
+			return mayGoOn
 		}
 	}
 	if f.inputBytes.Load() > f.maxInputBytes && len(input.buffer) > 0 && !input.stopped {
--- a/internal/fleet/flood/flood.go
+++ b/internal/fleet/flood/flood.go
@@ -30,15 +30,23 @@
 	ConnectAndLeave Kind = "connect-and-leave" // connections that are closed at once
 	PipelineAndGo   Kind = "pipeline-and-go"   // pipeline requests, leave at once and come again
 	Mixed           Kind = "mixed"             // another one of the above each second
+	FaktoryJobs     Kind = "faktory-jobs"      // small jobs under ever new names, at full speed, on the Faktory front
+	FaktoryLarge    Kind = "faktory-large"     // large jobs at full speed
+	FaktoryEndless  Kind = "faktory-endless"   // commands without an end
 	RepeatedIDs     Kind = "repeated-ids"      // a request, an end some milliseconds later, and the same request again
 )
 
 // Kinds are all kinds of floods.
 var Kinds = []Kind{HalfBody, SlowBody, LargeRequests, SmallRequests, HugeBody, Unreadable, ManyFields, Callbacks, UnreadAnswers,
-	ConnectAndLeave, PipelineAndGo, Mixed, RepeatedIDs}
+	ConnectAndLeave, PipelineAndGo, Mixed, RepeatedIDs, FaktoryJobs, FaktoryLarge,
+	FaktoryEndless}
+
+// isFaktory reports whether the clients are those of the Faktory front.
+func (k Kind) isFaktory() bool { return k == FaktoryJobs || k == FaktoryLarge || k == FaktoryEndless }
 
 // mixable are the kinds that Mixed draws from.
-var mixable = Kinds[:len(Kinds)-2]
+var mixable = []Kind{HalfBody, SlowBody, LargeRequests, SmallRequests, HugeBody, Unreadable, ManyFields, Callbacks, UnreadAnswers,
+	ConnectAndLeave, PipelineAndGo}
 
 // Case is one play.
 type Case struct {
@@ -125,6 +133,9 @@
 
 // Play runs a case with a program and returns its report. dir is for configuration and temporary files.
 func Play(ctx context.Context, binary, dir string, c Case) (*Report, error) {
+	if c.Clients == 0 && c.Flood.isFaktory() {
+		c.Clients = faktorySessions
+	}
 	if c.Clients == 0 {
 		c.Clients = clientBudget(c.Sockets) * 2 / 3
 	}
@@ -142,7 +153,7 @@
 	defer cancel()
 	cpuBefore, started := s.processorTime(), time.Now()
 	var clients sync.WaitGroup
-	bad := &misbehaving{address: s.listen, seed: c.Seed, started: started, departures: workers.departures}
+	bad := &misbehaving{address: s.floodAddress(), seed: c.Seed, started: started, departures: workers.departures}
 	if c.Flood != None {
 		for i := range c.Clients {
 			clients.Go(func() { bad.run(runCtx, c.Flood, i) })
@@ -167,7 +178,7 @@
 
 // clientBudget returns how many connections the clients may have, as the README states it.
 func clientBudget(sockets int) int {
-	spare := max(24, sockets/8) + adminConnections
+	spare := max(24, sockets/8) + adminConnections // the Faktory front is on in its own floods alone
 	return sockets - spare - (sockets-spare)*2/5
 }
 
--- a/internal/fleet/flood/flood_test.go
+++ b/internal/fleet/flood/flood_test.go
@@ -34,6 +34,7 @@
 	{Flood: ManyFields, MemoryMB: 64, Sockets: 512}, {Flood: Callbacks, MemoryMB: 48, Sockets: 256},
 	{Flood: UnreadAnswers, MemoryMB: 64, Sockets: 512}, {Flood: ConnectAndLeave, MemoryMB: 64, Sockets: 512},
 	{Flood: PipelineAndGo, MemoryMB: 64, Sockets: 512}, {Flood: Mixed, MemoryMB: 96, Sockets: 1024},
+	{Flood: FaktoryJobs, MemoryMB: 64, Sockets: 512}, {Flood: FaktoryEndless, MemoryMB: 64, Sockets: 512},
 	{Flood: RepeatedIDs, MemoryMB: 96, Sockets: 512, Clients: 30, WithUpgrade: true},
 	{Flood: Mixed, MemoryMB: 96, Sockets: 512, WithUpgrade: true}, {Flood: PipelineAndGo, MemoryMB: 96, Sockets: 512, KillAtS: 1},
 }
--- a/internal/fleet/flood/misbehaving.go
+++ b/internal/fleet/flood/misbehaving.go
@@ -14,6 +14,7 @@
 const (
 	largestBody       = 64 << 10
 	hugeBody          = 60 << 20
+	largestJob        = 1 << 20
 	slowParts         = 8
 	slowWithin        = 1600 * time.Millisecond
 	pipelinedRequests = 40
@@ -114,6 +115,27 @@
 	case ConnectAndLeave:
 	case PipelineAndGo:
 		m.pipelineAndGo(conn)
+	case FaktoryJobs:
+		m.sayHello(conn)
+		m.writeRepeatedly(conn, func() []byte {
+			var batch []byte
+			for range writeBatch {
+				id := m.nextID()
+				batch = fmt.Appendf(batch, "PUSH {\"jid\":%q,\"jobtype\":\"t%s\",\"queue\":\"q%s\",\"args\":[]}\r\n", id, id, id)
+			}
+			return batch
+		})
+	case FaktoryLarge:
+		m.sayHello(conn)
+		padding := bytes.Repeat([]byte("x"), largestJob)
+		m.writeRepeatedly(conn, func() []byte {
+			return fmt.Appendf(nil, "PUSH {\"jid\":%q,\"jobtype\":\"t\",\"queue\":\"q\",\"args\":[\"%s\"]}\r\n", m.nextID(), padding)
+		})
+	case FaktoryEndless:
+		m.sayHello(conn)
+		part := bytes.Repeat([]byte("x"), largestBody)
+		io.WriteString(conn, "PUSH {")
+		m.writeRepeatedly(conn, func() []byte { return part })
 	case RepeatedIDs:
 		m.repeat(ctx, conn, rng)
 	}
@@ -168,6 +190,9 @@
 	m.departures.clientLeft(ids, time.Now())
 }
 
+// sayHello begins a session of the Faktory protocol. The answers are read with those to what follows.
+func (m *misbehaving) sayHello(conn net.Conn) { io.WriteString(conn, "HELLO {\"v\":2}\r\n") }
+
 // repeat sends a request, closes the connection some milliseconds later and sends the same request on a new one.
 func (m *misbehaving) repeat(ctx context.Context, conn net.Conn, rng *rand.Rand) {
 	request := m.request(4)
--- a/internal/fleet/flood/scheduler.go
+++ b/internal/fleet/flood/scheduler.go
@@ -33,6 +33,7 @@
 	binary, dir string
 	configPath  string
 	listen      string
+	faktory     string
 	play        Case
 
 	mu        sync.Mutex
@@ -54,11 +55,11 @@
 
 // startScheduler starts a process and waits until it is ready.
 func startScheduler(binary, dir string, play Case, w *workers) (*scheduler, error) {
-	ports, err := endpoints.FreePorts([4]byte{127, 0, 0, 1}, 1, false)
+	ports, err := endpoints.FreePorts([4]byte{127, 0, 0, 1}, 2, false)
 	if err != nil {
 		return nil, err
 	}
-	s := &scheduler{binary: binary, dir: dir, play: play, listen: ports[0].String(), configPath: filepath.Join(dir, "cobaltflow.json"),
+	s := &scheduler{binary: binary, dir: dir, play: play, listen: ports[0].String(), faktory: ports[1].String(), configPath: filepath.Join(dir, "cobaltflow.json"),
 		stop: make(chan struct{}), sampled: make(chan struct{})}
 	if err := s.writeConfig(w); err != nil {
 		return nil, err
@@ -83,6 +84,12 @@
 		"classes": []map[string]any{{"name": "board-view", "effect": "repeatable", "deadline_ms": 5000, "aim_ms": 500, "worth": 3},
 			{"name": "move", "effect": "once", "deadline_ms": 10000, "aim_ms": 1000, "worth": 2}},
 		"rules": map[string]any{"max_attempts": 4, "cancel": true, "retry_after": true}}}
+	if s.play.Flood.isFaktory() {
+		// A half of the memory may be set aside for jobs.
+		jobsMB := s.play.MemoryMB / 2
+		config["faktory"] = map[string]any{"listen": s.faktory, "default_class": "board-view", "max_sessions": faktorySessions + 4,
+			"max_held_mb": jobsMB / 2, "max_client_mb": jobsMB / 2, "max_dead_mb": jobsMB / 4, "kept_mb": jobsMB / 4, "table_queues": []string{}}
+	}
 	text, err := json.Marshal(config)
 	if err != nil {
 		return err
@@ -93,6 +100,17 @@
 	return os.WriteFile(s.configPath, text, 0o600)
 }
 
+// faktorySessions is the number of clients of a flood of the Faktory front.
+const faktorySessions = 60
+
+// floodAddress returns the address that the misbehaving clients connect to.
+func (s *scheduler) floodAddress() string {
+	if s.play.Flood.isFaktory() {
+		return s.faktory
+	}
+	return s.listen
+}
+
 // launch starts a process and waits until it is ready.
 func (s *scheduler) launch() (*process, error) {
 	ports, err := endpoints.FreePorts([4]byte{127, 0, 0, 1}, 1, false)
--- a/internal/front/http2/front.go
+++ b/internal/front/http2/front.go
@@ -19,7 +19,7 @@
 
 const (
 	sweepInterval  = 50 * core.Millisecond
-	maxBatchFrames = 128     // frames handed to the loop at once, which bounds a connection's work in a turn
+	maxBatchFrames = 32      // frames handed to the loop at once, which bounds a connection's work in a turn
 	maxUnreadBytes = 4 << 20 // bytes that a client may leave unread in its socket before its frames wait
 
 	// Connections over max_connections that may be open, until their clients have read why: a quarter, and at least so many.
--- a/internal/front/http2/input.go
+++ b/internal/front/http2/input.go
@@ -47,7 +47,7 @@
 func (c *conn) postFrames(frames []*frame, used int, receivedAt core.Time) {
 	batch := &frameBatch{frames: frames, cost: max(used, link.MinMessageCost*len(frames)), receivedAt: receivedAt}
 	c.Hold(batch.cost)
-	c.front.poller.Post(func() {
+	c.front.poller.PostBatch(len(frames), func() {
 		c.batch = batch
 		c.handleBatch()
 	})
--- a/internal/reactor/poller.go
+++ b/internal/reactor/poller.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	// maxUnhandled bounds the events of this package that wait for the event loop.
+	// maxUnhandled bounds the messages that wait for the event loop, but for the last batch of them.
 	maxUnhandled = 32
 	// resumeUnhandled is how many of them may be left when a poller that has waited for the loop goes on.
 	resumeUnhandled = maxUnhandled / 2
@@ -244,11 +244,14 @@
 }
 
 // Post posts an event of a connection to the loop. It counts until the loop has handled it.
-func (p *Poller) Post(event func()) {
-	p.unhandled.Add(1)
+func (p *Poller) Post(event func()) { p.PostBatch(1, event) }
+
+// PostBatch is Post for an event that handles several messages, and counts as many.
+func (p *Poller) PostBatch(messages int, event func()) {
+	p.unhandled.Add(int64(messages))
 	p.post(func() {
 		event()
-		if p.unhandled.Add(-1) <= resumeUnhandled && p.isWaitingForLoop.Load() {
+		if p.unhandled.Add(-int64(messages)) <= resumeUnhandled && p.isWaitingForLoop.Load() {
 			p.wakeIfAsleep()
 		}
 	})
