Count a message as unread until it is released, in an order that no turn can cross

Input that is consumed is not unread any more, and the request is in hand only once the loop has handled it; and the look at what is pending came before the look at what is unread, so that a turn between the two was missed.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -153,15 +153,16 @@
 	return l.input.Len()
 }
 
-// HasUnseenInput reports whether input of an accepted connection waits for its turn: it may be a whole message.
-func (l *Link) HasUnseenInput() bool { return l.accepted != nil && l.accepted.HasUnseenInput() }
+// MayHaveMessage reports whether an accepted connection has a complete message that was not released, or input that waits for its
+// turn and may be one.
+func (l *Link) MayHaveMessage() bool {
+	// In this order: a message is pending before its bytes are consumed.
+	return l.accepted.HasUnseenInput() || l.HasPendingMessage()
+}
 
 // IsPeerGone is HasPeerEnded by the present state of the system, which the poller may have to learn yet.
 func (l *Link) IsPeerGone() bool { return l.accepted != nil && l.accepted.IsPeerGone() }
 
-// SeenBytes returns how many of the unread bytes of an accepted connection are known to be a part of a message.
-func (l *Link) SeenBytes() int { return l.accepted.Seen() }
-
 // HasPeerEnded reports whether the peer of an accepted connection has ended its output, or has gone.
 func (l *Link) HasPeerEnded() bool { return l.accepted != nil && l.accepted.HasPeerEnded() }
 
@@ -303,12 +304,15 @@
 // HasPendingMessage reports whether a complete message waits for the loop or is being processed by it.
 func (l *Link) HasPendingMessage() bool { return l.hasPendingMessage.Load() }
 
-// HasUnreadInput reports whether input has arrived that was not read: in the read buffer, or in the kernel, where it is while
-// the poller is behind. It is called on the loop.
+// HasUnreadInput reports whether input has arrived whose message was not released: in the read buffer, or in the kernel, where it
+// is while the poller is behind. It is called on the loop.
 func (l *Link) HasUnreadInput() bool {
 	if l.UnreadBytes() > 0 {
 		return true
 	}
+	if l.accepted != nil {
+		return l.HasPendingMessage() // asked for second: a message is pending before its bytes are consumed
+	}
 	unread := 0
 	l.withFD(func(fd int) {
 		if n, err := unix.IoctlGetInt(fd, unix.TIOCINQ); err == nil { // else the read buffer decides
--- a/internal/platform/accept.go
+++ b/internal/platform/accept.go
@@ -152,7 +152,7 @@
 		}
 	})
 	// A newest connection whose request may be whole is served: the accept limit still bounds the connections.
-	if excess <= 0 || victim == newest && (newest.HasPendingMessage() || newest.HasUnseenInput() || f.moveToReserve(newest)) {
+	if excess <= 0 || victim == newest && (newest.MayHaveMessage() || f.moveToReserve(newest)) {
 		return
 	}
 	f.log.Info("client connection evicted", "peer", victim.Peer, "rank", bestRank, "unread", victim.UnreadBytes(),
@@ -180,13 +180,13 @@
 	if c.IsWriteClosed() {
 		return 0 // its answer is written
 	}
-	if c.inFlight != nil || c.HasPendingMessage() {
+	if c.inFlight != nil || c.MayHaveMessage() {
 		return busyRank
 	}
 	unread := c.UnreadBytes()
 	silent := c.MessageCount == 0 && unread == 0
 	switch {
-	case unread > c.SeenBytes() || !c.IsWriterIdle() || c.isCallback && unread > 0:
+	case !c.IsWriterIdle() || c.isCallback && unread > 0:
 		return busyRank // a request is unanswered, or its answer is not written completely
 	case c.CloseReason != "" || silent && c.front.loop.Now()-c.Opened > firstRequestGrace:
 		return 0
--- a/internal/platform/client_left_test.go
+++ b/internal/platform/client_left_test.go
@@ -31,6 +31,21 @@
 	assert.Empty(t, w.Jobs())
 }
 
+// Guards against a request that is lost in a drain, since it was read and the loop has yet to handle it: its connection counts as
+// idle neither by what is unread nor by what is in hand.
+func TestRequestThatWaitsForTheLoopIsServedInADrain(t *testing.T) {
+	n := standin.Start(t, nil, standin.NewWorker(t, "s-1", nil))
+	c := standin.Dial(t, n.Front.Address())
+	c.Send("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+	require.Equal(t, 200, readStatus(t, c))
+	n.RunOnLoop(func() {
+		c.Send(fmt.Sprintf(completeRequest, "id-1"))
+		blockUntil(t, func() bool { _, unread, complete := n.Front.ClientCounts(); return complete == 1 && unread == 0 })
+		n.Front.Drain()
+	})
+	assert.Equal(t, 200, readStatus(t, c))
+}
+
 // Guards against requests that are sent on although their client has left, since they lay behind one in hand: their bytes came
 // before the end of the connection, and are looked at after it.
 func TestPipelinedRequestsOfAClientThatLeftAreNotSent(t *testing.T) {
--- a/internal/platform/requests.go
+++ b/internal/platform/requests.go
@@ -46,7 +46,7 @@
 // may be a worker's callback.
 func (c *clientConn) handlePeerEnd() {
 	isWaiting := c.inFlight != nil || c.callback != nil
-	if !c.Ended && (isWaiting || !c.HasPendingMessage() && !c.HasUnreadInput()) {
+	if !c.Ended && (isWaiting || !c.HasUnreadInput()) {
 		c.Close(link.PeerClosed)
 	}
 }
