Deploy a program that serves alone, and compile the schema only to read a file

Cause: the deployed program links plots, parquet, OpenAPI and the test tools, whose text and initialisation were resident, and kept the compiled schema of its configuration.

--- a/internal/affinity/affinity.go
+++ b/internal/affinity/affinity.go
@@ -2,12 +2,17 @@
 package affinity
 
 import (
+	"cmp"
 	"os"
 	"os/exec"
 	"runtime"
+	"slices"
 	"strconv"
+	"time"
 
 	"golang.org/x/sys/unix"
+
+	"cobaltflow/internal/procfs"
 )
 
 // StartOnCore starts a process on one core: its threads inherit the affinity of the thread that starts it. A core below 0
@@ -33,6 +38,25 @@
 	return err
 }
 
+// IdleCores returns so many cores, those first that were busy for the shortest part of a time.
+func IdleCores(count int, within time.Duration) ([]int, error) {
+	before, err := procfs.CoreTimes()
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(within)
+	after, err := procfs.CoreTimes()
+	if err != nil {
+		return nil, err
+	}
+	cores := make([]int, min(len(before), len(after)))
+	for core := range cores {
+		cores[core] = core
+	}
+	slices.SortStableFunc(cores, func(a, b int) int { return cmp.Compare(after[a]-before[a], after[b]-before[b]) })
+	return cores[:min(count, len(cores))], nil
+}
+
 // AvoidCore moves the threads of this process off a core, unless it is the only one.
 func AvoidCore(core int) {
 	var set unix.CPUSet
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"strings"
-	"sync"
 
 	"github.com/santhosh-tekuri/jsonschema/v6"
 	"github.com/santhosh-tekuri/jsonschema/v6/kind"
@@ -16,7 +15,8 @@
 	"cobaltflow/deploy"
 )
 
-var compiledSchema = sync.OnceValues(func() (*jsonschema.Schema, error) {
+// compileSchema compiles the schema anew for each file that is read, since it is large and needed again at a reload only.
+func compileSchema() (*jsonschema.Schema, error) {
 	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(deploy.Schema))
 	if err != nil {
 		return nil, err
@@ -26,7 +26,7 @@
 		return nil, err
 	}
 	return c.Compile("cobaltflow.schema.json")
-})
+}
 
 // movedKeys are top-level keys of deploy/faktory.json, the former separate file of the Faktory front.
 var movedKeys = []string{"listen", "password", "queue", "jobtypes", "beat_s", "max_sessions", "kept_jobs"}
@@ -41,7 +41,7 @@
 			}
 		}
 	}
-	schema, err := compiledSchema()
+	schema, err := compileSchema()
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/flood/scheduler.go
+++ b/internal/fleet/flood/scheduler.go
@@ -123,7 +123,7 @@
 	}
 	defer log.Close()
 	p := &process{admin: ports[0].String(), ended: make(chan struct{})}
-	p.cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d && exec %s serve --config %s", s.play.Sockets, s.binary, s.configPath))
+	p.cmd = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d && exec %s --config %s", s.play.Sockets, serveCommand(s.binary), s.configPath))
 	p.cmd.Env = append(os.Environ(), "RELAY_ADMIN="+p.admin, "TMPDIR="+filepath.Join(s.dir, "tmp"))
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -138,6 +138,17 @@
 	return p, s.awaitReady(p)
 }
 
+// deployedProgram is the program that serves alone, as it is deployed.
+const deployedProgram = "cobaltflow-serve"
+
+// serveCommand returns the command by which a program serves.
+func serveCommand(binary string) string {
+	if filepath.Base(binary) == deployedProgram {
+		return binary
+	}
+	return binary + " serve"
+}
+
 func (s *scheduler) logPath() string { return filepath.Join(s.dir, "log") }
 
 func (s *scheduler) awaitEnd(p *process) {
--- a/internal/procfs/procfs.go
+++ b/internal/procfs/procfs.go
@@ -85,3 +85,34 @@
 	names, err := d.Readdirnames(-1)
 	return len(names), err
 }
+
+// idleFields are the fields of a core's line in /proc/stat, counted from 0 behind its name, in which it was idle.
+var idleFields = map[int]bool{3: true, 4: true} // idle, iowait
+
+// CoreTimes returns for how long each core has been busy, in whole ticks, by its number.
+func CoreTimes() ([]time.Duration, error) {
+	const path = "/proc/stat"
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var times []time.Duration
+	for line := range strings.Lines(string(text)) {
+		fields := strings.Fields(line)
+		if len(fields) == 0 || !strings.HasPrefix(fields[0], "cpu") || fields[0] == "cpu" {
+			continue
+		}
+		busy := int64(0)
+		for i, field := range fields[1:] {
+			ticks, err := strconv.ParseInt(field, 10, 64)
+			if err != nil {
+				return nil, fmt.Errorf("%s: %w", path, err)
+			}
+			if !idleFields[i] {
+				busy += ticks
+			}
+		}
+		times = append(times, time.Duration(busy)*clockTick)
+	}
+	return times, nil
+}
