--- a/internal/fleet/soak/soak_test.go
+++ b/internal/fleet/soak/soak_test.go
@@ -20,7 +20,7 @@
 
 // ciSeeds are run in each run of the tests: the first few, and each seed that has failed in a manual soak. Further seeds are
 // run manually.
-var ciSeeds = []uint64{1, 2, 3, 4, 1011, 2012, 2030, 2034, 3005, 10031, 10067, 10088, 641217, 770013}
+var ciSeeds = []uint64{1, 2, 3, 4, 1011, 2012, 2030, 2034, 3005, 10031, 10067, 10088, 641217, 770013, 4152}
 
 const ciParallel = 3 // parallel runs
 
