Report input, its refusals, ends by reason and the runtime's memory as metrics

With them the tests of package reactor: an end that is seen while input is unread, the bound on what waits for the loop, idle connections before backlogs, and the credit.

--- a/internal/front/admin/admin.go
+++ b/internal/front/admin/admin.go
@@ -263,7 +263,7 @@
 		}
 		return 503, "not ready: starting, draining or ending\n"
 	case PathMetrics:
-		return 200, string(Metrics(f.core, f.clients, f.directives, f.conf.Names.Classes))
+		return 200, string(Metrics(f.core, f.clients, f.directives, f.poller, f.conf.Names.Classes))
 	}
 	return f.unknownWorker(strings.TrimPrefix(path, PathWorkers))
 }
--- a/internal/front/admin/admin_test.go
+++ b/internal/front/admin/admin_test.go
@@ -82,6 +82,11 @@
 	_, metrics := send(t, n, "GET", "/-/metrics")
 	assert.Contains(t, metrics, "edge_relay.out_of_rotation:1|g\n")
 	assert.Contains(t, metrics, "edge_relay.registry_entries:2|g\n")
+	assert.Contains(t, metrics, "edge_relay.input_bytes:0|g\n")
+	assert.Contains(t, metrics, "edge_relay.refused_for_memory:0|c\n")
+	for _, name := range []string{"unhandled_messages", "heap_bytes", "runtime_bytes"} {
+		assert.Contains(t, metrics, "edge_relay."+name+":")
+	}
 	for i := range 20 {
 		id := fmt.Sprint("id-", i)
 		require.Equal(t, 200, n.SendRequest("board-view", fmt.Sprint("k", i), id, 5000, "").Status)
--- a/internal/front/admin/metrics.go
+++ b/internal/front/admin/metrics.go
@@ -1,10 +1,12 @@
 package admin
 
 import (
+	"runtime/metrics"
 	"strconv"
 
 	"cobaltflow/internal/core"
 	"cobaltflow/internal/link"
+	"cobaltflow/internal/reactor"
 )
 
 // MetricPrefix precedes the name of every metric.
@@ -17,8 +19,13 @@
 //   - relayed: attempts written completely to workers
 //   - directive_failures: failures to read or write the operators' directives
 //   - accept_failures: connections that could not be accepted
+//   - refused_for_memory: messages that were refused unread, since there was no memory for them
+//   - conn_ended.REASON: connections that ended, by the reason in their log line
 //
 // Gauges:
+//   - input_bytes: large messages that were read and not released
+//   - unhandled_messages: messages that were read and wait for the event loop
+//   - heap_bytes, runtime_bytes: what the last collection left, and what the Go runtime has from the system
 //   - open_requests: accepted jobs without a final answer
 //   - registry_entries: listed workers
 //   - out_of_rotation: listed workers that get no new jobs, disabled by an operator or avoided by the rules
@@ -27,7 +34,7 @@
 //   - ownership_live, ownership_held, ownership_span_percent, ownership_weight_percent: schedulers that count as alive,
 //     workers in this scheduler's share, how far the share exceeds what it owns (100: not at all), and its weight against
 //     other schedulers (100: equal); only if the worker list is divided among schedulers
-func Metrics(c *core.Core, clients ClientFront, directives Directives, classes []string) []byte {
+func Metrics(c *core.Core, clients ClientFront, directives Directives, poller *reactor.Poller, classes []string) []byte {
 	b := make([]byte, 0, 96*len(classes)+160)
 	for i, name := range classes {
 		var e core.AnswerCounts
@@ -41,6 +48,16 @@
 	b = appendMetric(b, "relayed", clients.Relayed(), 'c')
 	b = appendMetric(b, "directive_failures", directives.Failures(), 'c')
 	b = appendMetric(b, "accept_failures", link.AcceptFailures(), 'c')
+	b = appendMetric(b, "refused_for_memory", poller.Buffers.Refused(), 'c')
+	for _, ended := range link.EndedConnections() {
+		b = appendMetric(b, "conn_ended."+ended.Reason, ended.Count, 'c')
+	}
+	b = appendMetric(b, "input_bytes", uint64(poller.Buffers.Used()), 'g')
+	b = appendMetric(b, "unhandled_messages", uint64(max(0, poller.Unhandled())), 'g')
+	memory := []metrics.Sample{{Name: "/gc/heap/live:bytes"}, {Name: "/memory/classes/total:bytes"}}
+	metrics.Read(memory)
+	b = appendMetric(b, "heap_bytes", memory[0].Value.Uint64(), 'g')
+	b = appendMetric(b, "runtime_bytes", memory[1].Value.Uint64(), 'g')
 	b = appendMetric(b, "open_requests", uint64(c.OpenRequests()), 'g')
 	b = appendMetric(b, "registry_entries", uint64(c.WorkerCount()), 'g')
 	b = appendMetric(b, "out_of_rotation", uint64(c.WorkersOutOfRotation()), 'g')
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -390,8 +390,9 @@
 	return true
 }
 
-// LogEnd writes the log line of an ended connection. attrs are further keys and values.
+// LogEnd writes the log line of an ended connection, and counts it. attrs are further keys and values.
 func LogEnd(log *slog.Logger, party, peer, reason string, messages int, age core.Time, attrs ...any) {
+	endCounts.add(reason)
 	log.Info("conn end", append([]any{"party", party, "peer", peer, "reason", reason, "messages", messages,
 		"age_ms", age / core.Millisecond}, attrs...)...)
 }
--- a/internal/reactor/buffers.go
+++ b/internal/reactor/buffers.go
@@ -7,18 +7,19 @@
 	SmallBuffer = 4 << 10
 	// bufferUnit is what larger buffers are rounded up to.
 	bufferUnit = 8 << 10
-	// pooledUnits are the larger buffers, in units, that are kept for reuse.
+	// maxPooledUnits is the largest of the buffers, in units, that are kept for reuse.
 	maxPooledUnits = 10
 	maxPooled      = 16 // buffers that are kept of each size
 )
 
 // Buffers holds the memory of messages that were read and not released. Buffers over SmallBuffer need credit, which is bounded.
 type Buffers struct {
-	mu     sync.Mutex
-	limit  int // bytes of large buffers
-	used   int
-	small  [][]byte
-	pooled [maxPooledUnits + 1][][]byte // by units
+	mu      sync.Mutex
+	limit   int // bytes of large buffers
+	used    int
+	refused uint64 // acquisitions without credit
+	small   [][]byte
+	pooled  [maxPooledUnits + 1][][]byte // by units
 }
 
 // SetLimit sets the bytes that large buffers may take together.
@@ -35,6 +36,13 @@
 	return b.used
 }
 
+// Refused returns how often there was no credit for a buffer.
+func (b *Buffers) Refused() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.refused
+}
+
 // Acquire returns a buffer of at least so many bytes, or nil if there is no credit for it. One large buffer is always granted.
 func (b *Buffers) Acquire(bytes int) []byte {
 	b.mu.Lock()
@@ -47,6 +55,7 @@
 	}
 	units := (bytes + bufferUnit - 1) / bufferUnit
 	if b.used > 0 && b.used+units*bufferUnit > b.limit {
+		b.refused++
 		return nil
 	}
 	b.used += units * bufferUnit
--- a/internal/reactor/poller.go
+++ b/internal/reactor/poller.go
@@ -243,6 +243,9 @@
 	return false
 }
 
+// Unhandled returns how many messages wait for the event loop.
+func (p *Poller) Unhandled() int64 { return p.unhandled.Load() }
+
 // Post posts an event of a connection to the loop. It counts until the loop has handled it.
 func (p *Poller) Post(event func()) { p.PostBatch(1, event) }
 
--- /dev/null
+++ b/internal/reactor/poller_test.go
@@ -0,0 +1,188 @@
+package reactor
+
+import (
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+)
+
+const waitTimeout = 5 * time.Second
+
+// testListener is a listener that never blocks.
+type testListener struct{ fd int }
+
+// testDescriptor is an accepted descriptor.
+type testDescriptor struct {
+	net.Conn
+	fd int
+}
+
+func (d testDescriptor) Fd() int              { return d.fd }
+func (d testDescriptor) RemoteAddr() net.Addr { return nil }
+func (d testDescriptor) LocalAddr() net.Addr  { return nil }
+
+func (l testListener) Fd() int { return l.fd }
+func (l testListener) Accept() (net.Conn, error) {
+	fd, _, err := unix.Accept4(l.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+	if err != nil {
+		return nil, nil
+	}
+	return testDescriptor{fd: fd}, nil
+}
+
+// testHandler takes one byte as a message.
+type testHandler struct {
+	conn     *Conn
+	poller   *Poller
+	messages chan byte
+	gone     atomic.Bool
+	closed   chan struct{}
+	handle   func(h *testHandler, message byte) // on the loop
+}
+
+func (h *testHandler) HandleInput(in *Input) Next {
+	var buffer [1]byte
+	n, err := in.Peek(buffer[:])
+	switch {
+	case err != nil:
+		h.conn.Close()
+		return Pause
+	case n == 0:
+		return Wait
+	}
+	in.Consume(1)
+	h.poller.Post(func() { h.handle(h, buffer[0]) })
+	return Pause
+}
+
+func (h *testHandler) PeerEnded() { h.gone.Store(true) }
+func (h *testHandler) Closed()    { close(h.closed) }
+
+// testLoop runs posted events one at a time, unless it is held.
+type testLoop struct{ events chan func() }
+
+func (l *testLoop) run() {
+	for event := range l.events {
+		event()
+	}
+}
+
+// startPoller serves connections whose messages handle gets, and returns a function that connects.
+func startPoller(t *testing.T, handle func(h *testHandler, message byte)) (p *Poller, dial func() (net.Conn, *testHandler)) {
+	loop := &testLoop{events: make(chan func(), 1<<16)}
+	go loop.run()
+	p, err := New(func(event func()) { loop.events <- event })
+	require.NoError(t, err)
+	t.Cleanup(p.Close)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	file, err := ln.(*net.TCPListener).File()
+	require.NoError(t, err)
+	t.Cleanup(func() { file.Close() })
+	fd := int(file.Fd()) // each call makes it blocking
+	require.NoError(t, unix.SetNonblock(fd, true))
+	accepted := make(chan *testHandler, 256)
+	require.NoError(t, p.Serve(testListener{fd}, func(c *Conn) Handler {
+		h := &testHandler{conn: c, poller: p, messages: make(chan byte, 256), closed: make(chan struct{}), handle: handle}
+		accepted <- h
+		return h
+	}))
+	return p, func() (net.Conn, *testHandler) {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+		return c, <-accepted
+	}
+}
+
+// Guards against ends that are noticed only behind the input before them: a paused connection with much unread learns of it at once.
+func TestPeerEndIsSeenWhileInputIsUnread(t *testing.T) {
+	_, dial := startPoller(t, func(*testHandler, byte) {}) // never resumed
+	c, h := dial()
+	_, err := c.Write(make([]byte, 10_000))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return h.conn.Unread() == 10_000-1 }, waitTimeout, time.Millisecond)
+	require.NoError(t, c.Close())
+	require.Eventually(t, h.gone.Load, waitTimeout, time.Millisecond)
+	assert.True(t, h.conn.IsPeerGone())
+	assert.Equal(t, 10_000-1, h.conn.Unread(), "nothing was read for it")
+}
+
+// Guards against a flood that fills the loop's mailbox: while the loop stands still, a bounded number of messages waits there, and
+// the others are in the kernel.
+func TestMessagesThatWaitForTheLoopAreBounded(t *testing.T) {
+	release := make(chan struct{})
+	var handled atomic.Int64
+	p, dial := startPoller(t, func(h *testHandler, _ byte) {
+		<-release
+		handled.Add(1)
+		h.conn.Resume()
+	})
+	const clients, messages = 3 * maxUnhandled, 3
+	for range clients {
+		c, _ := dial()
+		_, err := c.Write(make([]byte, messages))
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return p.Unhandled() >= maxUnhandled }, waitTimeout, time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+	assert.LessOrEqual(t, p.Unhandled(), int64(maxUnhandled))
+	close(release)
+	require.Eventually(t, func() bool { return handled.Load() == clients*messages }, waitTimeout, time.Millisecond)
+}
+
+// Guards against clients that wait behind others with a backlog: a message on a connection that was idle is handled after a bounded
+// number of those that had waited before it.
+func TestIdleConnectionsGoBeforeBacklogs(t *testing.T) {
+	const flooders, backlog, handleTime = 100, 50, 100 * time.Microsecond
+	var order []byte // on the loop
+	before := make(chan int, 1) // messages that were handled before the idle connection's
+	hold := make(chan struct{})
+	p, dial := startPoller(t, func(h *testHandler, message byte) {
+		<-hold
+		time.Sleep(handleTime)
+		order = append(order, message)
+		if message == 'i' {
+			before <- len(order) - 1
+		}
+		h.conn.Resume()
+	})
+	for range flooders {
+		c, _ := dial()
+		input := make([]byte, backlog)
+		_, err := c.Write(input)
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return p.Unhandled() >= maxUnhandled }, waitTimeout, time.Millisecond)
+	idle, _ := dial()
+	close(hold)
+	time.Sleep(time.Millisecond) // the backlogs are being handled
+	_, err := idle.Write([]byte("i"))
+	require.NoError(t, err)
+	select {
+	case handled := <-before:
+		assert.Less(t, handled, flooders*backlog-1, "others wait yet")
+	case <-time.After(waitTimeout):
+		t.Fatal("the message was not handled")
+	}
+}
+
+// Buffers over SmallBuffer need credit, and one of them is always granted.
+func TestLargeBuffersNeedCredit(t *testing.T) {
+	var b Buffers
+	b.SetLimit(3 * bufferUnit)
+	first := b.Acquire(2 * bufferUnit)
+	require.NotNil(t, first)
+	assert.Nil(t, b.Acquire(2*bufferUnit))
+	assert.NotNil(t, b.Acquire(SmallBuffer), "small ones are bounded by the connections")
+	assert.Equal(t, uint64(1), b.Refused())
+	b.Release(first)
+	assert.Zero(t, b.Used())
+	assert.NotNil(t, b.Acquire(100*bufferUnit))
+}
