--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -1,12 +1,12 @@
-// Package link owns one netpoll connection, accepted or dialed: its writer, its buffer, its end and its log line. The
-// fronts, the pool of connections to the workers and the discovery watch call it.
+// Package link owns one connection, accepted by package reactor or dialed by netpoll: its writer, its buffer, its end and its log
+// line. The fronts, the pool of connections to the workers and the discovery watch call it.
 //
 // # Ownership of the read buffer
 //
-// netpoll calls OnRequest on one of its goroutines as long as input is unread, and the slices that it returns are
-// invalid after Release. Here OnRequest (see Link.Read) waits for one complete message, posts it to the loop and
-// blocks. From then on the loop owns the buffer until it calls ReleaseBuffer, exactly once; only then does OnRequest
-// skip the message and release its slices. So a connection has at most one message in processing, and a request is kept
+// On an accepted connection a turn (see Link.HandleInput) posts one complete message to the loop and pauses the connection. On a
+// dialed one netpoll calls OnRequest on one of its goroutines as long as input is unread, and Link.Read waits for one complete
+// message, posts it and blocks. From then on the loop owns the buffer until it calls ReleaseBuffer, exactly once; only then does
+// the connection go on. So a connection has at most one message in processing, and a request is kept
 // without a copy for as long as it is open in the core.
 package link
 
@@ -163,9 +163,6 @@
 // IsPeerGone is HasPeerEnded by the present state of the system, which the poller may have to learn yet.
 func (l *Link) IsPeerGone() bool { return l.accepted != nil && l.accepted.IsPeerGone() }
 
-// HasPeerEnded reports whether the peer of an accepted connection has ended its output, or has gone.
-func (l *Link) HasPeerEnded() bool { return l.accepted != nil && l.accepted.HasPeerEnded() }
-
 // ReleaseBuffer returns the buffer to OnRequest and never blocks. One call is due for each message: a second one would
 // release the next message too early.
 func (l *Link) ReleaseBuffer() {
