--- a/internal/reactor/poller_test.go
+++ b/internal/reactor/poller_test.go
@@ -141,7 +141,7 @@
 // number of those that had waited before it.
 func TestIdleConnectionsGoBeforeBacklogs(t *testing.T) {
 	const flooders, backlog, handleTime = 100, 50, 100 * time.Microsecond
-	var order []byte // on the loop
+	var order []byte            // on the loop
 	before := make(chan int, 1) // messages that were handled before the idle connection's
 	hold := make(chan struct{})
 	p, dial := startPoller(t, func(h *testHandler, message byte) {
