Decide whether the poller has to be woken under the lock with which it falls asleep

What callers could see: a connection that waits for its turn without an answer, until any other event comes. Found by reading, not in a play.

Cause: the poller noted that it waits for the loop, the loop caught up before the poller slept, and with its queues empty the poller slept without looking again. What was resumed then left the wake-up to a loop that had nothing to handle any more. The second look is made whether there is work or not, and under the lock that the loop's wake-up and each resumed connection take: whoever comes later finds the poller asleep and wakes it.

Beside it: a wake-up was written after the lock was released, and could reach a descriptor with another owner, if the poller ended in between.

TestPollerIsWokenAfterTheLoopHasCaughtUp and TestEndedPollerIsNotWoken force both orders; both failed before (no turn within 5 s; eight bytes in another pipe).

--- a/internal/reactor/conn.go
+++ b/internal/reactor/conn.go
@@ -205,34 +205,27 @@
 // Resume says that the connection may take its next turn, after one that ended with Pause.
 func (c *Conn) Resume() {
 	c.poller.mu.Lock()
+	defer c.poller.mu.Unlock()
 	c.isPaused = false
-	isAsleep := (c.isReadable || c.hasMore.Load()) && c.enqueueAndCheckSleep()
-	c.poller.mu.Unlock()
-	if isAsleep {
-		c.poller.wake()
+	if c.isReadable || c.hasMore.Load() {
+		c.enqueueAndWake()
 	}
 }
 
 // TakeTurnSoon lets the connection take a turn even if no input arrives, once it is not paused.
 func (c *Conn) TakeTurnSoon() {
 	c.poller.mu.Lock()
+	defer c.poller.mu.Unlock()
 	c.isReadable = true
-	isAsleep := c.enqueueAndCheckSleep()
-	c.poller.mu.Unlock()
-	if isAsleep {
-		c.poller.wake()
-	}
+	c.enqueueAndWake()
 }
 
-// enqueueAndCheckSleep lets the connection wait for a turn, and reports whether the poller has to be woken for it. Poller.mu is
-// held.
-func (c *Conn) enqueueAndCheckSleep() (isAsleep bool) {
-	p := c.poller
-	if !c.enqueue() || p.isWaitingForLoop.Load() {
-		return false
+// enqueueAndWake lets the connection wait for a turn, and wakes the poller for it, unless the loop does that once it has caught up.
+// Poller.mu is held.
+func (c *Conn) enqueueAndWake() {
+	if p := c.poller; c.enqueue() && p.isAsleep && !p.isWaitingForLoop.Load() {
+		p.wake()
 	}
-	isAsleep, p.isAsleep = p.isAsleep, false
-	return isAsleep
 }
 
 // enqueue lets the connection wait for a turn; Poller.mu is held. It reports whether it did not wait before.
--- a/internal/reactor/poller.go
+++ b/internal/reactor/poller.go
@@ -52,6 +52,7 @@
 	mu          sync.Mutex
 	isAsleep    bool // in epoll_wait, without a time limit
 	isClosed    bool
+	hasEnded    bool // the poller's descriptors are closed
 	slots       []slot
 	free        []int32
 	sparse      queue // connections that were idle
@@ -133,8 +134,8 @@
 // Do calls f on the poller's goroutine, between two turns.
 func (p *Poller) Do(f func()) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.calls = append(p.calls, f)
-	p.mu.Unlock()
 	p.wake()
 }
 
@@ -218,8 +219,11 @@
 	if len(p.calls) > 0 {
 		return 0
 	}
+	// Asked whether there is work or not, and under the lock: a poller that falls asleep behind the loop is woken by it, and one that
+	// is not behind by what comes to its queues. What was true at an earlier look must not decide.
+	isBehind := p.isBehind()
 	canWork := !p.sparse.isEmpty() || !p.bulk.isEmpty() || len(p.disarmed) > 0
-	if canWork && !p.isBehind() {
+	if canWork && !isBehind {
 		return 0
 	}
 	p.isAsleep = true
@@ -260,18 +264,22 @@
 	})
 }
 
+// wakeIfAsleep wakes the poller if it waits for an event without a time limit.
 func (p *Poller) wakeIfAsleep() {
 	p.mu.Lock()
-	isAsleep := p.isAsleep
-	p.isAsleep = false
-	p.mu.Unlock()
-	if isAsleep {
+	defer p.mu.Unlock()
+	if p.isAsleep {
 		p.wake()
 	}
 }
 
-// wake ends the poller's present or next epoll_wait.
+// wake ends the poller's present or next epoll_wait; p.mu is held, and with it the descriptor is open. A poller that has ended is
+// left alone.
 func (p *Poller) wake() {
+	p.isAsleep = false
+	if p.hasEnded {
+		return
+	}
 	one := [8]byte{1}
 	// The counter can't overflow: each write is read before the poller sleeps again.
 	_, _ = unix.Write(p.wakeFD, one[:])
@@ -401,6 +409,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.hasEnded = true
 	unix.Close(p.epoll)
 	unix.Close(p.wakeFD)
 }
--- a/internal/reactor/poller_test.go
+++ b/internal/reactor/poller_test.go
@@ -74,6 +74,11 @@
 
 // startPoller serves connections whose messages handle gets, and returns a function that connects.
 func startPoller(t *testing.T, handle func(h *testHandler, message byte)) (p *Poller, dial func() (net.Conn, *testHandler)) {
+	return startPollerWith(t, handle, nil)
+}
+
+// startPollerWith is startPoller with a function that runs on the poller at each accept.
+func startPollerWith(t *testing.T, handle func(h *testHandler, message byte), onAccept func(c *Conn)) (p *Poller, dial func() (net.Conn, *testHandler)) {
 	loop := &testLoop{events: make(chan func(), 1<<16)}
 	go loop.run()
 	p, err := New(func(event func()) { loop.events <- event })
@@ -89,6 +94,9 @@
 	require.NoError(t, unix.SetNonblock(fd, true))
 	accepted := make(chan *testHandler, 256)
 	require.NoError(t, p.Serve(testListener{fd}, func(c *Conn) Handler {
+		if onAccept != nil {
+			onAccept(c)
+		}
 		h := &testHandler{conn: c, poller: p, messages: make(chan byte, 256), closed: make(chan struct{}), handle: handle}
 		accepted <- h
 		return h
@@ -186,3 +194,53 @@
 	assert.Zero(t, b.Used())
 	assert.NotNil(t, b.Acquire(100*bufferUnit))
 }
+
+// Guards against a poller that sleeps over a connection that waits for its turn: the loop catches up between the poller's look at
+// what is unhandled and its sleep, so that nobody wakes it.
+func TestPollerIsWokenAfterTheLoopHasCaughtUp(t *testing.T) {
+	accepts := 0
+	p, dial := startPollerWith(t, func(*testHandler, byte) {}, func(c *Conn) {
+		if accepts++; accepts == 1 {
+			return
+		}
+		p := c.poller
+		p.unhandled.Add(maxUnhandled) // behind the poller's last look but that of its sleep
+		assert.True(t, p.isBehind())
+		p.unhandled.Add(-maxUnhandled) // the loop handles them all, and finds the poller awake
+		c.handler = &testHandler{closed: make(chan struct{})}
+		c.Close() // no event of it wakes the poller
+	})
+	c, h := dial()
+	_, err := c.Write([]byte("ab"))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return h.conn.Unread() == 1 }, waitTimeout, time.Millisecond) // paused, with a backlog
+	dial()
+	require.Eventually(t, func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.isAsleep
+	}, waitTimeout, time.Millisecond)
+	h.conn.Resume()
+	require.Eventually(t, func() bool { return h.conn.Unread() == 0 }, waitTimeout, time.Millisecond)
+}
+
+// Guards against a write to a descriptor that another owner has by now, by a connection that is resumed as the poller ends.
+func TestEndedPollerIsNotWoken(t *testing.T) {
+	p, dial := startPoller(t, func(*testHandler, byte) {})
+	_, h := dial()
+	p.Close()
+	<-h.closed
+	require.Eventually(t, func() bool { return unix.Fsync(p.wakeFD) == unix.EBADF }, waitTimeout, time.Millisecond)
+	var pipe [2]int
+	require.NoError(t, unix.Pipe2(pipe[:], unix.O_NONBLOCK))
+	defer unix.Close(pipe[0])
+	defer unix.Close(pipe[1])
+	p.mu.Lock()
+	p.wakeFD, p.isAsleep = pipe[1], true
+	p.mu.Unlock()
+	h.conn.TakeTurnSoon()
+	p.Do(func() {})
+	var written [8]byte
+	_, err := unix.Read(pipe[0], written[:])
+	assert.ErrorIs(t, err, unix.EAGAIN, "nothing was written")
+}
