Tell each message's arrival by the poller's looks, not by the age of the last input

Cause: with the new reader a message may wait in the kernel, behind frames that the loop has to handle or for its turn. The kernel tells the age of the last input only, and what comes later on the connection hides the age of what came before.

A message counts from the first mark that covers its last byte: each frame of a batch by itself, and an HTTP/1.1 request as well. The time does not depend on when the loop or the turn comes.

--- a/internal/front/http2/input.go
+++ b/internal/front/http2/input.go
@@ -8,9 +8,8 @@
 
 // frameBatch is a batch of frames for the loop.
 type frameBatch struct {
-	frames     []*frame
-	cost       int       // of the frames in the account
-	receivedAt core.Time // when the last bytes had arrived
+	frames []*frame
+	cost   int // of the frames in the account
 }
 
 // HandleInput implements reactor.Handler: it posts the whole frames at the start of the input to the loop. The next ones are read
@@ -26,14 +25,14 @@
 		return reactor.Pause
 	}
 	receivedAt := c.front.loop.Clock()
-	frames, used, needed := c.splitFrames(input)
+	frames, used, needed := c.splitFrames(input, in, min(receivedAt, c.ArrivalTime(c.front.loop)))
 	c.noteFieldBlock(receivedAt)
 	c.notePartialFrame(receivedAt, used, needed)
 	if used > 0 {
 		in.Consume(used)
 	}
 	if len(frames) > 0 {
-		c.postFrames(frames, used, min(receivedAt, c.ArrivalTime(c.front.loop)))
+		c.postFrames(frames, used)
 		return reactor.Pause
 	}
 	if used > 0 {
@@ -44,8 +43,8 @@
 }
 
 // postFrames posts a batch to the loop.
-func (c *conn) postFrames(frames []*frame, used int, receivedAt core.Time) {
-	batch := &frameBatch{frames: frames, cost: max(used, link.MinMessageCost*len(frames)), receivedAt: receivedAt}
+func (c *conn) postFrames(frames []*frame, used int) {
+	batch := &frameBatch{frames: frames, cost: max(used, link.MinMessageCost*len(frames))}
 	c.Hold(batch.cost)
 	c.front.poller.PostBatch(len(frames), func() {
 		c.batch = batch
@@ -89,8 +88,8 @@
 }
 
 // splitFrames takes frames from buf, up to maxBatchFrames. needed above 0 says that the last frame is incomplete, and
-// how many bytes it needs.
-func (c *conn) splitFrames(buf []byte) (batch []*frame, used, needed int) {
+// how many bytes it needs. No frame has arrived later than receivedAt.
+func (c *conn) splitFrames(buf []byte, in *reactor.Input, receivedAt core.Time) (batch []*frame, used, needed int) {
 	for used < len(buf) && len(batch) < maxBatchFrames {
 		f, n, need := c.reader.readFrame(buf[used:])
 		if need > 0 {
@@ -98,6 +97,7 @@
 		}
 		used += n
 		if f != nil {
+			f.receivedAt = min(receivedAt, in.ArrivedBy(used))
 			batch = append(batch, f)
 			if f.err != nil {
 				c.readStopped = true
@@ -112,7 +112,7 @@
 // asked for before. A client that reads nothing is closed by the timeout of the write.
 func (c *conn) handleBatch() {
 	batch := c.batch
-	c.lastUsed, c.receivedAt = c.front.loop.Now(), batch.receivedAt
+	c.lastUsed = c.front.loop.Now()
 	for len(batch.frames) > 0 && !c.Ended && c.CloseReason == "" {
 		if c.front.account.IsOver() {
 			c.front.account.WhenFree(c.handleBatch)
@@ -124,6 +124,7 @@
 		}
 		next := batch.frames[0]
 		batch.frames = batch.frames[1:]
+		c.receivedAt = next.receivedAt
 		c.handleOne(next)
 	}
 	c.batch = nil
--- a/internal/front/http2/reader.go
+++ b/internal/front/http2/reader.go
@@ -5,6 +5,8 @@
 	"encoding/binary"
 
 	"golang.org/x/net/http2/hpack"
+
+	"cobaltflow/internal/core"
 )
 
 // frame is one frame or one whole field block. Its slices are copies, since it is handed to the loop.
@@ -16,7 +18,9 @@
 	length   int           // of the payload with its padding, which flow control counts
 	header   *fieldSection // of HEADERS
 	size     int           // bytes on the wire
-	err      *connError
+	// receivedAt is when its last byte had arrived.
+	receivedAt core.Time
+	err        *connError
 }
 
 // reader splits a connection's bytes into frames and decodes field blocks, which HPACK requires to be in order. It
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,7 +57,7 @@
 	if conf.Ownership != nil {
 		g.Core.EnableOwnership(*conf.Ownership)
 	}
-	g.poller, g.pollerErr = reactor.New(g.Loop.Post)
+	g.poller, g.pollerErr = reactor.New(g.Loop.Post, g.Loop.Clock)
 	g.account = link.NewAccount(g.Loop, conf.ClientBufferBytes(conf.Limits.MemoryMB))
 	controller := admission.NewController(g.Core, &conf.Names)
 	g.admission = controller
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -48,7 +48,7 @@
 func newAcceptedLink(t *testing.T) (*Link, net.Conn, *core.Loop, chan struct{}) {
 	loop := core.NewLoop()
 	go loop.Run()
-	poller, err := reactor.New(loop.Post)
+	poller, err := reactor.New(loop.Post, loop.Clock)
 	require.NoError(t, err)
 	ln, err := Listen("127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/link/turn.go
+++ b/internal/link/turn.go
@@ -75,9 +75,9 @@
 // post passes a message to the loop.
 func (l *Link) post(in *reactor.Input, r *MessageReader, buffer []byte, size int, receivedAt core.Time, handle func()) {
 	l.needed = 0
-	l.ReceivedAt = receivedAt
+	l.ReceivedAt = min(receivedAt, in.ArrivedBy(size))
 	if l.CountsQueuedTime {
-		l.ReceivedAt = min(receivedAt, l.ArrivalTime(r.Loop))
+		l.ReceivedAt = min(l.ReceivedAt, l.ArrivalTime(r.Loop))
 	}
 	l.message = buffer
 	l.hasPendingMessage.Store(true)
--- a/internal/platform/time_left_test.go
+++ b/internal/platform/time_left_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/net/http2"
 
 	"cobaltflow/internal/platform"
 	"cobaltflow/internal/standin"
@@ -75,6 +76,33 @@
 	}
 }
 
+// Guards against attempts that state time which their client no longer has, since the request waits in the kernel behind frames that
+// the loop has to handle, and frames that come after it hide its age.
+func TestTimeLeftCountsFromTheArrivalBehindOtherFrames(t *testing.T) {
+	t.Parallel()
+	w := standin.NewWorker(t, "s-1", nil)
+	n := startHTTP2(t, nil, w)
+	isHeld, release := make(chan struct{}), make(chan struct{})
+	n.Loop.Post(func() { close(isHeld); <-release })
+	<-isHeld
+	c := standin.Dial(t, n.HTTP2.Address())
+	c.Send(http2.ClientPreface)
+	framer := http2.NewFramer(c, c.Reader)
+	require.NoError(t, framer.WriteSettings())
+	blockUntil(t, func() bool { return n.Gateway.Poller().Unhandled() == 2 }) // the connection, and its SETTINGS
+	require.NoError(t, framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: encodeHTTP2Request("id-1"), EndStream: true, EndHeaders: true}))
+	time.Sleep(heldTime)
+	require.NoError(t, framer.WritePing(false, [8]byte{}))
+	blockUntil(t, func() bool { return hasArrived(t, c) })
+	close(release)
+	n.Eventually(func() bool { return len(w.Jobs()) == 1 })
+	sent, err := strconv.Atoi(longTimeLeft)
+	require.NoError(t, err)
+	stated, err := strconv.Atoi(w.Jobs()[0].TimeLeft)
+	require.NoError(t, err)
+	assert.LessOrEqual(t, stated, sent-int(heldTime.Milliseconds())+timeLeftSlackMS)
+}
+
 // A request whose time is over when the loop handles it is refused and reaches no worker.
 func TestRequestThatWaitedPastItsDeadlineIsRefused(t *testing.T) {
 	t.Parallel()
--- a/internal/reactor/conn.go
+++ b/internal/reactor/conn.go
@@ -56,6 +56,7 @@
 	fd   int          // -1: closed
 
 	lowWater int // SO_RCVLOWAT, if above 1; the poller's alone
+	arrivals arrivals
 
 	// The poller's mutex guards the rest.
 	slot       int32
@@ -258,6 +259,7 @@
 		return
 	}
 	if events&(unix.EPOLLIN|unix.EPOLLRDHUP) != 0 {
+		c.arrivals.note(c.Unread(), c.poller.now())
 		c.poller.mu.Lock()
 		c.isReadable = true
 		c.enqueue()
@@ -344,6 +346,7 @@
 	// Behind the last message the end of the input has to be looked at as well.
 	in.conn.hasMore.Store(in.isFull || n < in.peeked || in.conn.HasPeerEnded())
 	in.conn.seen.Store(0)
+	in.conn.arrivals.consume(n)
 	in.conn.setLowWater(0)
 	for n > 0 {
 		taken := in.conn.discard(in.conn.poller.scratch[:min(n, SharedBuffer)])
@@ -363,9 +366,14 @@
 	case n < 0:
 		return 0, nil
 	}
+	in.conn.arrivals.consume(n)
 	return n, nil
 }
 
+// ArrivedBy returns when the first n bytes of what Peek has returned had arrived, on the event loop's clock. It is not later than
+// the present, and not later than the poller's first look at the connection behind their arrival.
+func (in *Input) ArrivedBy(n int) int64 { return in.conn.arrivals.by(n, in.conn.poller.now()) }
+
 // Need says that a turn is of use only when so many bytes are there.
 func (in *Input) Need(bytes int) { in.need = bytes }
 
--- a/internal/reactor/poller.go
+++ b/internal/reactor/poller.go
@@ -40,6 +40,7 @@
 // Poller owns the connections of all fronts of a process.
 type Poller struct {
 	post    func(event func()) // to the event loop
+	now     func() int64       // the event loop's clock, in microseconds
 	epoll   int
 	wakeFD  int
 	Buffers Buffers
@@ -84,8 +85,9 @@
 // errClosed says that the poller or a connection is closed.
 var errClosed = errors.New("reactor: closed")
 
-// New starts a poller that posts its events with post. Close ends it.
-func New(post func(event func())) (*Poller, error) {
+// New starts a poller that posts its events with post. now is the event loop's clock, in microseconds, which any goroutine may read.
+// Close ends the poller.
+func New(post func(event func()), now func() int64) (*Poller, error) {
 	epoll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
 	if err != nil {
 		return nil, err
@@ -95,7 +97,7 @@
 		unix.Close(epoll)
 		return nil, err
 	}
-	p := &Poller{post: post, epoll: epoll, wakeFD: wake, scratch: make([]byte, SharedBuffer)}
+	p := &Poller{post: post, now: now, epoll: epoll, wakeFD: wake, scratch: make([]byte, SharedBuffer)}
 	p.slots = []slot{{}} // slot 0 is the wake-up descriptor's
 	if err := unix.EpollCtl(epoll, unix.EPOLL_CTL_ADD, wake, &unix.EpollEvent{Events: unix.EPOLLIN}); err != nil {
 		unix.Close(wake)
--- a/internal/reactor/poller_test.go
+++ b/internal/reactor/poller_test.go
@@ -81,7 +81,7 @@
 func startPollerWith(t *testing.T, handle func(h *testHandler, message byte), onAccept func(c *Conn)) (p *Poller, dial func() (net.Conn, *testHandler)) {
 	loop := &testLoop{events: make(chan func(), 1<<16)}
 	go loop.run()
-	p, err := New(func(event func()) { loop.events <- event })
+	p, err := New(func(event func()) { loop.events <- event }, func() int64 { return time.Now().UnixMicro() })
 	require.NoError(t, err)
 	t.Cleanup(p.Close)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
