Hand no Faktory job to a worker that has closed its connection

What callers saw: a job that may not run again was handed to the FETCH of a worker that had left, and was lost.

Cause: the new reader learns of an end when it reads on, and a session that waits behind 256 KiB of its own pipelined commands, or for the account, reads nothing. Where the poller stands still the end is not known at all. The HTTP fronts ask the kernel before an attempt's first byte; the Faktory front did not.

Change: a FETCH is answered with a job only if the kernel says that its peer is there, as it comes and as it waits; an end that the poller sees closes a session whose FETCH waits, without reading what is behind it.

--- a/internal/faktory/export_test.go
+++ b/internal/faktory/export_test.go
@@ -15,6 +15,15 @@
 	}
 }
 
+// PushForTest pushes a job without a connection.
+func (f *Front) PushForTest(payload string) error {
+	j, err := f.parseJob([]byte(payload), "here")
+	if err != nil {
+		return err
+	}
+	return f.pushJob(j)
+}
+
 // DeadForTest returns the number of dead jobs.
 func (f *Front) DeadForTest() int { return f.jobs.Stats().Dead }
 
--- a/internal/faktory/input.go
+++ b/internal/faktory/input.go
@@ -16,7 +16,7 @@
 )
 
 // parsedCommand is one command of a session with its payload parsed. Its slices belong to the buffer of its batch,
-// which outlives netpoll's, since commands may wait behind a FETCH.
+// which outlives the turn, since commands may wait behind a FETCH.
 type parsedCommand struct {
 	verb    string
 	arg     []byte
@@ -140,8 +140,15 @@
 	return true
 }
 
-// PeerEnded implements reactor.Handler. The commands that came before the end are run, as their jobs outlive the session.
-func (s *session) PeerEnded() {}
+// PeerEnded implements reactor.Handler. The commands that came before the end are run, as their jobs outlive the session, up to a
+// FETCH that waits: what is behind it has no reader for its replies.
+func (s *session) PeerEnded() {
+	s.front.poller.Post(func() {
+		if !s.Ended && s.fetch.IsWaiting() {
+			s.Close(link.PeerClosed)
+		}
+	})
+}
 
 // Closed implements reactor.Handler.
 func (s *session) Closed() {
--- a/internal/faktory/transport.go
+++ b/internal/faktory/transport.go
@@ -98,7 +98,7 @@
 	}
 	queue := f.queueOf(attempt.Client)
 	for _, s := range w.waitingSessions {
-		if s.CloseReason == "" && s.fetch.HasQueue(queue) {
+		if s.CloseReason == "" && s.fetch.HasQueue(queue) && !s.IsPeerGone() {
 			f.deliver(w, s, attempt) // one that may not begin ends in a later turn
 			return
 		}
--- a/internal/faktory/verbs.go
+++ b/internal/faktory/verbs.go
@@ -8,6 +8,7 @@
 
 	"cobaltflow/internal/core"
 	"cobaltflow/internal/jobs"
+	"cobaltflow/internal/link"
 	"cobaltflow/rules"
 )
 
@@ -122,6 +123,10 @@
 
 // fetch handles FETCH: it answers with a pending attempt of the worker, or waits up to fetchTimeout for one.
 func (f *Front) fetch(s *session, cmd *parsedCommand) {
+	if s.IsPeerGone() {
+		s.Close(link.PeerClosed) // nobody would run the job
+		return
+	}
 	w := s.worker
 	if w == nil {
 		s.reply(errorReply("FETCH is for workers: HELLO had no wid"))
