Allocate the space of the shared table of IDs before a process maps it

What callers could see: the end of a process, without a word, as its $TMPDIR is full. Found by reading.

Cause: the table's file had its size, but no blocks; the first write to a page that the file system can't hold raises SIGBUS. With the blocks allocated a full file system is an error at the start, where the process warns and knows its own IDs alone.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -38,8 +38,10 @@
 		return nil, err
 	}
 	defer file.Close()
-	if err := file.Truncate(tableBytes); err != nil { // the same size for all: it changes nothing in a table that is in use
-		return nil, err
+	// The same size for all: it changes nothing in a table that is in use. The space is allocated, since a write to a mapped page that
+	// the file system has no space for would end the process.
+	if err := unix.Fallocate(int(file.Fd()), 0, 0, tableBytes); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	memory, err := unix.Mmap(int(file.Fd()), 0, tableBytes, unix.PROT_READ|unix.PROT_WRITE, unix.MAP_SHARED|unix.MAP_POPULATE)
 	if err != nil {
--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // openTwice opens a table as two processes do.
@@ -73,3 +74,15 @@
 	}
 	assert.True(t, table.Claim("id-0", int64(last/1000)), "forgotten")
 }
+
+// Guards against a process that ends by SIGBUS, since the file system has no space for a page of the table: its blocks are allocated
+// before the table is used.
+func TestTableHasItsSpaceBeforeItIsUsed(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "ids")
+	_, err := Open(path)
+	require.NoError(t, err)
+	var stat unix.Stat_t
+	require.NoError(t, unix.Stat(path, &stat))
+	assert.EqualValues(t, tableBytes, stat.Size)
+	assert.GreaterOrEqual(t, stat.Blocks*512, int64(tableBytes))
+}
