Keep the buffers that are kept for reuse within the limit of those in use

What callers could see: up to 7 MB beyond the eighth of the memory that large messages may take (16 buffers of each of ten sizes), at 32 MB nearly twice as much as stated.

A buffer is kept only if it fits the limit besides those in use, and those kept give way to a new one.

--- a/internal/reactor/buffers.go
+++ b/internal/reactor/buffers.go
@@ -12,14 +12,16 @@
 	maxPooled      = 16 // buffers that are kept of each size
 )
 
-// Buffers holds the memory of messages that were read and not released. Buffers over SmallBuffer need credit, which is bounded.
+// Buffers holds the memory of messages that were read and not released. Buffers over SmallBuffer need credit, which is bounded:
+// those in use and those that are kept for reuse are within the limit together.
 type Buffers struct {
-	mu      sync.Mutex
-	limit   int // bytes of large buffers
-	used    int
-	refused uint64 // acquisitions without credit
-	small   [][]byte
-	pooled  [maxPooledUnits + 1][][]byte // by units
+	mu          sync.Mutex
+	limit       int // bytes of large buffers
+	used        int
+	refused     uint64 // acquisitions without credit
+	small       [][]byte
+	pooled      [maxPooledUnits + 1][][]byte // by units
+	pooledBytes int
 }
 
 // SetLimit sets the bytes that large buffers may take together.
@@ -27,6 +29,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.limit = bytes
+	b.trimPool()
 }
 
 // Used returns the bytes of the large buffers that were acquired and not released.
@@ -61,12 +64,23 @@
 	b.used += units * bufferUnit
 	if units <= maxPooledUnits {
 		if buffer := pop(&b.pooled[units]); buffer != nil {
+			b.pooledBytes -= len(buffer)
 			return buffer
 		}
 	}
+	b.trimPool()
 	return make([]byte, units*bufferUnit)
 }
 
+// trimPool drops buffers that are kept for reuse until they are within the limit besides those in use; mu is held.
+func (b *Buffers) trimPool() {
+	for units := maxPooledUnits; units > 0; units-- {
+		for b.used+b.pooledBytes > b.limit && len(b.pooled[units]) > 0 {
+			b.pooledBytes -= len(pop(&b.pooled[units]))
+		}
+	}
+}
+
 // Release gives a buffer back, which must not be used any more.
 func (b *Buffers) Release(buffer []byte) {
 	buffer = buffer[:cap(buffer)]
@@ -77,11 +91,13 @@
 		return
 	}
 	b.used -= len(buffer)
-	if units := len(buffer) / bufferUnit; units <= maxPooledUnits {
-		push(&b.pooled[units], buffer)
+	units := len(buffer) / bufferUnit
+	if units <= maxPooledUnits && b.used+b.pooledBytes+len(buffer) <= b.limit && push(&b.pooled[units], buffer) {
+		b.pooledBytes += len(buffer)
 	}
 }
 
+// pop takes a buffer from those that are kept, or returns nil.
 func pop(list *[][]byte) []byte {
 	last := len(*list) - 1
 	if last < 0 {
@@ -93,8 +109,11 @@
 	return buffer
 }
 
-func push(list *[][]byte, buffer []byte) {
-	if len(*list) < maxPooled {
-		*list = append(*list, buffer)
+// push keeps a buffer, unless there are enough of its size, and reports whether it did.
+func push(list *[][]byte, buffer []byte) bool {
+	if len(*list) == maxPooled {
+		return false
 	}
+	*list = append(*list, buffer)
+	return true
 }
