Judge no client by input that the poller has not looked at, and keep none for a known part

What callers could see: 408, or a closed HTTP/2 connection, for a request that had come whole in time, where the poller does not get to it for two seconds; and connections that stopped half way in a large request could not be evicted, so that new ones were shut. Found by reading.

Of a large message the poller knows that it is incomplete without looking at all of it, and noted nothing, so that its half counted as input that may be whole.

Change: a turn notes how much has to be there for the next one to be of use. Below that the input is a part, and is judged and may be evicted; from there on it waits for a turn.

TestRequestThatWaitsForThePollerIsNotSlow: 408 on both HTTP/1.1 connections and no job over HTTP/2 before. TestHalfOfALargeRequestIsSlow: never evictable before.

--- a/internal/front/http2/slow.go
+++ b/internal/front/http2/slow.go
@@ -68,16 +68,16 @@
 // endSlowRequests answers requests that have not come whole in time with 408, and closes a connection whose field block has
 // not.
 func (c *conn) endSlowRequests(now core.Time) {
-	if since := c.partialSince.Load(); since > 0 && now-since > messageTimeout && !c.hasWholeRequest() {
+	if since := c.partialSince.Load(); since > 0 && now-since > messageTimeout && !c.hasWholeRequest() && !c.MayHaveMessage() {
 		c.closeWithGoAway(EnhanceYourCalm, link.SlowInput, "a frame did not come whole in time")
 		return
 	}
-	if since := c.blockSince.Load(); since > 0 && now-since > messageTimeout && !c.hasWholeRequest() {
+	if since := c.blockSince.Load(); since > 0 && now-since > messageTimeout && !c.hasWholeRequest() && !c.MayHaveMessage() {
 		c.closeWithGoAway(EnhanceYourCalm, link.SlowInput, "a block of headers did not come whole in time")
 		return
 	}
 	for _, s := range c.streams {
-		if !s.requestEnded && !s.answered && now-s.openedAt > messageTimeout {
+		if !s.requestEnded && !s.answered && now-s.openedAt > messageTimeout && !c.MayHaveMessage() {
 			s.rejectEarly(408, "no whole request came in time")
 		}
 	}
--- a/internal/platform/export_test.go
+++ b/internal/platform/export_test.go
@@ -223,6 +223,16 @@
 	return n
 }
 
+// EvictableClients returns how many clients' connections may be closed for others. It is called on the loop.
+func (f *Front) EvictableClients() (n int) {
+	f.clients.Each(func(_ core.Ref, c *clientConn) {
+		if c.evictionRank() < busyRank {
+			n++
+		}
+	})
+	return n
+}
+
 // LargestUnread returns the most bytes that a client's connection has unread. It is called on the loop.
 func (f *Front) LargestUnread() (bytes int) {
 	f.clients.Each(func(_ core.Ref, c *clientConn) { bytes = max(bytes, c.UnreadBytes()) })
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -249,7 +249,7 @@
 	case c.CloseReason != "":
 	case c.inFlight != nil:
 		c.endPipelining()
-	case c.HasPendingMessage():
+	case c.MayHaveMessage(): // it may be whole, and waits for the poller or the loop
 	case unread > 0 && c.partialSince == 0:
 		c.partialSince = now
 	case c.partialSince > 0 && now-c.partialSince > messageTimeout:
--- a/internal/reactor/conn.go
+++ b/internal/reactor/conn.go
@@ -49,8 +49,9 @@
 	writable      chan struct{}
 	closed        chan struct{}
 	hasPeerEnded  atomic.Bool
-	hasMore       atomic.Bool  // input lay behind what the last turn consumed
-	seen          atomic.Int64 // unread bytes that a turn has looked at
+	hasMore       atomic.Bool // input lay behind what the last turn consumed
+	// awaited is how many bytes have to be unread for a turn to be of use: more than the last one has found to be a part of a message.
+	awaited atomic.Int64
 
 	fdMu sync.RWMutex // readers use fd
 	fd   int          // -1: closed
@@ -126,11 +127,9 @@
 	return bytes
 }
 
-// HasUnseenInput reports whether input has arrived that no turn has looked at.
-func (c *Conn) HasUnseenInput() bool { return c.Unread() > c.Seen() }
-
-// Seen returns how many of the unread bytes the last turn has looked at and left.
-func (c *Conn) Seen() int { return int(c.seen.Load()) }
+// HasUnseenInput reports whether input waits for a turn that may find a message in it. What the last turn has found to be a part of a
+// message does not, until as much is there as it asked for.
+func (c *Conn) HasUnseenInput() bool { return c.Unread() >= max(1, int(c.awaited.Load())) }
 
 // Close closes the connection, with an end in order if the peer sends nothing more: input that is unread would make it a reset,
 // which could destroy an answer on its way. A second call has no effect.
@@ -279,7 +278,7 @@
 	}
 	c.setLowWater(in.need)
 	if next == Wait {
-		c.seen.Store(int64(in.peeked))
+		c.awaited.Store(int64(max(in.need, in.peeked+1)))
 	}
 	c.poller.mu.Lock()
 	defer c.poller.mu.Unlock()
@@ -345,7 +344,7 @@
 func (in *Input) Consume(n int) {
 	// Behind the last message the end of the input has to be looked at as well.
 	in.conn.hasMore.Store(in.isFull || n < in.peeked || in.conn.HasPeerEnded())
-	in.conn.seen.Store(0)
+	in.conn.awaited.Store(0)
 	in.conn.arrivals.consume(n)
 	in.conn.setLowWater(0)
 	for n > 0 {
