--- a/internal/platform/export_test.go
+++ b/internal/platform/export_test.go
@@ -223,10 +223,11 @@
 	return n
 }
 
-// EvictableClients returns how many clients' connections may be closed for others. It is called on the loop.
+// EvictableClients returns how many clients' connections may be closed for others, of those that are not closing. It is called on the
+// loop.
 func (f *Front) EvictableClients() (n int) {
 	f.clients.Each(func(_ core.Ref, c *clientConn) {
-		if c.evictionRank() < busyRank {
+		if c.CloseReason == "" && c.evictionRank() < busyRank {
 			n++
 		}
 	})
