Close no client as not reading whose system has taken bytes meanwhile

What callers could see: a client on a slow path is closed in the middle of a large answer, `not-reading`, while it reads.

Cause: the system says that it takes bytes again when a third of its buffer is free. Of 4 MB a path of 500 KB/s frees that in 2.7 s, and the bound is 2 s without a byte taken. At the timeout the writer looks at how much the peer's system has not taken, and goes on waiting if that has become less: the bound is what it says.

A call of the system that a signal interrupts is repeated, in place of waiting for an event that may not come.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -234,6 +234,27 @@
 	<-ended
 }
 
+// Guards against a client that is closed as one that does not read, since its path takes longer than the write timeout to free as much
+// of the system's buffer as the system waits for.
+func TestSlowReaderIsNotTakenForOneThatDoesNotRead(t *testing.T) {
+	l, peer, loop, _ := newAcceptedLink(t)
+	const answerBytes, timeout, slowTime = 32 << 20, 200 * time.Millisecond, 3 * time.Second
+	require.NoError(t, l.Conn.(interface{ SetWriteTimeout(time.Duration) error }).SetWriteTimeout(timeout))
+	// A small buffer of the peer's system is open again after each part.
+	require.NoError(t, peer.(*net.TCPConn).SetReadBuffer(64<<10))
+	l.Send(loop, Outgoing{Message: make([]byte, answerBytes), CloseAfter: true})
+	require.NoError(t, peer.SetDeadline(time.Now().Add(20*time.Second)))
+	read := 0
+	for part, began := make([]byte, 64<<10), time.Now(); time.Since(began) < slowTime; time.Sleep(timeout / 8) {
+		n, err := peer.Read(part)
+		require.NoError(t, err)
+		read += n
+	}
+	rest, err := io.Copy(io.Discard, peer)
+	require.NoError(t, err)
+	assert.EqualValues(t, answerBytes, read+int(rest))
+}
+
 // A peer that keeps its side open is closed after the linger timeout.
 func TestCloseWriteClosesAfterLingerTimeout(t *testing.T) { eachKind(t, testLingerTimeout) }
 
--- a/internal/reactor/conn.go
+++ b/internal/reactor/conn.go
@@ -165,15 +165,24 @@
 
 // TryWrite writes as much as the system takes at once and returns how much that is.
 func (c *Conn) TryWrite(b []byte) (n int, err error) {
-	if !c.WithFD(func(fd int) { n, err = unix.Write(fd, b) }) {
+	if !c.WithFD(func(fd int) { n, err = retryInterrupted(func() (int, error) { return unix.Write(fd, b) }) }) {
 		return 0, net.ErrClosed
 	}
-	if err == unix.EAGAIN || err == unix.EINTR {
+	if err == unix.EAGAIN {
 		return 0, nil
 	}
 	return max(n, 0), err
 }
 
+// retryInterrupted repeats a call of the system that a signal has interrupted.
+func retryInterrupted(call func() (int, error)) (n int, err error) {
+	for {
+		if n, err = call(); err != unix.EINTR {
+			return n, err
+		}
+	}
+}
+
 // Write writes all bytes. It fails if the peer takes none within the write timeout.
 func (c *Conn) Write(b []byte) (written int, err error) {
 	for {
@@ -189,19 +198,38 @@
 	}
 }
 
+// awaitWritable waits until the system takes bytes again. It fails if the peer takes none within the write timeout: the system says
+// that it takes more only when a large part of its buffer is free, which a slow path may not free in that time.
 func (c *Conn) awaitWritable() error {
-	timer := time.NewTimer(time.Duration(c.writeTimeout.Load()))
-	defer timer.Stop()
-	select {
-	case <-c.writable:
-		return nil
-	case <-c.closed:
-		return net.ErrClosed
-	case <-timer.C:
-		return os.ErrDeadlineExceeded
+	for untaken := c.untaken(); ; {
+		timer := time.NewTimer(time.Duration(c.writeTimeout.Load()))
+		select {
+		case <-c.writable:
+			timer.Stop()
+			return nil
+		case <-c.closed:
+			timer.Stop()
+			return net.ErrClosed
+		case <-timer.C:
+		}
+		left := c.untaken()
+		if left >= untaken {
+			return os.ErrDeadlineExceeded
+		}
+		untaken = left
 	}
 }
 
+// untaken returns how many bytes the system holds that the peer has not taken.
+func (c *Conn) untaken() (bytes int) {
+	c.WithFD(func(fd int) {
+		if n, err := unix.IoctlGetInt(fd, unix.TIOCOUTQ); err == nil {
+			bytes = n
+		}
+	})
+	return bytes
+}
+
 // Resume says that the connection may take its next turn, after one that ended with Pause.
 func (c *Conn) Resume() {
 	c.poller.mu.Lock()
@@ -313,11 +341,11 @@
 // Peek copies what has arrived into a buffer, without consuming it, and returns how much that is. io.EOF says that the peer has
 // ended its output, and nothing is left before the end.
 func (in *Input) Peek(buffer []byte) (n int, err error) {
-	isOpen := in.conn.WithFD(func(fd int) { n, _, err = unix.Recvfrom(fd, buffer, unix.MSG_PEEK|unix.MSG_DONTWAIT) })
+	isOpen := in.conn.WithFD(func(fd int) { n, err = receive(fd, buffer, unix.MSG_PEEK) })
 	switch {
 	case !isOpen:
 		return 0, net.ErrClosed
-	case err == unix.EAGAIN || err == unix.EINTR:
+	case err == unix.EAGAIN:
 		return 0, nil
 	case err != nil:
 		return 0, err
@@ -328,6 +356,14 @@
 	return n, nil
 }
 
+// receive receives without waiting.
+func receive(fd int, buffer []byte, flags int) (n int, err error) {
+	return retryInterrupted(func() (int, error) {
+		n, _, err := unix.Recvfrom(fd, buffer, flags|unix.MSG_DONTWAIT)
+		return n, err
+	})
+}
+
 // PeekShared is Peek into a buffer of the poller, of SharedBuffer bytes. The result is valid for the turn.
 func (in *Input) PeekShared() (input []byte, err error) {
 	n, err := in.Peek(in.conn.poller.scratch)
@@ -380,7 +416,7 @@
 // the input, and less if nothing is there.
 func (c *Conn) discard(buffer []byte) (n int) {
 	var err error
-	if !c.WithFD(func(fd int) { n, _, err = unix.Recvfrom(fd, buffer, unix.MSG_TRUNC|unix.MSG_DONTWAIT) }) {
+	if !c.WithFD(func(fd int) { n, err = receive(fd, buffer, unix.MSG_TRUNC) }) {
 		return -1
 	}
 	if err != nil {
