Let messages that come in parts wait with backlogs, and free a listener's failed slot

A request in a thousand small parts costs a thousand looks at all of it, up to 144 KiB each where its length is not known (chunked). Each such look went before the turns of connections with a backlog, as if the connection had been idle. It takes its turn with those now: four idle connections go before one of them.

TestMessagesInPartsDoNotGoFirst; before, the message in parts had the first turn. A listener that epoll refuses gives its slot back.

--- a/internal/reactor/conn.go
+++ b/internal/reactor/conn.go
@@ -256,13 +256,14 @@
 	}
 }
 
-// enqueue lets the connection wait for a turn; Poller.mu is held. It reports whether it did not wait before.
+// enqueue lets the connection wait for a turn; Poller.mu is held. It reports whether it did not wait before. One whose message comes
+// in parts waits with those that have a backlog: each part costs a look at all that is there of the message.
 func (c *Conn) enqueue() bool {
 	if c.isQueued || c.isPaused {
 		return false
 	}
 	c.isQueued = true
-	if c.hasMore.Load() {
+	if c.hasMore.Load() || c.awaited.Load() > 1 {
 		c.poller.bulk.push(c)
 	} else {
 		c.poller.sparse.push(c)
--- a/internal/reactor/poller.go
+++ b/internal/reactor/poller.go
@@ -5,7 +5,8 @@
 // # Turns
 //
 // A connection with input waits in a queue for its turn, which handles one message, or one bounded batch of them. Connections
-// that were idle before go first; those that had further input waiting when their last message was handled share what is left.
+// that were idle before go first; those that had further input waiting when their last message was handled, or whose message comes
+// in parts, share what is left.
 // Of what the turns post to the event loop, at most maxUnhandled events wait there. So what a flood can queue before the others
 // does not depend on its speed.
 //
@@ -57,7 +58,7 @@
 	slots       []slot
 	free        []int32
 	sparse      queue // connections that were idle
-	bulk        queue // connections that had more input behind their last message
+	bulk        queue // connections that had more input behind their last message, or have a part of one
 	sparseTurns int   // of connections that were idle, since the last one of a connection with a backlog
 	disarmed    []*listener
 	calls       []func() // see Do
@@ -120,7 +121,13 @@
 	one.slot = p.acquireSlot(slot{listener: one})
 	event := p.event(one.slot, unix.EPOLLIN|unix.EPOLLONESHOT)
 	p.mu.Unlock()
-	return unix.EpollCtl(p.epoll, unix.EPOLL_CTL_ADD, l.Fd(), &event)
+	err := unix.EpollCtl(p.epoll, unix.EPOLL_CTL_ADD, l.Fd(), &event)
+	if err != nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.releaseSlot(one.slot)
+	}
+	return err
 }
 
 // Close ends the poller, which closes all connections. Listeners stay open. A second call has no effect.
--- a/internal/reactor/poller_test.go
+++ b/internal/reactor/poller_test.go
@@ -230,3 +230,17 @@
 	_, err := unix.Read(pipe[0], written[:])
 	assert.ErrorIs(t, err, unix.EAGAIN, "nothing was written")
 }
+
+// Guards against senders of a message in many small parts that delay others: each part costs a look at all that has come of the
+// message, so they take turns with those that have a backlog.
+func TestMessagesInPartsDoNotGoFirst(t *testing.T) {
+	p := &Poller{}
+	inParts, idle := &Conn{poller: p}, &Conn{poller: p}
+	inParts.awaited.Store(100)
+	p.mu.Lock()
+	inParts.enqueue()
+	idle.enqueue()
+	p.mu.Unlock()
+	assert.Same(t, idle, p.nextTurn())
+	assert.Same(t, inParts, p.nextTurn())
+}
